--- /dev/null
+++ b/internal/core/cwcatalogue/diff.go
@@ -0,0 +1,111 @@
+package cwcatalogue
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+)
+
+// Difference is one thing that a new catalogue changes, in words that need no
+// knowledge of replication.
+type Difference struct {
+	Text string
+	// Traffic names what callers may notice; it is empty if they cannot.
+	Traffic string
+}
+
+// Diff says what changes from a to b.
+func Diff(a, b Catalogue) []Difference {
+	var out []Difference
+	add := func(traffic, format string, args ...any) {
+		out = append(out, Difference{Text: fmt.Sprintf(format, args...), Traffic: traffic})
+	}
+	for _, e := range b.Entries {
+		if old, ok := a.Entry(e.Service); ok {
+			out = append(out, diffEntry(old, e)...)
+			continue
+		}
+		add("", "service %s is new: %d groups, owned by %s", e.Service, len(e.Groups), e.Owner)
+	}
+	for _, e := range a.Entries {
+		if _, ok := b.Entry(e.Service); !ok {
+			add("all callers of "+e.Service+" are refused", "service %s is removed", e.Service)
+		}
+	}
+	for _, s := range b.Stops {
+		if !a.Stopping(s.Target) {
+			add("", "database %s is to be left in peace: it gets no new work", s.Target)
+		}
+	}
+	for _, s := range a.Stops {
+		if !b.Stopping(s.Target) {
+			add("", "database %s takes work again", s.Target)
+		}
+	}
+	if !reflect.DeepEqual(a.DataCentres, b.DataCentres) || !reflect.DeepEqual(a.Links, b.Links) {
+		add("", "data centres or the delays between them change")
+	}
+	return out
+}
+
+func diffEntry(a, b Entry) []Difference {
+	var out []Difference
+	add := func(traffic, format string, args ...any) {
+		out = append(out, Difference{Text: b.Service + ": " + fmt.Sprintf(format, args...), Traffic: traffic})
+	}
+	if a.Owner != b.Owner || a.Title != b.Title {
+		add("", "owner or title changes (owner %s, title %s)", b.Owner, b.Title)
+	}
+	if a.Contract != b.Contract {
+		add(contractTraffic(a.Contract, b.Contract), "contract changes from %+v to %+v", a.Contract, b.Contract)
+	}
+	if !slices.Equal(sorted(a.GroupNames()), sorted(b.GroupNames())) {
+		add("records of this service are looked for in other groups", "its groups change from %v to %v", a.GroupNames(), b.GroupNames())
+	}
+	for _, g := range b.Groups {
+		old, ok := a.Group(g.Name)
+		if !ok {
+			continue
+		}
+		out = append(out, diffGroup(b.Service, old, g)...)
+	}
+	return out
+}
+
+func contractTraffic(a, b Contract) string {
+	if b.Connections < a.Connections || b.QueueLimit < a.QueueLimit || b.StatementTimeout < a.StatementTimeout {
+		return "callers may be refused sooner when it is busy"
+	}
+	return ""
+}
+
+func diffGroup(service string, a, b Group) []Difference {
+	var out []Difference
+	for _, t := range b.Targets {
+		old, ok := a.Target(t.ID)
+		switch {
+		case !ok:
+			out = append(out, Difference{Text: fmt.Sprintf("%s: database %s joins group %s", service, t.ID, b.Name)})
+		case old != t:
+			out = append(out, Difference{
+				Text:    fmt.Sprintf("%s: database %s moves from %s (%s) to %s (%s)", service, t.ID, old.Address, old.DataCentre, t.Address, t.DataCentre),
+				Traffic: "work in progress at " + string(t.ID) + " is interrupted",
+			})
+		}
+	}
+	for _, t := range a.Targets {
+		if _, ok := b.Target(t.ID); !ok {
+			out = append(out, Difference{
+				Text:    fmt.Sprintf("%s: database %s leaves group %s", service, t.ID, b.Name),
+				Traffic: "work in progress at " + string(t.ID) + " is interrupted; plan a stop of it first",
+			})
+		}
+	}
+	return out
+}
+
+func sorted(s []string) []string {
+	s = slices.Clone(s)
+	slices.Sort(s)
+	return s
+}
--- /dev/null
+++ b/internal/core/cwplace/place.go
@@ -0,0 +1,57 @@
+// Package cwplace spreads work over instances by rendezvous hashing: every
+// instance computes the same order for a key from the same list, without
+// talking to the others, and a change of the list moves as little as possible.
+package cwplace
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+func weight(node, key string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(node))
+	x := h.Sum64()
+	// FNV mixes the last bytes poorly; finish as in splitmix64.
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Order returns the nodes in the order of the key, first choice first.
+func Order(key string, nodes []string) []string {
+	out := slices.Clone(nodes)
+	slices.SortFunc(out, func(a, b string) int {
+		if c := cmp.Compare(weight(b, key), weight(a, key)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return out
+}
+
+// Rank returns the place of self in the order of the key, or len(nodes) if it
+// is not among them.
+func Rank(self, key string, nodes []string) int {
+	if !slices.Contains(nodes, self) {
+		return len(nodes)
+	}
+	mine, rank := weight(self, key), 0
+	for _, n := range nodes {
+		if w := weight(n, key); w > mine || w == mine && n < self {
+			rank++
+		}
+	}
+	return rank
+}
+
+// First returns the first n nodes in the order of the key.
+func First(key string, nodes []string, n int) []string {
+	out := Order(key, nodes)
+	return out[:min(n, len(out))]
+}
--- /dev/null
+++ b/internal/core/cwroute/age.go
@@ -0,0 +1,133 @@
+package cwroute
+
+import (
+	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+)
+
+// sampleSpacing and maxSamples bound the memory of a history: 256 samples of a
+// quarter of a second reach back about a minute.
+const (
+	sampleSpacing = 250 * time.Millisecond
+	maxSamples    = 256
+)
+
+type sample struct {
+	at   time.Time
+	mark cwgroup.Mark
+}
+
+// History remembers where the primary was at which time, so that the age of a
+// replica's data can be told from its mark alone. All times are those of this
+// proxy; a target's clock is never used. The zero History is empty.
+type History struct {
+	// samples ascend in time and in mark.
+	samples []sample
+}
+
+// Observe records that the primary's log ended at m at some moment not before
+// at. Pass the time at which the question was sent, not the time at which the
+// answer came, so that ages are never underestimated.
+func (h *History) Observe(m cwgroup.Mark, at time.Time) {
+	n := len(h.samples)
+	if n > 0 && (!m.AtLeast(h.samples[n-1].mark) || at.Sub(h.samples[n-1].at) < 0) {
+		return
+	}
+	if n > 1 && h.samples[n-1].at.Sub(h.samples[n-2].at) < sampleSpacing {
+		h.samples[n-1] = sample{at: at, mark: m}
+		return
+	}
+	if n == maxSamples {
+		copy(h.samples, h.samples[1:])
+		h.samples = h.samples[:n-1]
+	}
+	h.samples = append(h.samples, sample{at: at, mark: m})
+}
+
+// Age returns how old data that ends at m is at most. The second result is
+// false if the history does not reach back far enough.
+//
+// While the primary cannot be seen there are no new samples, so ages keep
+// growing: a data centre that is cut off serves reads of a stated age until the
+// age has passed, and no longer.
+func (h *History) Age(m cwgroup.Mark, now time.Time) (time.Duration, bool) {
+	for i := len(h.samples) - 1; i >= 0; i-- {
+		if m.AtLeast(h.samples[i].mark) {
+			return max(0, now.Sub(h.samples[i].at)), true
+		}
+	}
+	return 0, false
+}
+
+// lagSmoothing is the weight of the newest lag in the average, as a divisor.
+const lagSmoothing = 4
+
+// LagMeter measures how long each replica takes to apply what the primary has,
+// by this proxy's clock. The zero LagMeter is ready.
+type LagMeter struct {
+	// seen are the latest marks of the primary with the time at which each was
+	// first seen, ascending.
+	seen []sample
+	lag  map[cwgroup.MemberID]time.Duration
+	last map[cwgroup.MemberID]cwgroup.Mark
+}
+
+// Primary records that the primary's log was seen to end at m.
+func (l *LagMeter) Primary(m cwgroup.Mark, now time.Time) {
+	if n := len(l.seen); n > 0 && l.seen[n-1].mark.AtLeast(m) {
+		return
+	}
+	if len(l.seen) == maxSamples {
+		copy(l.seen, l.seen[1:])
+		l.seen = l.seen[:maxSamples-1]
+	}
+	l.seen = append(l.seen, sample{at: now, mark: m})
+}
+
+// firstSeen returns when the primary was first seen at or past m.
+func (l *LagMeter) firstSeen(m cwgroup.Mark) (time.Time, bool) {
+	if len(l.seen) == 0 || l.seen[0].mark.AtLeast(m) {
+		return time.Time{}, false
+	}
+	for _, s := range l.seen {
+		if s.mark.AtLeast(m) {
+			return s.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Replica records that the member has applied up to m.
+func (l *LagMeter) Replica(id cwgroup.MemberID, m cwgroup.Mark, now time.Time) {
+	if l.lag == nil {
+		l.lag = make(map[cwgroup.MemberID]time.Duration)
+		l.last = make(map[cwgroup.MemberID]cwgroup.Mark)
+	}
+	if l.last[id].AtLeast(m) {
+		return
+	}
+	l.last[id] = m
+	at, ok := l.firstSeen(m)
+	if !ok {
+		return
+	}
+	old, known := l.lag[id]
+	if !known {
+		l.lag[id] = now.Sub(at)
+		return
+	}
+	l.lag[id] = old + (now.Sub(at)-old)/lagSmoothing
+}
+
+// Lag returns the member's average lag.
+func (l *LagMeter) Lag(id cwgroup.MemberID) time.Duration { return l.lag[id] }
+
+// CatchUp returns the expected time until the member has applied m.
+func (l *LagMeter) CatchUp(id cwgroup.MemberID, m cwgroup.Mark, now time.Time) time.Duration {
+	lag := l.lag[id]
+	if at, ok := l.firstSeen(m); ok {
+		return max(0, lag-now.Sub(at))
+	}
+	return lag
+}
--- /dev/null
+++ b/internal/proxy/cwfront/run.go
@@ -0,0 +1,419 @@
+package cwfront
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwack"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
+	"cicadawalk.example/cicadawalk/internal/core/cwrequest"
+	"cicadawalk.example/cicadawalk/internal/core/cwroute"
+	"cicadawalk.example/cicadawalk/internal/core/cwsession"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwpool"
+)
+
+// Limits of running a unit.
+const (
+	// maxAttempts bounds how often a unit that certainly did not run is tried.
+	maxAttempts = 4
+	// retryAfter is what a caller is told after a connection was lost.
+	retryAfter = 200 * time.Millisecond
+	// codeReadOnly is how a target refuses a write that it may not take.
+	codeReadOnly = "25006"
+)
+
+// unit is what is sent to a target at once: a simple query, or a batch of the
+// extended protocol.
+type unit struct {
+	// read is true if nothing in the unit can write.
+	read bool
+	// begin is true if the unit begins a transaction.
+	begin bool
+	// ends is true if the unit may commit the transaction it runs in.
+	ends bool
+	// sync is false for a batch that was flushed before its end.
+	sync bool
+	// steps returns what to expect for a batch, and nil for a simple query. It
+	// queues the messages at the connection.
+	send func(c *cwpool.Conn) *steps
+	// done is called with the connection after the answer was passed on.
+	done func(c *cwpool.Conn, rep reply)
+	// digest names the unit for its request key.
+	digest string
+}
+
+// errNoGroup is the refusal of a statement whose group is not known.
+func (s *session) errNoGroup() error {
+	return cwrefusal.NotRun(cwrefusal.InvalidParameter, 0,
+		"this service keeps its records in %d groups; set cicadawalk.shard to the key of the record's owner", len(s.entry.Groups)).
+		WithHint("SET cicadawalk.shard = '...', or give it as a start-up parameter.")
+}
+
+// runUnit runs a unit inside the transaction or by itself.
+func (s *session) runUnit(u unit) {
+	s.server.Metrics.Statements.Inc()
+	if s.tx != nil {
+		s.runInTransaction(u)
+		return
+	}
+	if err := s.refresh(); err != nil {
+		s.fail(err)
+		return
+	}
+	if s.group == nil {
+		s.fail(s.errNoGroup())
+		return
+	}
+	if s.own.requestKey != "" && !u.read {
+		s.runKeyed(u)
+		return
+	}
+	deadline := s.server.Clock.Now().Add(s.entry.Contract.StatementTimeout)
+	for attempt := 1; ; attempt++ {
+		again, err := s.attempt(u, deadline)
+		if err == nil {
+			return
+		}
+		if !again || attempt == maxAttempts || !s.server.Clock.Now().Before(deadline) {
+			s.fail(err)
+			return
+		}
+		s.server.Metrics.Retries.Inc()
+	}
+}
+
+// attempt runs a unit once. If it failed, again says whether it may be tried
+// anew: nothing of it took effect, and nothing of its answer went out.
+func (s *session) attempt(u unit, deadline time.Time) (again bool, err error) {
+	r, endWrite, err := s.lend(u.read, deadline)
+	if err != nil {
+		return false, err
+	}
+	start := len(s.out)
+	rep, flushed, err := s.exchange(r, u)
+	if err != nil {
+		s.setLease(nil)
+		r.lease.Discard()
+		endWrite()
+		if errors.Is(err, errCallerGone) {
+			return false, err
+		}
+		var unsent *unsentError
+		again = !flushed && (u.read || errors.As(err, &unsent))
+		if !flushed {
+			s.out = s.out[:start]
+		}
+		if errors.As(err, &unsent) {
+			return again, cwrefusal.NotRun(cwrefusal.CannotConnectNow, retryAfter, "the connection to the database broke before the statement was sent")
+		}
+		return again, lost(err, !u.read)
+	}
+	if rep.code == codeReadOnly && rep.status == 'I' && !flushed && !u.read && !s.defaultReadOnly() {
+		// The member stopped leading after it was chosen, and said so before
+		// anything ran. The view knows a moment later.
+		s.out = s.out[:start]
+		s.give(r)
+		endWrite()
+		s.server.Clock.Sleep(10 * time.Millisecond)
+		return true, cwrefusal.NotRun(cwrefusal.CannotConnectNow, retryAfter, "the primary is being replaced")
+	}
+	return false, s.settle(r, u, rep, endWrite, start, flushed)
+}
+
+// unsentError says that a unit certainly did not reach the target.
+type unsentError struct{ cause error }
+
+func (e *unsentError) Error() string { return "not sent: " + e.cause.Error() }
+
+// exchange sends a unit and passes its answer on.
+func (s *session) exchange(r route, u unit) (reply, bool, error) {
+	s.setLease(r.lease)
+	if err := s.applySettings(r.lease.Conn); err != nil {
+		return reply{}, false, &unsentError{cause: err}
+	}
+	st := u.send(r.lease.Conn)
+	_ = r.lease.Conn.SetWriteDeadline(r.deadline)
+	if err := r.lease.Conn.Front.Flush(); err != nil {
+		return reply{}, false, &lostError{why: "the connection to the database broke"}
+	}
+	rep, flushed, err := s.relay(r, st, u.sync, !u.read)
+	if err == nil && u.done != nil {
+		u.done(r.lease.Conn, rep)
+	}
+	return rep, flushed, err
+}
+
+func (s *session) applySettings(c *cwpool.Conn) error {
+	diff := s.settings.diff(c.Applied)
+	if diff == "" {
+		return nil
+	}
+	_, err := c.Exec(diff)
+	return err
+}
+
+// settle ends a unit whose answer was read: a transaction that it opened is
+// kept, a write waits for its majority, and the connection goes back.
+func (s *session) settle(r route, u unit, rep reply, endWrite func(), start int, flushed bool) error {
+	if rep.status != 'I' && u.sync {
+		s.tx = &transaction{
+			lease:    r.lease,
+			member:   r.member,
+			term:     r.term,
+			primary:  r.primary,
+			endWrite: endWrite,
+			status:   rep.status,
+			pending:  s.settings,
+		}
+		return nil
+	}
+	if !u.sync {
+		s.batch.hold(r, endWrite)
+		return nil
+	}
+	s.give(r)
+	err := s.acknowledge(rep.mark)
+	endWrite()
+	if err != nil && !flushed {
+		s.out = s.out[:start]
+	}
+	return err
+}
+
+// give returns a connection whose answer was read to the end.
+func (s *session) give(r route) {
+	s.setLease(nil)
+	r.lease.Release(true)
+}
+
+// acknowledge waits until a majority has what was committed. Nothing that says
+// that the write succeeded goes to the caller before.
+func (s *session) acknowledge(m cwgroup.Mark) error {
+	if m == (cwgroup.Mark{}) {
+		return nil
+	}
+	began := s.server.Clock.Now()
+	outcome := s.group.AwaitMajority(m)
+	s.server.Metrics.AckWait.Update(s.server.Clock.Since(began).Seconds())
+	if outcome != cwack.Acknowledged {
+		return cwrefusal.Unknown("the write ran at the primary, but it is not known to be kept: %s", outcome)
+	}
+	s.server.Metrics.Writes.Inc()
+	s.sawWrite(m)
+	return nil
+}
+
+// lend finds where a unit runs and borrows a connection there.
+func (s *session) lend(read bool, deadline time.Time) (route, func(), error) {
+	r := route{deadline: deadline}
+	endWrite := func() {}
+	ctx := context.Background()
+	if read {
+		d, err := s.placeRead(ctx, deadline)
+		if err != nil {
+			return r, nil, err
+		}
+		r.member = d.Member
+		if d.Replica {
+			s.server.Metrics.ReplicaReads.Inc()
+		} else {
+			s.server.Metrics.PrimaryReads.Inc()
+		}
+	} else {
+		p, err := s.group.Primary(ctx, deadline)
+		if err != nil {
+			return r, nil, err
+		}
+		r.member, r.primary, r.term = p.Member, true, p.Adopted
+		endWrite = s.group.BeginWrite()
+	}
+	pool, ok := s.server.Services.Pool(r.member)
+	if !ok {
+		endWrite()
+		return r, nil, cwrefusal.NotRun(cwrefusal.CannotConnectNow, time.Second, "the database is being set up at this proxy")
+	}
+	lease, err := pool.Acquire(ctx, deadline)
+	if err != nil {
+		endWrite()
+		return r, nil, err
+	}
+	r.lease = lease
+	return r, endWrite, nil
+}
+
+// placeRead finds the member for a read: one that has the session's floor.
+func (s *session) placeRead(ctx context.Context, deadline time.Time) (cwroute.Decision, error) {
+	if err := s.checkFloor(ctx); err != nil {
+		return cwroute.Decision{}, err
+	}
+	for {
+		d, err := s.group.PlaceRead(ctx, cwroute.Read{Floor: s.floor(), MaxAge: s.own.maxAge}, deadline)
+		if err != nil || d.Kind != cwroute.AskPrimary {
+			return d, err
+		}
+		mark, err := s.group.Tip(ctx)
+		if err != nil {
+			return d, err
+		}
+		if s.tips == nil {
+			s.tips = make(map[string]cwgroup.Mark)
+		}
+		s.tips[s.group.Name()] = mark
+	}
+}
+
+func (s *session) floor() cwsession.Floor {
+	f := cwsession.FloorOf(s.token, s.group.Name())
+	if f.Known {
+		return f
+	}
+	mark, ok := s.tips[s.group.Name()]
+	return cwsession.Floor{Mark: mark, Known: ok}
+}
+
+// checkFloor compares a floor that came from outside with the primary, once. A
+// floor beyond everything the group has written would never be reached, and
+// nobody waits for it.
+func (s *session) checkFloor(ctx context.Context) error {
+	name := s.group.Name()
+	f := cwsession.FloorOf(s.token, name)
+	if !f.Known || s.checked[name] {
+		return nil
+	}
+	p, ok := s.group.View().Primary()
+	if !ok || !p.Last.AtLeast(f.Mark) {
+		tip, err := s.group.Tip(ctx)
+		if err != nil {
+			// Without a primary the floor stays unchecked; placing the read
+			// bounds the wait.
+			return nil
+		}
+		if err := f.CheckTip(tip); err != nil {
+			return badSetting(tokenParameter, "", err.Error())
+		}
+	}
+	if s.checked == nil {
+		s.checked = make(map[string]bool)
+	}
+	s.checked[name] = true
+	return nil
+}
+
+// runInTransaction runs a unit on the transaction's connection.
+func (s *session) runInTransaction(u unit) {
+	tx := s.tx
+	if tx.failed || tx.lease == nil {
+		s.fail(errAborted)
+		return
+	}
+	now := s.server.Clock.Now()
+	r := route{
+		lease:    tx.lease,
+		member:   tx.member,
+		primary:  tx.primary,
+		term:     tx.term,
+		deadline: now.Add(s.entry.Contract.StatementTimeout),
+	}
+	start := len(s.out)
+	if u.ends && tx.key != "" && tx.status == 'T' {
+		if _, err := s.exec(r, fill(cwrequest.Finish, tx.key, "")); err != nil {
+			u.ends = false
+			s.loseTransaction(u, err)
+			return
+		}
+	}
+	rep, flushed, err := s.exchangeInTransaction(r, u)
+	if err != nil {
+		if !flushed {
+			s.out = s.out[:start]
+		}
+		s.loseTransaction(u, err)
+		return
+	}
+	if !u.sync {
+		return
+	}
+	tx.status = rep.status
+	if rep.status != 'I' {
+		return
+	}
+	s.endTransaction(rep.code == "")
+	if err := s.acknowledge(rep.mark); err != nil {
+		if !flushed {
+			s.out = s.out[:start]
+		}
+		if tx.key != "" {
+			s.resolveLost(tx.key, transactionDigest)
+		} else {
+			s.sendError("ERROR", err)
+		}
+	}
+	tx.endWrite()
+}
+
+var errAborted = &cwrefusal.Refusal{
+	Code:    "25P02",
+	Message: "current transaction is aborted, commands ignored until end of transaction block",
+	NotRun:  true,
+}
+
+func (s *session) exchangeInTransaction(r route, u unit) (reply, bool, error) {
+	st := u.send(r.lease.Conn)
+	_ = r.lease.Conn.SetWriteDeadline(r.deadline)
+	if err := r.lease.Conn.Front.Flush(); err != nil {
+		return reply{}, false, &lostError{why: "the connection to the database broke"}
+	}
+	rep, flushed, err := s.relay(r, st, u.sync, u.ends)
+	if err == nil && u.done != nil {
+		u.done(r.lease.Conn, rep)
+	}
+	return rep, flushed, err
+}
+
+// loseTransaction ends a transaction whose connection was lost. The target
+// rolls back what was not told to commit, so only a unit that may have
+// committed leaves the outcome unknown.
+func (s *session) loseTransaction(u unit, err error) {
+	tx := s.tx
+	s.setLease(nil)
+	tx.lease.Discard()
+	tx.lease = nil
+	if tx.endWrite != nil {
+		tx.endWrite()
+	}
+	if !u.ends {
+		s.fail(cwrefusal.NotRun(cwrefusal.SerializationFailure, retryAfter, "the connection to the database broke; the transaction was rolled back"))
+		return
+	}
+	s.tx = nil
+	if tx.key != "" {
+		s.resolveLost(tx.key, transactionDigest)
+		return
+	}
+	s.sendError("ERROR", lost(err, tx.primary))
+}
+
+// endTransaction gives up the transaction's connection. It is pooled only if
+// the transaction is over there and no setting was changed in it.
+func (s *session) endTransaction(committed bool) {
+	tx := s.tx
+	s.tx = nil
+	s.portals = nil
+	if committed {
+		s.settings = tx.pending
+	}
+	s.setLease(nil)
+	if tx.lease == nil {
+		return
+	}
+	if tx.status == 'I' && !tx.dirty {
+		tx.lease.Release(false)
+		return
+	}
+	tx.lease.Discard()
+	if tx.status != 'I' && tx.endWrite != nil {
+		tx.endWrite()
+	}
+}
--- /dev/null
+++ b/internal/proxy/cwnode/status.go
@@ -0,0 +1,179 @@
+package cwnode
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwroute"
+)
+
+// Paths of the HTTP address.
+const (
+	PathMetrics = "/metrics"
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathStatus  = "/status"
+)
+
+// StatusBody is the answer of PathStatus.
+type StatusBody struct {
+	Instance   string       `json:"instance"`
+	DataCentre string       `json:"dataCentre"`
+	Ready      bool         `json:"ready"`
+	Revision   uint64       `json:"revision"`
+	Callers    int          `json:"callers"`
+	Groups     []GroupBody  `json:"groups"`
+	Targets    []TargetBody `json:"targets"`
+}
+
+// GroupBody is the state of a group in plain words.
+type GroupBody struct {
+	Service string `json:"service"`
+	Group   string `json:"group"`
+	// State is well, replacing, readsOnly or unavailable.
+	State string `json:"state"`
+	// What says what is wrong, Doing what the system does about it, and Act
+	// what somebody has to do; each may be empty.
+	What  string `json:"what"`
+	Doing string `json:"doing"`
+	Act   string `json:"act"`
+}
+
+// TargetBody is the numbers behind the words.
+type TargetBody struct {
+	Target    string `json:"target"`
+	Group     string `json:"group"`
+	Role      string `json:"role"`
+	Reachable bool   `json:"reachable"`
+	Stopping  bool   `json:"stopping"`
+	Mark      string `json:"mark"`
+	Applied   string `json:"applied"`
+	Share     int    `json:"share"`
+	Open      int    `json:"open"`
+	Busy      int    `json:"busy"`
+	Queued    int    `json:"queued"`
+}
+
+func (n *Node) registerGauges() {
+	n.set.NewGauge("cicadawalk_callers", func() float64 { return float64(n.server.Sessions()) })
+	n.set.NewGauge("cicadawalk_catalogue_revision", func() float64 { return float64(n.revision.Load()) })
+}
+
+func (n *Node) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) { n.set.WritePrometheus(w) })
+	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET "+PathReady, n.serveReady)
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.Status())
+	})
+	return mux
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.Ready() || n.server.Draining() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// Status returns the node's state in words and numbers.
+func (n *Node) Status() StatusBody {
+	views := make(map[string]cwgroup.View)
+	for _, g := range n.groupList() {
+		views[g.Name()] = g.View()
+	}
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	b := StatusBody{
+		Instance:   n.cfg.Instance,
+		DataCentre: n.cfg.DataCentre,
+		Ready:      n.Ready(),
+		Revision:   n.revision.Load(),
+		Callers:    n.server.Sessions(),
+		Groups:     []GroupBody{},
+		Targets:    []TargetBody{},
+	}
+	for _, e := range n.catalogue.Entries {
+		for _, spec := range e.Groups {
+			v, ok := views[spec.Name]
+			if !ok {
+				continue
+			}
+			b.Groups = append(b.Groups, n.groupStatus(e.Service, v))
+			for _, t := range spec.Targets {
+				b.Targets = append(b.Targets, n.targetStatus(v, t.ID))
+			}
+		}
+	}
+	return b
+}
+
+func (n *Node) targetStatus(v cwgroup.View, id cwgroup.MemberID) TargetBody {
+	r, _ := v.Report(id)
+	b := TargetBody{
+		Target: string(id), Group: v.Name(), Role: r.Role.String(),
+		Reachable: r.Reachable && n.cfg.Clock.Since(r.At) <= cwroute.Fresh,
+		Stopping:  n.catalogue.Stopping(id),
+		Mark:      r.Last.String(), Applied: r.Applied.String(),
+	}
+	if p, ok := n.pools[id]; ok {
+		s := p.Stats()
+		b.Share, b.Open, b.Busy, b.Queued = s.Share, s.Open, s.Busy, s.Queued
+	}
+	return b
+}
+
+// groupStatus says in plain words how a group is.
+func (n *Node) groupStatus(service string, v cwgroup.View) GroupBody {
+	b := GroupBody{Service: service, Group: v.Name(), State: "well"}
+	now := n.cfg.Clock.Now()
+	var away, stopping []string
+	for _, id := range v.Members() {
+		r, ok := v.Report(id)
+		if !ok || !r.Reachable || now.Sub(r.At) > cwroute.Fresh {
+			away = append(away, string(id))
+		}
+		if n.catalogue.Stopping(id) {
+			stopping = append(stopping, string(id))
+		}
+	}
+	slices.Sort(away)
+	_, writes := cwroute.WritePrimary(v, now)
+	majority := len(v.Members())-len(away) >= cwgroup.Majority(len(v.Members()))
+	switch {
+	case !writes && majority:
+		b.State = "replacing"
+		b.What = "no database takes writes at the moment"
+		b.Doing = "another database is being put in charge; this takes a few seconds"
+	case !writes && len(away) < len(v.Members()):
+		b.State = "readsOnly"
+		b.What = "too few databases answer this proxy: " + strings.Join(away, ", ") + " are away"
+		b.Doing = "reads that accept some age are served; writes resume by themselves once a majority answers"
+		b.Act = "if this lasts for minutes, have the databases or the network looked at"
+	case !writes:
+		b.State = "unavailable"
+		b.What = "no database of this group answers this proxy"
+		b.Doing = "it keeps trying"
+		b.Act = "have the databases or the network looked at"
+	case len(away) > 0:
+		b.What = strings.Join(away, ", ") + " do not answer"
+		b.Doing = "work goes to the others; it joins again by itself"
+		b.Act = "if it stays away, have it repaired or replaced: one more loss would stop writes"
+	}
+	if len(stopping) > 0 {
+		b.Doing = strings.TrimPrefix(b.Doing+"; "+strings.Join(stopping, ", ")+" kept free of work by a planned stop", "; ")
+	}
+	return b
+}
+
+// ReadsAt returns how many reads were served by replicas and by primaries.
+func (n *Node) ReadsAt() (replica, primary uint64) {
+	return n.server.Metrics.ReplicaReads.Get(), n.server.Metrics.PrimaryReads.Get()
+}
--- /dev/null
+++ b/internal/standin/cwdatabase/session.go
@@ -0,0 +1,475 @@
+package cwdatabase
+
+import (
+	"context"
+	"database/sql"
+	"encoding/json"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/wire/cwsql"
+	"cicadawalk.example/cicadawalk/internal/wire/cwtarget"
+)
+
+// statements caches parsed texts for all members of the process.
+var statements cwsql.Cache
+
+// session is one connection.
+type session struct {
+	server  *server
+	member  *Member
+	conn    net.Conn
+	backend *pgproto3.Backend
+	pid     uint32
+	secret  []byte
+
+	active  atomic.Bool
+	writing atomic.Bool
+
+	// sendMu keeps notifications and answers apart.
+	sendMu sync.Mutex
+
+	cancelMu sync.Mutex
+	cancel   context.CancelFunc
+
+	settings map[string]string
+	tx       transaction
+	prepared map[string]*prepared
+	portals  map[string]*portal
+	// skip is true after an error in the extended protocol, until Sync.
+	skip bool
+}
+
+// transaction is what a session has open.
+type transaction struct {
+	// explicit is true between BEGIN and its end.
+	explicit bool
+	failed   bool
+	// writing is true once the session holds the member's writer.
+	writing bool
+	term    cwgroup.Term
+	stmts   []statement
+}
+
+func (c *session) init() {
+	c.prepared = make(map[string]*prepared)
+	c.portals = make(map[string]*portal)
+}
+
+// sqlError is an error with its SQLSTATE.
+type sqlError struct{ Code, Message string }
+
+func (e *sqlError) Error() string { return e.Message }
+
+func (c *session) status() byte {
+	switch {
+	case c.tx.failed:
+		return 'E'
+	case c.tx.explicit:
+		return 'T'
+	default:
+		return 'I'
+	}
+}
+
+func (c *session) fatal(code, message string) {
+	c.backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: code, Message: message})
+	_ = c.backend.Flush()
+}
+
+func (c *session) greet() error {
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, kv := range [][2]string{
+		{"server_version", serverVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
+		c.backend.Send(&pgproto3.ParameterStatus{Name: kv[0], Value: kv[1]})
+	}
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return c.backend.Flush()
+}
+
+// run serves the connection until it ends. An open transaction ends with it.
+func (c *session) run(ctx context.Context) {
+	defer c.abandon()
+	if c.greet() != nil {
+		return
+	}
+	for {
+		msg, err := c.backend.Receive()
+		if err != nil {
+			return
+		}
+		c.member.thaw(ctx)
+		c.active.Store(true)
+		stop := c.handle(ctx, msg)
+		c.active.Store(false)
+		if stop {
+			return
+		}
+	}
+}
+
+func (c *session) abandon() {
+	if c.tx.writing {
+		c.member.rollback()
+	}
+	c.tx = transaction{}
+	c.writing.Store(false)
+}
+
+func (c *session) handle(ctx context.Context, msg pgproto3.FrontendMessage) (stop bool) {
+	c.sendMu.Lock()
+	defer c.sendMu.Unlock()
+	if _, ok := msg.(*pgproto3.Terminate); ok {
+		return true
+	}
+	if c.skip {
+		if _, ok := msg.(*pgproto3.Sync); !ok {
+			return false
+		}
+	}
+	var err error
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		err = c.simpleQuery(ctx, m.String)
+	case *pgproto3.Parse:
+		err = c.extended(c.parse(m))
+	case *pgproto3.Bind:
+		err = c.extended(c.bind(m))
+	case *pgproto3.Describe:
+		err = c.extended(c.describe(ctx, m))
+	case *pgproto3.Execute:
+		err = c.extended(c.execute(ctx, m))
+	case *pgproto3.Close:
+		c.closeNamed(m)
+	case *pgproto3.Flush:
+		err = c.flush(ctx)
+	case *pgproto3.Sync:
+		c.skip = false
+		err = c.finish(ctx)
+	default:
+		c.fatal("08P01", "unexpected message")
+		return true
+	}
+	return err != nil
+}
+
+// errGone ends a session whose connection is no longer of use.
+var errGone = errors.New("the connection is closed")
+
+func (c *session) extended(err error) error {
+	if err == nil || errors.Is(err, errGone) {
+		return err
+	}
+	c.skip = true
+	c.fail(err)
+	return nil
+}
+
+// fail sends an error and marks the transaction.
+func (c *session) fail(err error) {
+	e := toSQL(err)
+	c.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: e.Code, Message: e.Message})
+	if c.tx.explicit {
+		c.tx.failed = true
+		return
+	}
+	c.abandon()
+}
+
+func (c *session) flush(ctx context.Context) error {
+	c.member.thaw(ctx)
+	return c.backend.Flush()
+}
+
+// finish commits the implicit transaction and says that the session is ready.
+func (c *session) finish(ctx context.Context) error {
+	if !c.tx.explicit && c.tx.writing {
+		if err := c.commit(); err != nil {
+			if errors.Is(err, errGone) {
+				return err
+			}
+			c.fail(err)
+		}
+	}
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: c.status()})
+	return c.flush(ctx)
+}
+
+func (c *session) simpleQuery(ctx context.Context, text string) error {
+	stmts, err := statements.Parse(text)
+	if err != nil {
+		c.fail(err)
+		return c.finish(ctx)
+	}
+	if len(stmts) == 0 {
+		c.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return c.finish(ctx)
+	}
+	for _, s := range stmts {
+		res, err := c.exec(ctx, s, nil)
+		if errors.Is(err, errGone) {
+			return err
+		}
+		if err != nil {
+			c.fail(err)
+			break
+		}
+		if res.columns != nil {
+			c.backend.Send(res.rowDescription(nil))
+			if err := c.sendRows(res, nil); err != nil {
+				return err
+			}
+		}
+		c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.tag)})
+	}
+	return c.finish(ctx)
+}
+
+// flushEvery bounds what is buffered of a large answer.
+const flushEvery = 256
+
+func (c *session) sendRows(res *result, formats []int16) error {
+	for i, row := range res.rows {
+		msg, err := res.dataRow(row, formats)
+		if err != nil {
+			c.fail(err)
+			return nil
+		}
+		c.backend.Send(msg)
+		if i%flushEvery == flushEvery-1 {
+			if err := c.backend.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// exec runs one statement.
+func (c *session) exec(ctx context.Context, s cwsql.Statement, args []arg) (*result, error) {
+	if c.tx.failed && s.Kind != cwsql.Commit && s.Kind != cwsql.Rollback {
+		return nil, &sqlError{"25P02", "current transaction is aborted, commands ignored until end of transaction block"}
+	}
+	switch s.Kind {
+	case cwsql.Begin:
+		c.tx.explicit = true
+		return &result{tag: "BEGIN"}, nil
+	case cwsql.Commit:
+		return c.endExplicit(c.tx.failed)
+	case cwsql.Rollback:
+		return c.endExplicit(true)
+	case cwsql.Set, cwsql.SetLocal:
+		c.settings[s.Name] = s.Value
+		return &result{tag: "SET"}, nil
+	case cwsql.Reset:
+		if s.Name == "" {
+			clear(c.settings)
+		}
+		delete(c.settings, s.Name)
+		return &result{tag: "RESET"}, nil
+	case cwsql.Show:
+		return textResult(s.Name, c.setting(s.Name), "SHOW"), nil
+	case cwsql.Discard:
+		clear(c.settings)
+		return &result{tag: "DISCARD ALL"}, nil
+	case cwsql.Unsupported:
+		if s.Name == "LISTEN" {
+			go c.loopNotify()
+			return &result{tag: "LISTEN"}, nil
+		}
+		return nil, &sqlError{"0A000", s.Name + " is not supported by this stand-in"}
+	}
+	if res, ok, err := c.special(ctx, s.Text); ok {
+		return res, err
+	}
+	return c.data(ctx, s, args)
+}
+
+func (c *session) setting(name string) string {
+	if v, ok := c.settings[name]; ok {
+		return v
+	}
+	switch name {
+	case "server_version":
+		return serverVersion
+	case "transaction_read_only", "default_transaction_read_only":
+		return "off"
+	case "transaction_isolation":
+		return "read committed"
+	case "search_path":
+		return `"$user", public`
+	}
+	return ""
+}
+
+func (c *session) endExplicit(undo bool) (*result, error) {
+	c.tx.explicit, c.tx.failed = false, false
+	if undo {
+		c.abandon()
+		return &result{tag: "ROLLBACK"}, nil
+	}
+	if c.tx.writing {
+		if err := c.commit(); err != nil {
+			return nil, err
+		}
+	}
+	c.tx = transaction{}
+	return &result{tag: "COMMIT"}, nil
+}
+
+// commit commits what the session wrote, and reports where the log ends then.
+func (c *session) commit() error {
+	drop, lose := c.member.takeCommitFaults()
+	if drop {
+		_ = c.conn.Close()
+		return errGone
+	}
+	tx := c.tx
+	c.tx = transaction{}
+	c.writing.Store(false)
+	mark, err := c.member.commit(tx.term, tx.stmts)
+	if err != nil {
+		return err
+	}
+	if lose {
+		_ = c.conn.Close()
+		return errGone
+	}
+	c.backend.Send(&pgproto3.ParameterStatus{Name: cwtarget.PositionParameter, Value: mark.String()})
+	return nil
+}
+
+// takeCommitFaults counts one commit against the faults.
+func (m *Member) takeCommitFaults() (drop, lose bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults.DropBeforeCommit > 0 {
+		m.faults.DropBeforeCommit--
+		return true, false
+	}
+	if m.faults.LoseCommits > 0 {
+		m.faults.LoseCommits--
+		return false, true
+	}
+	return false, false
+}
+
+// data runs a statement that reads or writes data.
+func (c *session) data(ctx context.Context, s cwsql.Statement, args []arg) (*result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.setCancel(cancel)
+	defer c.setCancel(nil)
+	query, err := toEngine(s.Text)
+	if err != nil {
+		return nil, err
+	}
+	// The lock comes before the slot: whoever waits for a lock executes nothing.
+	if s.Kind != cwsql.Read && !c.tx.writing {
+		term, err := c.member.begin(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c.tx.writing, c.tx.term = true, term
+		c.writing.Store(true)
+	}
+	release, err := c.server.slot(ctx)
+	if err != nil {
+		return nil, canceled
+	}
+	defer release()
+	st := statement{SQL: query, Args: args}
+	if s.Kind == cwsql.Read && !c.tx.writing {
+		c.member.engine.readMu.RLock()
+		defer c.member.engine.readMu.RUnlock()
+		return query1(ctx, c.member.engine.committed, s.Text, st)
+	}
+	res, err := query1(ctx, c.member.engine.write, s.Text, st)
+	if err != nil {
+		return nil, err
+	}
+	if s.Kind != cwsql.Read {
+		c.tx.stmts = append(c.tx.stmts, st)
+	}
+	return res, nil
+}
+
+var canceled = &sqlError{"57014", "canceling statement due to user request"}
+
+func (c *session) setCancel(f context.CancelFunc) {
+	c.cancelMu.Lock()
+	c.cancel = f
+	c.cancelMu.Unlock()
+}
+
+func (c *session) cancelStatement() {
+	c.cancelMu.Lock()
+	defer c.cancelMu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
+// loopNotify tells the connection where the log ends, at each change and as a
+// heartbeat.
+func (c *session) loopNotify() {
+	m := c.member
+	for {
+		m.mu.Lock()
+		changed := m.changed
+		rep := m.reportLocked()
+		m.mu.Unlock()
+		c.sendMu.Lock()
+		c.backend.Send(&pgproto3.NotificationResponse{
+			PID:     c.pid,
+			Channel: cwtarget.PositionChannel,
+			Payload: cwtarget.FormatStatus(rep),
+		})
+		err := c.backend.Flush()
+		c.sendMu.Unlock()
+		if err != nil {
+			return
+		}
+		waitHeartbeat(changed)
+		m.thaw(context.Background())
+	}
+}
+
+// runReplication serves a replica.
+func (c *session) runReplication(ctx context.Context) {
+	msg, err := c.backend.Receive()
+	if err != nil {
+		return
+	}
+	q, ok := msg.(*pgproto3.Query)
+	if !ok {
+		return
+	}
+	body, ok := strings.CutPrefix(q.String, startReplication)
+	var req streamRequest
+	if !ok || json.Unmarshal([]byte(body), &req) != nil {
+		c.fatal("08P01", "replication request expected")
+		return
+	}
+	if err := c.serveReplica(ctx, req); err != nil {
+		c.fatal("55000", err.Error())
+	}
+}
+
+// querier is what both copies of the data offer.
+type querier interface {
+	QueryContext(ctx context.Context, query string, args ...any) (*sql.Rows, error)
+}
--- /dev/null
+++ b/internal/tool/cwcommand/demo.go
@@ -0,0 +1,34 @@
+package cwcommand
+
+import (
+	"github.com/spf13/cobra"
+
+	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
+)
+
+func demoCommand() *cobra.Command {
+	var once, verbose bool
+	var listen []string
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run the whole path in this process, with stand-in databases",
+		Long: `Starts three stand-in databases, a stand-in of the platform and two proxies in
+this process. Without --once it prints a connection string for each proxy and
+serves until interrupted. With --once it runs writes and reads in sessions that
+roam, kills the primary, checks that no promise was broken, and prints one
+key=value line for each figure.`,
+		Example: "  cicadawalk demo --once\n  cicadawalk demo --listen 127.0.0.1:6543,127.0.0.1:6544",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			logs := quiet(cmd, verbose)
+			if once {
+				return cwdemo.Once(cmd.Context(), cmd.OutOrStdout(), logs)
+			}
+			return cwdemo.Serve(cmd.Context(), cmd.OutOrStdout(), logs, listen)
+		},
+	}
+	cmd.Flags().BoolVar(&once, "once", false, "run the scenario, check it and exit")
+	cmd.Flags().BoolVar(&verbose, "verbose", false, "print the proxies' events to standard error")
+	cmd.Flags().StringSliceVar(&listen, "listen", nil, "addresses of the proxies, IP:port each")
+	return cmd
+}
--- /dev/null
+++ b/internal/tool/cwdemo/bench.go
@@ -0,0 +1,296 @@
+// Package cwdemo runs the whole path in one process: a group of three stand-in
+// databases, the platform's stand-in and two proxies, with sessions that roam
+// between the proxies while the primary is killed.
+package cwdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwnode"
+	"cicadawalk.example/cicadawalk/internal/standin/cwdatabase"
+	"cicadawalk.example/cicadawalk/internal/standin/cwtable"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+	"cicadawalk.example/cicadawalk/internal/wire/cwstore"
+)
+
+// Error is the class of the demo's failures.
+var Error = errs.Class("demo")
+
+// Service is the demo's database service.
+const Service = "libro-rondas"
+
+// Loopback addresses stand for data centres.
+var hosts = []string{"127.0.1.1", "127.0.2.1", "127.0.3.1"}
+
+var dataCentres = []string{"hall-rufino", "hall-chivilcoy", "hall-casilda"}
+
+// Options say what to start.
+type Options struct {
+	// Proxies is how many proxies run; Listen gives their addresses, and any
+	// that are missing are chosen freely.
+	Proxies int
+	Listen  []string
+	// ListLag is how long the platform's list of instances lags.
+	ListLag time.Duration
+	// Contract is the entry's; the zero value takes DefaultContract.
+	Contract cwcatalogue.Contract
+	// Log receives the proxies' events.
+	Log io.Writer
+	// Direct lets tests put something between proxies and databases: it returns
+	// the address under which the proxies find a database.
+	Direct func(id cwgroup.MemberID, address string) string
+}
+
+// DefaultContract is the contract of the demo's entry.
+func DefaultContract() cwcatalogue.Contract {
+	return cwcatalogue.Contract{
+		Class:                cwcatalogue.ClassReads,
+		Connections:          25,
+		Slots:                8,
+		QueueLimit:           256,
+		StatementTimeout:     10 * time.Second,
+		AckTimeout:           5 * time.Second,
+		ReadWait:             50 * time.Millisecond,
+		ChecksTerm:           true,
+		FailoverWithoutTable: true,
+	}
+}
+
+// Bench is everything that runs.
+type Bench struct {
+	Databases []*cwdatabase.Running
+	Platform  *cwtable.Platform
+	Proxies   []*Proxy
+	opts      Options
+}
+
+// Proxy is one running proxy.
+type Proxy struct {
+	*cwnode.Node
+	cancel context.CancelFunc
+	group  errgroup.Group
+}
+
+// Stop drains the proxy, as SIGTERM does.
+func (p *Proxy) Stop() error {
+	p.cancel()
+	return p.group.Wait()
+}
+
+// Start starts everything and waits until the proxies are ready.
+func Start(opts Options) (*Bench, error) {
+	if opts.Contract == (cwcatalogue.Contract{}) {
+		opts.Contract = DefaultContract()
+	}
+	if opts.Log == nil {
+		opts.Log = io.Discard
+	}
+	b := &Bench{opts: opts}
+	if err := b.start(); err != nil {
+		b.Stop()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Bench) start() error {
+	if err := b.startDatabases(); err != nil {
+		return err
+	}
+	p, err := cwtable.Start("127.0.0.1:0", b.opts.ListLag)
+	if err != nil {
+		return err
+	}
+	b.Platform = p
+	client := &cwplatform.Client{URL: p.URL()}
+	change := cwstore.Change{ID: "demo", Who: "demo", At: time.Now().UTC(), Note: "first catalogue"}
+	if _, err := (cwstore.Store{Table: client}).Apply(context.Background(), b.Catalogue(), change); err != nil {
+		return err
+	}
+	for i := range b.opts.Proxies {
+		if _, err := b.StartProxy(i); err != nil {
+			return err
+		}
+	}
+	return b.AwaitReady(10 * time.Second)
+}
+
+func (b *Bench) startDatabases() error {
+	for i, host := range hosts {
+		cfg := cwdatabase.Config{
+			ID:           cwgroup.MemberID(fmt.Sprintf("libro-%d", i+1)),
+			Listen:       host + ":0",
+			Connections:  b.opts.Contract.Connections,
+			Slots:        b.opts.Contract.Slots,
+			ConnectDelay: 10 * time.Millisecond,
+			ChecksTerm:   b.opts.Contract.ChecksTerm,
+			Primary:      i == 0,
+		}
+		if i > 0 {
+			cfg.Follow, cfg.FollowID = b.Databases[0].Addr(), b.Databases[0].Status().Member
+		}
+		m, err := cwdatabase.Start(cfg)
+		if err != nil {
+			return err
+		}
+		b.Databases = append(b.Databases, m)
+	}
+	return nil
+}
+
+// Catalogue returns the demo's catalogue, before its first revision.
+func (b *Bench) Catalogue() cwcatalogue.Catalogue {
+	c := cwcatalogue.Catalogue{}
+	for i, dc := range dataCentres {
+		c.DataCentres = append(c.DataCentres, cwcatalogue.DataCentre{Name: dc, Region: "pampa-humeda"})
+		for _, other := range dataCentres[:i] {
+			c.Links = append(c.Links, cwcatalogue.Link{A: other, B: dc, Delay: time.Millisecond})
+		}
+	}
+	g := cwcatalogue.Group{Name: "rondas-1"}
+	for i, d := range b.Databases {
+		id, addr := d.Status().Member, d.Addr()
+		if b.opts.Direct != nil {
+			addr = b.opts.Direct(id, addr)
+		}
+		g.Targets = append(g.Targets, cwcatalogue.Target{ID: id, DataCentre: dataCentres[i], Address: addr})
+	}
+	return c.WithEntry(cwcatalogue.Entry{
+		Service:  Service,
+		Title:    "libro central de rondas",
+		Owner:    "Cámara Argentina de Rondas de Casero para Estancias",
+		Contract: b.opts.Contract,
+		Groups:   []cwcatalogue.Group{g},
+	})
+}
+
+// StartProxy starts the proxy with an index and tells the platform.
+func (b *Bench) StartProxy(i int) (*Proxy, error) {
+	listen := "127.0.0.1:0"
+	if i < len(b.opts.Listen) {
+		listen = b.opts.Listen[i]
+	}
+	client := &cwplatform.Client{URL: b.Platform.URL()}
+	node, err := cwnode.New(cwnode.Config{
+		Instance:     fmt.Sprintf("entry-%d", i+1),
+		DataCentre:   dataCentres[i%len(dataCentres)],
+		Listen:       listen,
+		PeerListen:   "127.0.0.1:0",
+		HTTPListen:   "127.0.0.1:0",
+		Table:        client,
+		Instances:    client,
+		ListLag:      b.opts.ListLag,
+		DrainTimeout: 20 * time.Second,
+		Clock:        clockwork.NewRealClock(),
+		Log:          log.NewWithOptions(b.opts.Log, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true}),
+		Seed:         fmt.Sprintf("%x", time.Now().UnixNano()),
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Proxy{Node: node, cancel: cancel}
+	p.group.Go(func() error { return node.Run(ctx) })
+	b.Proxies = append(b.Proxies, p)
+	b.TellPlatform()
+	return p, nil
+}
+
+// TellPlatform makes the platform list the present proxies.
+func (b *Bench) TellPlatform() {
+	var list []cwplatform.InstanceBody
+	for i, p := range b.Proxies {
+		list = append(list, cwplatform.InstanceBody{
+			ID:         fmt.Sprintf("entry-%d", i+1),
+			DataCentre: dataCentres[i%len(dataCentres)],
+			Peer:       p.PeerAddr(),
+			State:      string(cwplatform.Live),
+		})
+	}
+	b.Platform.SetInstances(list)
+}
+
+// AwaitReady waits until each proxy can serve writes.
+func (b *Bench) AwaitReady(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for {
+		if b.ready() {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return Error.New("the proxies did not become ready within %v", limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (b *Bench) ready() bool {
+	for _, p := range b.Proxies {
+		s := p.Status()
+		if !s.Ready || len(s.Groups) == 0 {
+			return false
+		}
+		for _, g := range s.Groups {
+			if g.State != "well" {
+				return false
+			}
+		}
+		for _, t := range s.Targets {
+			if t.Share == 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// URL returns a connection string for a proxy.
+func (b *Bench) URL(i int) string {
+	return URL(b.Proxies[i].Addr())
+}
+
+// URL returns a connection string for an address.
+func URL(addr string) string {
+	ap, err := netip.ParseAddrPort(addr)
+	host := addr
+	if err == nil && strings.HasPrefix(addr, "127.0.0.1:") {
+		host = fmt.Sprintf("127.0.0.1:%d", ap.Port())
+	}
+	return "postgres://casero@" + host + "/" + Service + "?sslmode=disable"
+}
+
+// Primary returns the index of the database that leads the highest term.
+func (b *Bench) Primary() int {
+	best, term := -1, cwgroup.Term(0)
+	for i, d := range b.Databases {
+		if s := d.Status(); s.Role == cwgroup.RolePrimary && s.Adopted > term {
+			best, term = i, s.Adopted
+		}
+	}
+	return best
+}
+
+// Stop ends everything.
+func (b *Bench) Stop() {
+	for _, p := range b.Proxies {
+		_ = p.Stop()
+	}
+	for _, d := range b.Databases {
+		d.Stop()
+	}
+	if b.Platform != nil {
+		b.Platform.Stop()
+	}
+}
--- /dev/null
+++ b/internal/wire/cwcodec/document.go
@@ -0,0 +1,270 @@
+// Package cwcodec maps the catalogue to JSON and back, by hand.
+//
+// The format has camelCase names and durations in milliseconds. Unknown fields
+// are refused. Every fault is found at once and names its line and field.
+package cwcodec
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+)
+
+type documentBody struct {
+	Revision    uint64           `json:"revision"`
+	DataCentres []dataCentreBody `json:"dataCentres"`
+	Links       []linkBody       `json:"links"`
+	Entries     []entryBody      `json:"entries"`
+	Stops       []stopBody       `json:"stops"`
+}
+
+type dataCentreBody struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+type linkBody struct {
+	A       string  `json:"a"`
+	B       string  `json:"b"`
+	DelayMs float64 `json:"delayMs"`
+}
+
+type entryBody struct {
+	Service  string       `json:"service"`
+	Title    string       `json:"title"`
+	Owner    string       `json:"owner"`
+	Contract contractBody `json:"contract"`
+	Groups   []groupBody  `json:"groups"`
+}
+
+type contractBody struct {
+	Class                string  `json:"class"`
+	Connections          int     `json:"connections"`
+	Slots                int     `json:"slots"`
+	QueueLimit           int     `json:"queueLimit"`
+	StatementTimeoutMs   float64 `json:"statementTimeoutMs"`
+	AckTimeoutMs         float64 `json:"ackTimeoutMs"`
+	ReadWaitMs           float64 `json:"readWaitMs"`
+	ChecksTerm           bool    `json:"checksTerm"`
+	FailoverWithoutTable bool    `json:"failoverWithoutTable"`
+}
+
+type groupBody struct {
+	Name    string       `json:"name"`
+	Targets []targetBody `json:"targets"`
+}
+
+type targetBody struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
+}
+
+type stopBody struct {
+	Target    string    `json:"target"`
+	By        string    `json:"by"`
+	Note      string    `json:"note"`
+	PlannedAt time.Time `json:"plannedAt"`
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMs(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// Encode writes a catalogue, indented.
+func Encode(c cwcatalogue.Catalogue) ([]byte, error) {
+	return json.MarshalIndent(toBody(c), "", "  ")
+}
+
+func toBody(c cwcatalogue.Catalogue) documentBody {
+	d := documentBody{
+		Revision:    uint64(c.Revision),
+		DataCentres: []dataCentreBody{},
+		Links:       []linkBody{},
+		Entries:     []entryBody{},
+		Stops:       []stopBody{},
+	}
+	for _, dc := range c.DataCentres {
+		d.DataCentres = append(d.DataCentres, dataCentreBody(dc))
+	}
+	for _, l := range c.Links {
+		d.Links = append(d.Links, linkBody{A: l.A, B: l.B, DelayMs: ms(l.Delay)})
+	}
+	for _, e := range c.Entries {
+		d.Entries = append(d.Entries, entryToBody(e))
+	}
+	for _, s := range c.Stops {
+		d.Stops = append(d.Stops, stopBody{Target: string(s.Target), By: s.By, Note: s.Note, PlannedAt: s.PlannedAt})
+	}
+	return d
+}
+
+func entryToBody(e cwcatalogue.Entry) entryBody {
+	c := e.Contract
+	b := entryBody{
+		Service: e.Service,
+		Title:   e.Title,
+		Owner:   e.Owner,
+		Contract: contractBody{
+			Class:                string(c.Class),
+			Connections:          c.Connections,
+			Slots:                c.Slots,
+			QueueLimit:           c.QueueLimit,
+			StatementTimeoutMs:   ms(c.StatementTimeout),
+			AckTimeoutMs:         ms(c.AckTimeout),
+			ReadWaitMs:           ms(c.ReadWait),
+			ChecksTerm:           c.ChecksTerm,
+			FailoverWithoutTable: c.FailoverWithoutTable,
+		},
+	}
+	for _, g := range e.Groups {
+		gb := groupBody{Name: g.Name}
+		for _, t := range g.Targets {
+			gb.Targets = append(gb.Targets, targetBody{ID: string(t.ID), DataCentre: t.DataCentre, Address: t.Address})
+		}
+		b.Groups = append(b.Groups, gb)
+	}
+	return b
+}
+
+// Decode reads a catalogue and checks it. Its error is a *DocumentError that
+// lists every fault.
+func Decode(text []byte) (cwcatalogue.Catalogue, error) {
+	lines, unknown, err := locate(text)
+	if err != nil {
+		return cwcatalogue.Catalogue{}, err
+	}
+	var d documentBody
+	if err := json.Unmarshal(text, &d); err != nil {
+		return cwcatalogue.Catalogue{}, typeError(text, err)
+	}
+	c := fromBody(d)
+	faults := unknown
+	for _, f := range cwcatalogue.Check(c) {
+		faults = append(faults, LineFault{Line: lines.of(f.Path), Fault: f})
+	}
+	if len(faults) > 0 {
+		return c, &DocumentError{Faults: faults}
+	}
+	return c, nil
+}
+
+func fromBody(d documentBody) cwcatalogue.Catalogue {
+	c := cwcatalogue.Catalogue{Revision: cwcatalogue.Revision(d.Revision)}
+	for _, dc := range d.DataCentres {
+		c.DataCentres = append(c.DataCentres, cwcatalogue.DataCentre(dc))
+	}
+	for _, l := range d.Links {
+		c.Links = append(c.Links, cwcatalogue.Link{A: l.A, B: l.B, Delay: fromMs(l.DelayMs)})
+	}
+	for _, e := range d.Entries {
+		c.Entries = append(c.Entries, entryFromBody(e))
+	}
+	for _, s := range d.Stops {
+		c.Stops = append(c.Stops, cwcatalogue.Stop{Target: cwgroup.MemberID(s.Target), By: s.By, Note: s.Note, PlannedAt: s.PlannedAt})
+	}
+	return c
+}
+
+func entryFromBody(b entryBody) cwcatalogue.Entry {
+	c := b.Contract
+	e := cwcatalogue.Entry{
+		Service: b.Service,
+		Title:   b.Title,
+		Owner:   b.Owner,
+		Contract: cwcatalogue.Contract{
+			Class:                cwcatalogue.Class(c.Class),
+			Connections:          c.Connections,
+			Slots:                c.Slots,
+			QueueLimit:           c.QueueLimit,
+			StatementTimeout:     fromMs(c.StatementTimeoutMs),
+			AckTimeout:           fromMs(c.AckTimeoutMs),
+			ReadWait:             fromMs(c.ReadWaitMs),
+			ChecksTerm:           c.ChecksTerm,
+			FailoverWithoutTable: c.FailoverWithoutTable,
+		},
+	}
+	for _, g := range b.Groups {
+		group := cwcatalogue.Group{Name: g.Name}
+		for _, t := range g.Targets {
+			group.Targets = append(group.Targets, cwcatalogue.Target{ID: cwgroup.MemberID(t.ID), DataCentre: t.DataCentre, Address: t.Address})
+		}
+		e.Groups = append(e.Groups, group)
+	}
+	return e
+}
+
+// Parts splits a catalogue into the values of the rows that it is kept in: one
+// for the places, one for the stops and one for each entry, by name.
+func Parts(c cwcatalogue.Catalogue) (map[string][]byte, error) {
+	parts := make(map[string][]byte, len(c.Entries)+2)
+	add := func(name string, part cwcatalogue.Catalogue) error {
+		text, err := encodePart(part)
+		parts[name] = text
+		return err
+	}
+	if err := add(PartPlaces, cwcatalogue.Catalogue{DataCentres: c.DataCentres, Links: c.Links}); err != nil {
+		return nil, err
+	}
+	if err := add(PartStops, cwcatalogue.Catalogue{Stops: c.Stops}); err != nil {
+		return nil, err
+	}
+	for _, e := range c.Entries {
+		if err := add(PartEntry+e.Service, cwcatalogue.Catalogue{Entries: []cwcatalogue.Entry{e}}); err != nil {
+			return nil, err
+		}
+	}
+	return parts, nil
+}
+
+// Names of the parts.
+const (
+	PartPlaces = "places"
+	PartStops  = "stops"
+	PartEntry  = "entry/"
+)
+
+// partBody is a document that leaves out what it does not have.
+type partBody struct {
+	DataCentres []dataCentreBody `json:"dataCentres,omitempty"`
+	Links       []linkBody       `json:"links,omitempty"`
+	Entries     []entryBody      `json:"entries,omitempty"`
+	Stops       []stopBody       `json:"stops,omitempty"`
+}
+
+func encodePart(c cwcatalogue.Catalogue) ([]byte, error) {
+	d := toBody(c)
+	return json.Marshal(partBody{DataCentres: d.DataCentres, Links: d.Links, Entries: d.Entries, Stops: d.Stops})
+}
+
+// Join makes a catalogue of its parts. A part without content, as an entry that
+// was removed has, adds nothing.
+func Join(parts map[string][]byte) (cwcatalogue.Catalogue, error) {
+	var d documentBody
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		var p partBody
+		if err := json.Unmarshal(parts[name], &p); err != nil {
+			return cwcatalogue.Catalogue{}, &PartError{Part: name, Cause: err}
+		}
+		d.DataCentres = append(d.DataCentres, p.DataCentres...)
+		d.Links = append(d.Links, p.Links...)
+		d.Entries = append(d.Entries, p.Entries...)
+		d.Stops = append(d.Stops, p.Stops...)
+	}
+	return fromBody(d), nil
+}
+
+// PartError reports a row of the catalogue that cannot be read.
+type PartError struct {
+	Part  string
+	Cause error
+}
+
+func (e *PartError) Error() string { return "catalogue row " + e.Part + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PartError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/wire/cwcodec/locate.go
@@ -0,0 +1,193 @@
+package cwcodec
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+)
+
+// LineFault is a fault with the line that it stands in, counted from 1; zero if
+// the field is missing altogether.
+type LineFault struct {
+	Line  int
+	Fault cwcatalogue.Fault
+}
+
+// String formats the fault for an operator.
+func (f LineFault) String() string { return fmt.Sprintf("line %d: %s", f.Line, f.Fault) }
+
+// DocumentError lists every fault of a document.
+type DocumentError struct{ Faults []LineFault }
+
+func (e *DocumentError) Error() string {
+	out := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		out = append(out, f.String())
+	}
+	return strings.Join(out, "\n")
+}
+
+func oneFault(text []byte, offset int64, path, value, allowed string) error {
+	return &DocumentError{Faults: []LineFault{{
+		Line:  lineAt(text, offset),
+		Fault: cwcatalogue.Fault{Path: path, Value: value, Allowed: allowed},
+	}}}
+}
+
+func lineAt(text []byte, offset int64) int {
+	offset = min(max(offset, 0), int64(len(text)))
+	return 1 + bytes.Count(text[:offset], []byte("\n"))
+}
+
+func typeError(text []byte, err error) error {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return oneFault(text, te.Offset, te.Field, te.Value, "a "+kindName(te.Type))
+	}
+	return syntaxError(text, err)
+}
+
+func syntaxError(text []byte, err error) error {
+	var se *json.SyntaxError
+	if errors.As(err, &se) {
+		return oneFault(text, se.Offset, "document", se.Error(), "valid JSON")
+	}
+	return oneFault(text, int64(len(text)), "document", err.Error(), "one complete JSON object")
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Slice:
+		return "list"
+	case reflect.Struct:
+		return "object"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "text in quotes"
+	default:
+		return "number"
+	}
+}
+
+// lineTable holds the line of each field by its path.
+type lineTable map[string]int
+
+// of returns the line of a path, or that of the nearest object around it.
+func (t lineTable) of(path string) int {
+	for path != "" {
+		if n, ok := t[path]; ok {
+			return n
+		}
+		i := strings.LastIndexAny(path, ".[")
+		if i < 0 {
+			return t[""]
+		}
+		path = path[:i]
+	}
+	return t[""]
+}
+
+// locator walks the tokens of a document.
+type locator struct {
+	text    []byte
+	dec     *json.Decoder
+	lines   lineTable
+	unknown []LineFault
+}
+
+// locate finds the line of each field, and the fields that nobody knows.
+func locate(text []byte) (lineTable, []LineFault, error) {
+	l := &locator{text: text, dec: json.NewDecoder(bytes.NewReader(text)), lines: lineTable{}}
+	if err := l.value(""); err != nil {
+		return nil, nil, syntaxError(text, err)
+	}
+	if _, err := l.dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, nil, oneFault(text, l.dec.InputOffset(), "document", "more after the end", "one JSON object")
+	}
+	return l.lines, l.unknown, nil
+}
+
+func (l *locator) value(path string) error {
+	tok, err := l.dec.Token()
+	if err != nil {
+		return err
+	}
+	if _, ok := l.lines[path]; !ok {
+		l.lines[path] = lineAt(l.text, l.dec.InputOffset())
+	}
+	switch tok {
+	case json.Delim('{'):
+		return l.object(path)
+	case json.Delim('['):
+		return l.list(path)
+	}
+	return nil
+}
+
+func (l *locator) object(path string) error {
+	for l.dec.More() {
+		tok, err := l.dec.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := tok.(string)
+		child := name
+		if path != "" {
+			child = path + "." + name
+		}
+		line := lineAt(l.text, l.dec.InputOffset())
+		if _, twice := l.lines[child]; twice {
+			l.unknown = append(l.unknown, LineFault{Line: line, Fault: cwcatalogue.Fault{Path: child, Value: name, Allowed: "each field once"}})
+		}
+		l.lines[child] = line
+		if !slices.Contains(knownPaths, indexes.ReplaceAllString(child, "")) {
+			l.unknown = append(l.unknown, LineFault{Line: line, Fault: cwcatalogue.Fault{Path: child, Value: name, Allowed: "no such field"}})
+		}
+		if err := l.value(child); err != nil {
+			return err
+		}
+	}
+	_, err := l.dec.Token()
+	return err
+}
+
+func (l *locator) list(path string) error {
+	for i := 0; l.dec.More(); i++ {
+		if err := l.value(fmt.Sprintf("%s[%d]", path, i)); err != nil {
+			return err
+		}
+	}
+	_, err := l.dec.Token()
+	return err
+}
+
+var indexes = regexp.MustCompile(`\[\d+\]`)
+
+// knownPaths are the paths of all fields, without indexes.
+var knownPaths = pathsOf(reflect.TypeFor[documentBody](), "")
+
+func pathsOf(t reflect.Type, prefix string) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		path := prefix + f.Tag.Get("json")
+		out = append(out, path)
+		ft := f.Type
+		if ft.Kind() == reflect.Slice {
+			ft = ft.Elem()
+		}
+		if ft.Kind() == reflect.Struct && ft.PkgPath() == t.PkgPath() {
+			out = append(out, pathsOf(ft, path+".")...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wire/cwpeer/peer.go
@@ -0,0 +1,277 @@
+// Package cwpeer carries messages between proxies: JSON-RPC 2.0 over TCP.
+//
+// Each proxy keeps a connection to a few partners and sends each a heartbeat:
+// its catalogue revision and its votes about the primaries it watches. A vote
+// that changes is sent at once. A proxy that hears of a higher revision asks
+// for the catalogue. Requests to cancel that reach the wrong proxy are passed
+// on. There is no other traffic, and no partner is special.
+package cwpeer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+)
+
+// Methods.
+const (
+	methodHeartbeat = "heartbeat"
+	methodCatalogue = "catalogue"
+	methodCancel    = "cancel"
+)
+
+// Times of the peers.
+const (
+	// Interval is the time between heartbeats.
+	Interval = 500 * time.Millisecond
+	// dialTimeout bounds a connection to a partner.
+	dialTimeout = 500 * time.Millisecond
+	// callTimeout bounds one call. A partner that takes longer is connected to
+	// anew: an open connection can go silent while new ones work.
+	callTimeout = time.Second
+	// maxMessage bounds what is read from a partner, in bytes, per connection
+	// and message.
+	maxMessage = 16 << 20
+)
+
+// Heartbeat is what a proxy tells its partners.
+type Heartbeat struct {
+	Instance cwfailover.InstanceID
+	Revision cwcatalogue.Revision
+	// Votes are by group.
+	Votes map[string]cwfailover.Vote
+}
+
+// Handler takes what partners send.
+type Handler interface {
+	// Heartbeat takes a partner's heartbeat.
+	Heartbeat(h Heartbeat)
+	// CatalogueText returns the catalogue as this proxy has it.
+	CatalogueText() ([]byte, error)
+	// Cancel ends a statement of a session of this proxy, if it has it.
+	Cancel(pid uint32, secret []byte)
+	// Admits reports whether an instance may speak to this proxy.
+	Admits(id cwfailover.InstanceID) bool
+}
+
+type heartbeatBody struct {
+	Instance string              `json:"instance"`
+	Revision uint64              `json:"revision"`
+	Votes    map[string]voteBody `json:"votes,omitempty"`
+}
+
+type voteBody struct {
+	Term    uint64 `json:"term"`
+	Suspect bool   `json:"suspect,omitempty"`
+}
+
+type catalogueBody struct {
+	Instance string          `json:"instance"`
+	Document json.RawMessage `json:"document,omitempty"`
+}
+
+type cancelBody struct {
+	Instance string `json:"instance"`
+	PID      uint32 `json:"pid"`
+	Secret   []byte `json:"secret"`
+}
+
+func (h Heartbeat) body() heartbeatBody {
+	b := heartbeatBody{Instance: string(h.Instance), Revision: uint64(h.Revision), Votes: make(map[string]voteBody, len(h.Votes))}
+	for g, v := range h.Votes {
+		b.Votes[g] = voteBody{Term: uint64(v.Term), Suspect: v.Suspect}
+	}
+	return b
+}
+
+func (b heartbeatBody) heartbeat() Heartbeat {
+	h := Heartbeat{
+		Instance: cwfailover.InstanceID(b.Instance),
+		Revision: cwcatalogue.Revision(b.Revision),
+		Votes:    make(map[string]cwfailover.Vote, len(b.Votes)),
+	}
+	for g, v := range b.Votes {
+		h.Votes[g] = cwfailover.Vote{Voter: h.Instance, Term: cwgroup.Term(v.Term), Suspect: v.Suspect}
+	}
+	return h
+}
+
+// Server takes messages of partners.
+type Server struct {
+	Handler Handler
+}
+
+// Run accepts partners until ctx ends.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.serve(ctx, conn)
+		}()
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	limited := &limitedConn{Conn: conn}
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{}),
+		jsonrpc2.HandlerWithError(s.handle))
+	defer rpc.Close()
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+	}
+}
+
+// limitedConn ends a connection that is idle for long.
+type limitedConn struct{ net.Conn }
+
+// idleTimeout is how long a partner may send nothing.
+const idleTimeout = 20 * Interval
+
+func (c *limitedConn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	if req.Params == nil || len(*req.Params) > maxMessage {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "parameters are missing or too long"}
+	}
+	var who struct {
+		Instance string `json:"instance"`
+	}
+	if err := json.Unmarshal(*req.Params, &who); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	if !s.Handler.Admits(cwfailover.InstanceID(who.Instance)) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "this instance is not in the platform's list"}
+	}
+	switch req.Method {
+	case methodHeartbeat:
+		var b heartbeatBody
+		if err := json.Unmarshal(*req.Params, &b); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		s.Handler.Heartbeat(b.heartbeat())
+		return struct{}{}, nil
+	case methodCatalogue:
+		doc, err := s.Handler.CatalogueText()
+		if err != nil {
+			return nil, err
+		}
+		return catalogueBody{Document: doc}, nil
+	case methodCancel:
+		var b cancelBody
+		if err := json.Unmarshal(*req.Params, &b); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		s.Handler.Cancel(b.PID, b.Secret)
+		return struct{}{}, nil
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+}
+
+// Partner is this proxy's side towards one other proxy.
+type Partner struct {
+	Self    cwfailover.InstanceID
+	Address string
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// ignore is the handler of the calling side: partners do not call back.
+type ignore struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (ignore) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+func (p *Partner) call(ctx context.Context, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, params, result)
+	var refused *jsonrpc2.Error
+	if err != nil && !errors.As(err, &refused) {
+		p.drop(conn)
+	}
+	return err
+}
+
+func (p *Partner) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		return p.conn, nil
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", p.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(nc, jsonrpc2.VSCodeObjectCodec{}), ignore{})
+	return p.conn, nil
+}
+
+func (p *Partner) drop(conn *jsonrpc2.Conn) {
+	p.mu.Lock()
+	if p.conn == conn {
+		p.conn = nil
+	}
+	p.mu.Unlock()
+	_ = conn.Close()
+}
+
+// Close closes the connection.
+func (p *Partner) Close() {
+	p.mu.Lock()
+	conn := p.conn
+	p.conn = nil
+	p.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// Heartbeat sends a heartbeat.
+func (p *Partner) Heartbeat(ctx context.Context, h Heartbeat) error {
+	return p.call(ctx, methodHeartbeat, h.body(), nil)
+}
+
+// Catalogue asks for the partner's catalogue.
+func (p *Partner) Catalogue(ctx context.Context) ([]byte, error) {
+	var b catalogueBody
+	err := p.call(ctx, methodCatalogue, catalogueBody{Instance: string(p.Self)}, &b)
+	return b.Document, err
+}
+
+// Cancel passes a request to cancel on.
+func (p *Partner) Cancel(ctx context.Context, pid uint32, secret []byte) error {
+	return p.call(ctx, methodCancel, cancelBody{Instance: string(p.Self), PID: pid, Secret: secret}, nil)
+}
--- /dev/null
+++ b/internal/wire/cwplatform/client.go
@@ -0,0 +1,185 @@
+package cwplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// Paths of the platform's HTTP interface.
+const (
+	PathRows      = "/table/rows/"
+	PathList      = "/table/list"
+	PathCommit    = "/table/commit"
+	PathInstances = "/instances"
+)
+
+// maxBody bounds what is read of an answer.
+const maxBody = 64 << 20
+
+// DefaultTimeout bounds one request to the platform.
+const DefaultTimeout = 2 * time.Second
+
+// RowBody is a row as JSON.
+type RowBody struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	ETag  string `json:"etag"`
+}
+
+// CommitBody is a change as JSON.
+type CommitBody struct {
+	Expect []ExpectBody `json:"expect"`
+	Put    []RowBody    `json:"put"`
+}
+
+// ExpectBody is an expectation as JSON.
+type ExpectBody struct {
+	Key  string `json:"key"`
+	ETag string `json:"etag"`
+}
+
+// InstanceBody is an instance as JSON.
+type InstanceBody struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"dataCentre"`
+	Peer       string `json:"peer"`
+	State      string `json:"state"`
+}
+
+// Client reaches the platform over HTTP. Set URL before use.
+type Client struct {
+	// URL is the base, as in http://127.0.0.1:7000.
+	URL string
+	// Timeout bounds one request; zero means DefaultTimeout.
+	Timeout time.Duration
+	// HTTP is used for requests; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+var (
+	_ Table     = (*Client)(nil)
+	_ Instances = (*Client)(nil)
+)
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	body, resp, err := c.do(ctx, http.MethodGet, PathRows+url.PathEscape(key), nil)
+	if err != nil {
+		return Row{}, &UnavailableError{Cause: err}
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return Row{Key: key, Value: body, ETag: resp.Header.Get("ETag")}, nil
+	case http.StatusNotFound:
+		return Row{}, &NotFoundError{Key: key}
+	}
+	return Row{}, &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
+}
+
+// List implements Table.
+func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
+	var rows []RowBody
+	if err := c.read(ctx, PathList+"?prefix="+url.QueryEscape(prefix), &rows); err != nil {
+		return nil, err
+	}
+	out := make([]Row, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, Row(r))
+	}
+	return out, nil
+}
+
+// Instances implements Instances.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var list []InstanceBody
+	if err := c.read(ctx, PathInstances, &list); err != nil {
+		return nil, err
+	}
+	out := make([]Instance, 0, len(list))
+	for _, i := range list {
+		out = append(out, Instance{ID: i.ID, DataCentre: i.DataCentre, Peer: i.Peer, State: InstanceState(i.State)})
+	}
+	return out, nil
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	body, resp, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return &UnavailableError{Cause: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return &UnavailableError{Cause: err}
+	}
+	return nil
+}
+
+// Commit implements Table.
+func (c *Client) Commit(ctx context.Context, ch Change) error {
+	req := CommitBody{}
+	for _, e := range ch.Expect {
+		req.Expect = append(req.Expect, ExpectBody(e))
+	}
+	for _, p := range ch.Put {
+		req.Put = append(req.Put, RowBody{Key: p.Key, Value: p.Value})
+	}
+	payload, err := json.Marshal(req)
+	if err != nil {
+		return &UnavailableError{Cause: err}
+	}
+	body, resp, err := c.do(ctx, http.MethodPost, PathCommit, payload)
+	if err != nil {
+		return changeError(err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusPreconditionFailed:
+		return &ConflictError{Key: string(body)}
+	case http.StatusServiceUnavailable:
+		return &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
+	}
+	return &UnknownError{Cause: &StatusError{Status: resp.StatusCode}}
+}
+
+// changeError tells a request that never left from one whose answer was lost.
+func changeError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &UnavailableError{Cause: err}
+	}
+	return &UnknownError{Cause: err}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, payload []byte) ([]byte, *http.Response, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(payload))
+	if err != nil {
+		return nil, nil, err
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	return body, resp, err
+}
--- /dev/null
+++ b/internal/wire/cwtarget/status.go
@@ -0,0 +1,108 @@
+// Package cwtarget speaks to the databases of a group.
+//
+// Traffic and control both use PostgreSQL protocol 3. Control is a handful of
+// functions and one notification channel that the platform's groups offer:
+//
+//	SELECT * FROM group_status()
+//	SELECT * FROM group_adopt(term, 'claim')
+//	SELECT * FROM group_promote(term, 'claim')
+//	SELECT * FROM group_follow(term, 'claim', 'member', 'address')
+//	LISTEN group_position
+//
+// Each of the four returns one row with one column, the member's status as
+// FormatStatus writes it. After LISTEN the member notifies at each change and,
+// as a heartbeat, a few times a second. After each commit the primary reports
+// the end of its log as the parameter PositionParameter.
+package cwtarget
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+)
+
+// Names of the control interface.
+const (
+	// PositionParameter is the run-time parameter that carries the mark of a
+	// commit.
+	PositionParameter = "group_position"
+	// PositionChannel is the channel of a member's status.
+	PositionChannel = "group_position"
+	// ControlApplication is the application name of control connections.
+	ControlApplication = "cicadawalk-control"
+)
+
+// Report is a status with what only the wire carries.
+type Report struct {
+	cwgroup.Status
+	// Following is the member that a replica copies.
+	Following cwgroup.MemberID
+}
+
+// FormatStatus writes a report as key=value pairs.
+func FormatStatus(r Report) string {
+	return fmt.Sprintf("member=%s role=%s adopted=%d claim=%s last=%s applied=%s upstreamAgeMs=%d openWrites=%d following=%s",
+		r.Member, r.Role, r.Adopted, r.Claim, r.Last, r.Applied, r.UpstreamAge.Milliseconds(), r.OpenWrites, r.Following)
+}
+
+// StatusError reports a status that cannot be read.
+type StatusError struct{ Text string }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %q is malformed", e.Text) }
+
+// ParseStatus reads what FormatStatus writes. Unknown keys are ignored.
+func ParseStatus(s string) (Report, error) {
+	var r Report
+	for _, field := range strings.Fields(s) {
+		key, value, ok := strings.Cut(field, "=")
+		if !ok || r.set(key, value) != nil {
+			return Report{}, &StatusError{Text: s}
+		}
+	}
+	if r.Member == "" {
+		return Report{}, &StatusError{Text: s}
+	}
+	return r, nil
+}
+
+func (r *Report) set(key, value string) error {
+	var err error
+	var n uint64
+	switch key {
+	case "member":
+		r.Member = cwgroup.MemberID(value)
+	case "role":
+		r.Role = parseRole(value)
+	case "adopted":
+		n, err = strconv.ParseUint(value, 10, 63)
+		r.Adopted = cwgroup.Term(n)
+	case "claim":
+		r.Claim = cwgroup.ClaimID(value)
+	case "last":
+		r.Last, err = cwgroup.ParseMark(value)
+	case "applied":
+		r.Applied, err = cwgroup.ParseMark(value)
+	case "upstreamAgeMs":
+		n, err = strconv.ParseUint(value, 10, 40)
+		r.UpstreamAge = time.Duration(n) * time.Millisecond
+	case "openWrites":
+		r.OpenWrites, err = strconv.Atoi(value)
+	case "following":
+		r.Following = cwgroup.MemberID(value)
+	}
+	return err
+}
+
+func parseRole(s string) cwgroup.Role {
+	switch s {
+	case "primary":
+		return cwgroup.RolePrimary
+	case "fenced":
+		return cwgroup.RoleFenced
+	default:
+		return cwgroup.RoleReplica
+	}
+}
