--- /dev/null
+++ b/cmd/cicadastandin/main.go
@@ -0,0 +1,11 @@
+// Command cicadastandin runs stand-ins for the systems around cicadawalk.
+package main
+
+import (
+	"os"
+
+	"cicadawalk.example/cicadawalk/internal/standin/cwprogram"
+	"cicadawalk.example/cicadawalk/internal/tool/cwcommand"
+)
+
+func main() { os.Exit(cwcommand.Main(cwprogram.Root())) }
--- /dev/null
+++ b/internal/standin/cwcontrol/control.go
@@ -0,0 +1,125 @@
+// Package cwcontrol is the one control interface of all stand-ins: an HTTP
+// address where faults are read and replaced at run time as JSON.
+//
+//	curl http://ADDRESS/faults
+//	curl -X PUT -d '{"streamLagMs":100}' http://ADDRESS/faults
+//	curl -X POST http://ADDRESS/silence
+package cwcontrol
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"cicadawalk.example/cicadawalk/internal/standin/cwdatabase"
+	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
+	"cicadawalk.example/cicadawalk/internal/standin/cwtable"
+)
+
+// Error is the class of failures to serve the control interface.
+var Error = errs.Class("stand-in control")
+
+type databaseFaults struct {
+	StreamLagMs      int64 `json:"streamLagMs"`
+	ApplyLagMs       int64 `json:"applyLagMs"`
+	ServiceTimeUs    int64 `json:"serviceTimeUs"`
+	Frozen           bool  `json:"frozen"`
+	LoseCommits      int   `json:"loseCommits"`
+	DropBeforeCommit int   `json:"dropBeforeCommit"`
+	NoReplication    bool  `json:"noReplication"`
+}
+
+type tableFaults struct {
+	Down        bool  `json:"down"`
+	DelayMs     int64 `json:"delayMs"`
+	LoseAnswers int   `json:"loseAnswers"`
+}
+
+type linkFaults struct {
+	DelayMs int64 `json:"delayMs"`
+	Cut     bool  `json:"cut"`
+	Refuse  bool  `json:"refuse"`
+}
+
+// Database returns the handler for a database's faults.
+func Database(m *cwdatabase.Running) http.Handler {
+	return faults(func(f databaseFaults) {
+		m.SetFaults(cwdatabase.Faults{
+			StreamLag:        time.Duration(f.StreamLagMs) * time.Millisecond,
+			ApplyLag:         time.Duration(f.ApplyLagMs) * time.Millisecond,
+			ServiceTime:      time.Duration(f.ServiceTimeUs) * time.Microsecond,
+			Frozen:           f.Frozen,
+			LoseCommits:      f.LoseCommits,
+			DropBeforeCommit: f.DropBeforeCommit,
+			NoReplication:    f.NoReplication,
+		})
+	}, func() databaseFaults {
+		f := m.Faults()
+		return databaseFaults{
+			StreamLagMs: f.StreamLag.Milliseconds(), ApplyLagMs: f.ApplyLag.Milliseconds(),
+			ServiceTimeUs: f.ServiceTime.Microseconds(), Frozen: f.Frozen, LoseCommits: f.LoseCommits,
+			DropBeforeCommit: f.DropBeforeCommit, NoReplication: f.NoReplication,
+		}
+	})
+}
+
+// Platform returns the handler for the platform's faults.
+func Platform(p *cwtable.Platform) http.Handler {
+	return faults(func(f tableFaults) {
+		p.SetFaults(cwtable.Faults{Down: f.Down, Delay: time.Duration(f.DelayMs) * time.Millisecond, LoseAnswers: f.LoseAnswers})
+	}, func() tableFaults {
+		f := p.Faults()
+		return tableFaults{Down: f.Down, DelayMs: f.Delay.Milliseconds(), LoseAnswers: f.LoseAnswers}
+	})
+}
+
+// Link returns the handler for a path's faults.
+func Link(l *cwlink.Link) http.Handler {
+	mux := faults(func(f linkFaults) {
+		l.SetFaults(cwlink.Faults{Delay: time.Duration(f.DelayMs) * time.Millisecond, Cut: f.Cut, Refuse: f.Refuse})
+	}, func() linkFaults {
+		f := l.Faults()
+		return linkFaults{DelayMs: f.Delay.Milliseconds(), Cut: f.Cut, Refuse: f.Refuse}
+	})
+	mux.HandleFunc("POST /silence", func(w http.ResponseWriter, _ *http.Request) {
+		l.Silence()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func faults[F any](set func(F), get func() F) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f F
+		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		set(f)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(get())
+	})
+	return mux
+}
+
+// Serve serves a handler at an address; an empty address serves nothing.
+func Serve(listen string, h http.Handler) (net.Addr, error) {
+	if listen == "" {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	return ln.Addr(), nil
+}
--- a/internal/standin/cwdatabase/replicate.go
+++ b/internal/standin/cwdatabase/replicate.go
@@ -69,8 +69,8 @@
 
 // serveReplica streams the log to a replica until the connection or the term
 // ends.
-func (s *session) serveReplica(ctx context.Context, req streamRequest) error {
-	m := s.member
+func (c *session) serveReplica(ctx context.Context, req streamRequest) error {
+	m := c.member
 	m.mu.Lock()
 	if m.role != cwgroup.RolePrimary || m.adopted != req.Adopted && m.cfg.ChecksTerm {
 		adopted := m.adopted
@@ -80,7 +80,7 @@
 	term := m.adopted
 	next := commonPrefix(m.log, req)
 	m.mu.Unlock()
-	if err := s.sendPart(streamPart{TruncateTo: &next}); err != nil {
+	if err := c.sendPart(streamPart{TruncateTo: &next}); err != nil {
 		return err
 	}
 	for {
@@ -93,7 +93,7 @@
 			return nil
 		}
 		if !frozen {
-			if err := s.sendPart(streamPart{Records: records}); err != nil {
+			if err := c.sendPart(streamPart{Records: records}); err != nil {
 				return err
 			}
 			next += cwgroup.Position(len(records))
@@ -107,13 +107,13 @@
 	}
 }
 
-func (s *session) sendPart(p streamPart) error {
+func (c *session) sendPart(p streamPart) error {
 	body, err := json.Marshal(p)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	s.backend.Send(&pgproto3.CopyData{Data: body})
-	return s.backend.Flush()
+	c.backend.Send(&pgproto3.CopyData{Data: body})
+	return c.backend.Flush()
 }
 
 // loopFollow copies the log of whatever primary the member was told to follow.
--- /dev/null
+++ b/internal/standin/cwprogram/program.go
@@ -0,0 +1,146 @@
+// Package cwprogram is the command line of the stand-ins.
+package cwprogram
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/standin/cwcontrol"
+	"cicadawalk.example/cicadawalk/internal/standin/cwdatabase"
+	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
+	"cicadawalk.example/cicadawalk/internal/standin/cwtable"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+// Root returns the cicadastandin command.
+func Root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cicadastandin",
+		Short:         "Stand-ins for the systems around cicadawalk, for tests and trials",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(databaseCommand(), platformCommand(), linkCommand())
+	return root
+}
+
+func databaseCommand() *cobra.Command {
+	var cfg cwdatabase.Config
+	var id, followID, control string
+	cmd := &cobra.Command{
+		Use:   "database",
+		Short: "One database of a group, in memory",
+		Example: `  cicadastandin database --id libro-1 --listen 127.0.1.1:5432 --primary
+  cicadastandin database --id libro-2 --listen 127.0.2.1:5432 --follow 127.0.1.1:5432 --follow-id libro-1`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.ID, cfg.FollowID = cwgroup.MemberID(id), cwgroup.MemberID(followID)
+			m, err := cwdatabase.Start(cfg)
+			if err != nil {
+				return err
+			}
+			defer m.Stop()
+			if _, err := cwcontrol.Serve(control, cwcontrol.Database(m)); err != nil {
+				return err
+			}
+			return until(cmd, "database "+id+" at "+m.Addr())
+		},
+	}
+	fs := cmd.Flags()
+	fs.StringVar(&id, "id", "db", "the database's id in the catalogue")
+	fs.StringVar(&cfg.Listen, "listen", "127.0.0.1:5432", "address, IP:port")
+	fs.StringVar(&control, "control", "", "address of the control interface, IP:port")
+	fs.IntVar(&cfg.Connections, "connections", 25, "connections accepted")
+	fs.IntVar(&cfg.Slots, "slots", 3, "statements executed at once")
+	fs.DurationVar(&cfg.ConnectDelay, "connect-delay", 10*time.Millisecond, "time that a new connection takes")
+	fs.BoolVar(&cfg.ChecksTerm, "checks-term", true, "check the term of every order")
+	fs.BoolVar(&cfg.Primary, "primary", false, "start as the primary of term 1")
+	fs.StringVar(&cfg.Follow, "follow", "", "address of the primary of term 1")
+	fs.StringVar(&followID, "follow-id", "", "id of the primary of term 1")
+	return cmd
+}
+
+func platformCommand() *cobra.Command {
+	var listen, control, instances string
+	var lag time.Duration
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "The table service and the list of instances, in memory",
+		Example: `  cicadastandin platform --listen 127.0.0.1:7000 --instances instances.json
+  (instances.json: [{"id":"entry-1","dataCentre":"hall-rufino","peer":"127.0.1.1:6544","state":"live"}])`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p, err := cwtable.Start(listen, lag)
+			if err != nil {
+				return err
+			}
+			defer p.Stop()
+			if instances != "" {
+				if err := loadInstances(p, instances); err != nil {
+					return err
+				}
+			}
+			if _, err := cwcontrol.Serve(control, cwcontrol.Platform(p)); err != nil {
+				return err
+			}
+			return until(cmd, "platform at "+p.URL())
+		},
+	}
+	fs := cmd.Flags()
+	fs.StringVar(&listen, "listen", "127.0.0.1:7000", "address, IP:port")
+	fs.StringVar(&control, "control", "", "address of the control interface, IP:port")
+	fs.StringVar(&instances, "instances", "", "file with the list of instances")
+	fs.DurationVar(&lag, "list-lag", time.Second, "how long the list of instances lags")
+	return cmd
+}
+
+func loadInstances(p *cwtable.Platform, name string) error {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	var list []cwplatform.InstanceBody
+	if err := json.Unmarshal(text, &list); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	p.SetInstances(list)
+	return nil
+}
+
+func linkCommand() *cobra.Command {
+	var listen, target, control string
+	cmd := &cobra.Command{
+		Use:     "link",
+		Short:   "A network path that can be delayed, cut or made silent",
+		Example: "  cicadastandin link --listen 127.0.1.1:5433 --target 127.0.1.1:5432 --control 127.0.0.1:7101",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, err := cwlink.Start(listen, target)
+			if err != nil {
+				return err
+			}
+			defer l.Stop()
+			if _, err := cwcontrol.Serve(control, cwcontrol.Link(l)); err != nil {
+				return err
+			}
+			return until(cmd, "link at "+l.Addr())
+		},
+	}
+	fs := cmd.Flags()
+	fs.StringVar(&listen, "listen", "127.0.0.1:5433", "near address, IP:port")
+	fs.StringVar(&target, "target", "127.0.0.1:5432", "far address, IP:port")
+	fs.StringVar(&control, "control", "", "address of the control interface, IP:port")
+	return cmd
+}
+
+// until says that a stand-in serves, and waits for a signal.
+func until(cmd *cobra.Command, what string) error {
+	fmt.Fprintln(cmd.OutOrStdout(), what)
+	<-cmd.Context().Done()
+	return nil
+}
--- /dev/null
+++ b/internal/tool/cwcommand/proxy.go
@@ -0,0 +1,116 @@
+package cwcommand
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"cicadawalk.example/cicadawalk/internal/proxy/cwnode"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+// proxySettings are the flags of the daemon.
+type proxySettings struct {
+	instance, dataCentre           string
+	listen, peerListen, httpListen string
+	platform, logLevel             string
+	peers                          []string
+	listLag, drainTimeout          time.Duration
+}
+
+func proxyCommand() *cobra.Command {
+	var p proxySettings
+	cmd := &cobra.Command{
+		Use:   "proxy",
+		Short: "Run the proxy",
+		Long: `Runs one proxy until SIGTERM or SIGINT; then it takes no more callers, lets
+statements and transactions in progress end within --drain-timeout, and exits
+with code 0. Every flag can be given as an environment variable, too.`,
+		Example: `  cicadawalk proxy --instance entry-1 --data-centre hall-rufino \
+    --listen 127.0.1.1:6543 --peer-listen 127.0.1.1:6544 --http-listen 127.0.1.1:6545 \
+    --platform http://127.0.0.1:7000`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkSettings(cmd, p.check); err != nil {
+				return err
+			}
+			return p.run(cmd)
+		},
+	}
+	p.flags(cmd)
+	return cmd
+}
+
+func (p *proxySettings) flags(cmd *cobra.Command) {
+	fs := cmd.Flags()
+	fs.StringVar(&p.instance, "instance", "", "id of this instance in the platform's list")
+	fs.StringVar(&p.dataCentre, "data-centre", "", "data centre that this instance is in")
+	fs.StringVar(&p.listen, "listen", "127.0.0.1:6543", "address for callers, IP:port")
+	fs.StringVar(&p.peerListen, "peer-listen", "127.0.0.1:6544", "address for other proxies, IP:port")
+	fs.StringVar(&p.httpListen, "http-listen", "127.0.0.1:6545", "address for metrics, health and status, IP:port")
+	fs.StringVar(&p.platform, "platform", "", "URL of the platform's table service")
+	fs.StringSliceVar(&p.peers, "peers", nil, "addresses of other proxies to ask while the platform is away, IP:port each")
+	fs.DurationVar(&p.listLag, "list-lag", 3*time.Second, "longest time by which the platform's list of instances lags")
+	fs.DurationVar(&p.drainTimeout, "drain-timeout", 30*time.Second, "longest time that a shutdown waits for work in progress")
+	fs.StringVar(&p.logLevel, "log-level", "info", "debug, info, warn or error")
+}
+
+func (p *proxySettings) check(s *settings) {
+	s.notEmpty("instance", "the id of this instance")
+	s.require("instance", !strings.ContainsAny(p.instance, " '=\""), "no spaces, quotes or =")
+	s.notEmpty("data-centre", "the name of a data centre of the catalogue")
+	s.address("listen")
+	s.address("peer-listen")
+	s.address("http-listen")
+	s.url("platform")
+	for _, a := range p.peers {
+		_, err := netip.ParseAddrPort(a)
+		s.require("peers", err == nil, "IP addresses and ports, with commas between")
+	}
+	s.require("list-lag", p.listLag >= 0 && p.listLag <= 10*time.Minute, "0s to 10m")
+	s.require("drain-timeout", p.drainTimeout > 0 && p.drainTimeout <= time.Hour, "more than 0s, up to 1h")
+	_, err := log.ParseLevel(p.logLevel)
+	s.require("log-level", err == nil, "debug, info, warn or error")
+}
+
+func (p *proxySettings) run(cmd *cobra.Command) error {
+	level, err := log.ParseLevel(p.logLevel)
+	if err != nil {
+		return err
+	}
+	client := &cwplatform.Client{URL: strings.TrimRight(p.platform, "/")}
+	node, err := cwnode.New(cwnode.Config{
+		Instance:     p.instance,
+		DataCentre:   p.dataCentre,
+		Listen:       p.listen,
+		PeerListen:   p.peerListen,
+		HTTPListen:   p.httpListen,
+		Table:        client,
+		Instances:    client,
+		Peers:        p.peers,
+		ListLag:      p.listLag,
+		DrainTimeout: p.drainTimeout,
+		Clock:        clockwork.NewRealClock(),
+		Log:          newLogger(cmd, level),
+		Seed:         fmt.Sprintf("%x-%d", time.Now().UnixNano(), os.Getpid()),
+	})
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Cause: err}
+	}
+	return node.Run(cmd.Context())
+}
+
+func newLogger(cmd *cobra.Command, level log.Level) *log.Logger {
+	return log.NewWithOptions(cmd.ErrOrStderr(), log.Options{
+		Formatter:       log.LogfmtFormatter,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		Level:           level,
+	})
+}
