front: what a postgresql user expects, as tests

Found by the settings test, which failed first: a setting made in a transaction that was rolled back stayed (SHOW said 9MB, 7MB expected). Cause: the end of a transaction counted as a commit whenever the target sent no error, and ROLLBACK sends none. Change: only the command tag COMMIT counts.

--- /dev/null
+++ b/internal/proxy/cwfront/forge_test.go
@@ -0,0 +1,15 @@
+package cwfront_test
+
+import (
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwsession"
+)
+
+// forge makes a well-formed token with any mark.
+func forge(c *qt.C, group string, m cwgroup.Mark) string {
+	t := cwsession.Token{}.WithMark(group, m).String()
+	c.Assert(t, qt.Not(qt.Equals), "")
+	return t
+}
--- a/internal/proxy/cwfront/run.go
+++ b/internal/proxy/cwfront/run.go
@@ -339,7 +339,7 @@
 	if rep.status != 'I' {
 		return
 	}
-	s.endTransaction(rep.code == "")
+	s.endTransaction(rep.tag == "COMMIT")
 	if err := s.acknowledge(rep.mark); err != nil {
 		if !flushed {
 			s.out = s.out[:start]
