failover: one supervisor decides, and a group that nobody leads is a failure

The decisions of when to change a primary, when to repair a member and whether a row may be claimed move from the proxy's shell into the core, so that the same code runs on virtual time. internal/core/cwproof is the world for it: three small fake databases, a fake table, three proxies' decision parts, schedules of up to six failures drawn by rapid, a ledger of what callers were told.

Cause: a keeper fences members, finds no majority since another freezes, and gives up; the frozen primary obeys the order when it wakes. Nobody leads then, and a vote was only ever about a primary that does not answer. Ruled out: the members (each adopted for one claim) and the table (not needed in this schedule). Change: a group without any primary counts as suspect, after one second, since a change in progress looks the same.

--- a/internal/core/cwfailover/detector.go
+++ b/internal/core/cwfailover/detector.go
@@ -34,6 +34,10 @@
 	// Persist is how long a unanimous suspicion must last to outweigh replicas
 	// that still hear the primary.
 	Persist = 2 * time.Second
+	// LeaderlessFor is how long a group must be without any primary before that
+	// counts: a change of primary in progress looks the same, and so does a
+	// proxy that has just started.
+	LeaderlessFor = time.Second
 	// FreshMember is how recent a member's report must be to count as reachable.
 	FreshMember = 1500 * time.Millisecond
 )
@@ -149,6 +153,9 @@
 	if !d.own.Suspect || d.own.Term != v.Term() {
 		return false
 	}
+	if v.Term() == 0 && now.Sub(d.own.Since) < LeaderlessFor {
+		return false
+	}
 	if !majorityReachable(v, now) {
 		// Without a majority nothing can be fenced; trying would only make
 		// single members adopt terms for nothing.
--- a/internal/core/cwfailover/keeper.go
+++ b/internal/core/cwfailover/keeper.go
@@ -81,9 +81,10 @@
 
 // Event is an answer to an order.
 type Event struct {
-	// Kind and Member repeat the order's.
+	// Kind, Member and Claim repeat the order's.
 	Kind   OrderKind
 	Member cwgroup.MemberID
+	Claim  cwgroup.ClaimID
 	// Row is set for orders to the table. For ReadRow, RowDone means that the
 	// row holds this keeper's claim.
 	Row RowOutcome
--- /dev/null
+++ b/internal/core/cwproof/found_test.go
@@ -0,0 +1,27 @@
+package cwproof
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// assertHolds plays a schedule and fails if anything was broken.
+func assertHolds(t *testing.T, seed uint64, o options, faults ...fault) {
+	t.Helper()
+	if broken := newWorld(seed, o).play(faults); len(broken) > 0 {
+		t.Fatalf("%s", strings.Join(broken, "\n"))
+	}
+}
+
+// Writes stand still for good although every database is well again: the
+// primary froze, the keeper found no majority since the second database froze
+// too, and gave up. When the primary woke it obeyed the old order and stepped
+// down. Nobody led, so there was no primary to suspect, and nobody acted.
+func TestNobodyLeadsAfterAFenceWithoutPromotion(t *testing.T) {
+	assertHolds(t, 0, checked,
+		fault{kind: cutProxyFromMember, at: 500 * time.Millisecond, lasts: time.Millisecond, target: 0, other: 1},
+		fault{kind: freezeMember, at: 506 * time.Millisecond, lasts: 114 * time.Millisecond, target: 0, other: 2},
+		fault{kind: freezeMember, at: 606 * time.Millisecond, lasts: 1627 * time.Millisecond, target: 0, other: 2},
+		fault{kind: freezeMember, at: 1110 * time.Millisecond, lasts: 5 * time.Second, target: 1, other: 1})
+}
--- a/internal/proxy/cwnode/catalogue.go
+++ b/internal/proxy/cwnode/catalogue.go
@@ -166,10 +166,10 @@
 }
 
 func (n *Node) placeGroup(c cwcatalogue.Catalogue, e cwcatalogue.Entry, g cwcatalogue.Group) func() {
-	stopping := make(map[cwgroup.MemberID]bool)
+	var stopping []cwgroup.MemberID
 	for _, t := range g.Targets {
 		if c.Stopping(t.ID) {
-			stopping[t.ID] = true
+			stopping = append(stopping, t.ID)
 		}
 	}
 	if old, ok := n.groups[g.Name]; ok {
--- a/internal/proxy/cwwatch/group.go
+++ b/internal/proxy/cwwatch/group.go
@@ -75,49 +75,31 @@
 	cfg   Config
 	feeds map[cwgroup.MemberID]*cwtarget.Feed
 
-	mu        sync.Mutex
-	contract  cwcatalogue.Contract
-	view      cwgroup.View
-	following map[cwgroup.MemberID]cwgroup.MemberID
-	history   cwroute.History
-	lag       cwroute.LagMeter
-	tracker   cwack.Tracker
-	detector  cwfailover.Detector[cwfailover.ByProxiesAndReplicas]
-	stopping  map[cwgroup.MemberID]bool
+	mu       sync.Mutex
+	contract cwcatalogue.Contract
+	sup      *cwfailover.Supervisor
+	history  cwroute.History
+	lag      cwroute.LagMeter
+	tracker  cwack.Tracker
 	// changed is closed and replaced whenever the view or the stops change.
 	changed chan struct{}
 	// openWrites counts this proxy's write transactions in progress.
 	openWrites int
-	// keeping is true while this proxy changes the primary.
-	keeping bool
-	// due is when this proxy may begin to replace the primary; zero if the
-	// evidence is not enough.
-	due    time.Time
-	claims int
-	// otherClaim and otherSince remember another proxy's unfinished claim.
-	otherClaim cwgroup.ClaimID
-	otherSince time.Time
-	// retryAt is when a failed change may be tried again.
-	retryAt time.Time
-	// strandedSince is when a member was first seen beyond the primary's term.
-	strandedSince time.Time
-	tip           tipAsk
-	lostAt        time.Time
-	gaps          []time.Duration
+	tip        tipAsk
+	// lostAt is when writes could not be placed any more; zero while they can.
+	lostAt time.Time
+	gaps   []time.Duration
 }
 
 // New returns a group that is not running yet.
 func New(cfg Config) *Group {
 	g := &Group{
-		cfg:       cfg,
-		contract:  cfg.Contract,
-		feeds:     make(map[cwgroup.MemberID]*cwtarget.Feed),
-		view:      cwgroup.NewView(cfg.Group.Name, cfg.Group.MemberIDs()),
-		following: make(map[cwgroup.MemberID]cwgroup.MemberID),
-		stopping:  make(map[cwgroup.MemberID]bool),
-		changed:   make(chan struct{}),
+		cfg:      cfg,
+		contract: cfg.Contract,
+		feeds:    make(map[cwgroup.MemberID]*cwtarget.Feed),
+		sup:      cwfailover.NewSupervisor(cfg.Self, cfg.Seed, cfg.Group.Name, cfg.Group.MemberIDs()),
+		changed:  make(chan struct{}),
 	}
-	g.detector.Self = cfg.Self
 	for _, t := range cfg.Group.Targets {
 		g.feeds[t.ID] = &cwtarget.Feed{
 			Member:  t.ID,
@@ -155,29 +137,30 @@
 
 func (g *Group) tick(ctx context.Context, eg *errgroup.Group) {
 	now := g.cfg.Clock.Now()
+	c := g.conditions()
 	g.mu.Lock()
-	g.tracker.Observe(g.view, now)
+	c.OpenWrites = g.openWrites
+	c.ChecksTerm, c.WithoutTable = g.contract.ChecksTerm, g.contract.FailoverWithoutTable
+	g.tracker.Observe(g.sup.View(), now)
 	g.measureGap(now)
-	plan, drain, start := g.decide(now)
-	var repairs []cwfailover.Order
-	if !start && g.mayRepair(now) {
-		repairs = cwfailover.Repairs(g.view, g.following, now)
-	}
-	if start {
-		g.keeping = true
+	orders := g.sup.Tick(now, c)
+	result, ended := g.sup.Ended(now, c)
+	if ended {
+		g.notify()
 	}
 	g.mu.Unlock()
-	if start {
-		eg.Go(func() error {
-			g.keep(ctx, plan, drain)
-			return nil
-		})
+	if ended {
+		g.tell(result)
 	}
-	for _, o := range repairs {
-		eg.Go(func() error {
-			g.send(ctx, o)
-			return nil
-		})
+	g.dispatch(ctx, eg, orders)
+}
+
+// conditions asks who else watches the group. It takes no lock of the group's.
+func (g *Group) conditions() cwfailover.Conditions {
+	live := g.cfg.Watchers.Live()
+	return cwfailover.Conditions{
+		Listed: len(live),
+		Rank:   cwplace.Rank(string(g.cfg.Self), g.cfg.Group.Name, live),
 	}
 }
 
@@ -185,9 +168,8 @@
 func (g *Group) Reported(r cwtarget.Report, asked time.Time) {
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
-	g.view = g.view.WithReport(cwgroup.Report{Status: r.Status, At: now, Reachable: true})
-	g.following[r.Member] = r.Following
-	if p, ok := g.view.Primary(); ok && p.Member == r.Member && r.Role == cwgroup.RolePrimary {
+	voted := g.sup.Report(cwgroup.Report{Status: r.Status, At: now, Reachable: true}, r.Following, now)
+	if p, ok := g.sup.View().Primary(); ok && p.Member == r.Member && r.Role == cwgroup.RolePrimary {
 		if !asked.IsZero() {
 			g.history.Observe(r.Last, asked)
 		}
@@ -195,19 +177,19 @@
 	} else {
 		g.lag.Replica(r.Member, r.Applied, now)
 	}
-	g.tracker.Observe(g.view, now)
-	g.vote(now)
+	g.tracker.Observe(g.sup.View(), now)
 	g.notify()
 	g.mu.Unlock()
+	g.publish(voted)
 }
 
 // Unreachable implements cwtarget.FeedEvents.
 func (g *Group) Unreachable(id cwgroup.MemberID) {
 	g.mu.Lock()
-	g.view = g.view.WithUnreachable(id)
-	g.vote(g.cfg.Clock.Now())
+	voted := g.sup.Unreachable(id, g.cfg.Clock.Now())
 	g.notify()
 	g.mu.Unlock()
+	g.publish(voted)
 	g.cfg.Pools.Cull(id)
 }
 
@@ -223,14 +205,10 @@
 	g.changed = make(chan struct{})
 }
 
-// vote updates this proxy's vote and publishes it if it changed. The caller
-// holds mu.
-func (g *Group) vote(now time.Time) {
-	p, ok := g.view.Primary()
-	suspect := ok && !p.Reachable
-	if g.detector.SetOwn(g.view.Term(), suspect, now) {
-		v := g.detector.Own()
-		go g.cfg.Watchers.Publish(g.cfg.Group.Name, v)
+// publish tells the other watchers of a vote that changed.
+func (g *Group) publish(changed bool) {
+	if changed {
+		go g.cfg.Watchers.Publish(g.cfg.Group.Name, g.Vote())
 	}
 }
 
@@ -238,7 +216,7 @@
 func (g *Group) Vote() cwfailover.Vote {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.Own()
+	return g.sup.Vote()
 }
 
 // ObserveVote takes another watcher's vote.
@@ -246,14 +224,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v.At = g.cfg.Clock.Now()
-	g.detector.Observe(v)
+	g.sup.ObserveVote(v)
 }
 
 // View returns the present view.
 func (g *Group) View() cwgroup.View {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.view
+	return g.sup.View()
 }
 
 // Name returns the group's name.
@@ -267,24 +245,18 @@
 }
 
 // SetStopping tells which members are to be left in peace.
-func (g *Group) SetStopping(ids map[cwgroup.MemberID]bool) {
+func (g *Group) SetStopping(ids []cwgroup.MemberID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stopping = ids
+	g.sup.SetStopping(ids, g.cfg.Clock.Now())
 	g.notify()
 }
 
-// rank is this proxy's place among the live ones for this group. Lower ranks
-// act first, so that keepers seldom run at once.
-func (g *Group) rank() int {
-	return cwplace.Rank(string(g.cfg.Self), g.cfg.Group.Name, g.cfg.Watchers.Live())
-}
-
 // measureGap notes how long no write could be placed. The caller holds mu.
 func (g *Group) measureGap(now time.Time) {
-	p, ok := cwroute.WritePrimary(g.view, now)
+	p, ok := cwroute.WritePrimary(g.sup.View(), now)
 	switch {
-	case !ok && g.lostAt.IsZero() && g.view.Term() > 0:
+	case !ok && g.lostAt.IsZero() && g.sup.View().Term() > 0:
 		g.lostAt = now
 	case ok && !g.lostAt.IsZero():
 		gap := now.Sub(g.lostAt)
--- a/internal/proxy/cwwatch/place.go
+++ b/internal/proxy/cwwatch/place.go
@@ -68,7 +68,7 @@
 			g.mu.Unlock()
 			return
 		}
-		p, ok := g.view.Primary()
+		p, ok := g.sup.View().Primary()
 		g.mu.Unlock()
 		a.mark, a.err = cwgroup.Mark{}, noPrimary()
 		if ok && p.Reachable {
@@ -101,9 +101,9 @@
 			Member:   t.ID,
 			Distance: g.cfg.Distance(t.DataCentre),
 			Load:     g.cfg.Pools.Load(t.ID),
-			Leaving:  g.stopping[t.ID],
+			Leaving:  g.sup.Stopping(t.ID),
 		}
-		if rep, ok := g.view.Report(t.ID); ok {
+		if rep, ok := g.sup.View().Report(t.ID); ok {
 			c.Age, c.AgeKnown = g.history.Age(rep.Applied, now)
 		}
 		if rd.Floor.Known {
@@ -118,9 +118,9 @@
 	cands := g.candidates(rd, now)
 	if g.contract.Class == cwcatalogue.ClassReads && g.contract.ReadWait > 0 {
 		r := cwroute.Router[cwroute.WaitUpTo]{Policy: cwroute.WaitUpTo{Bound: g.contract.ReadWait}}
-		return r.Place(g.view, cands, rd, now)
+		return r.Place(g.sup.View(), cands, rd, now)
 	}
-	return cwroute.Router[cwroute.ToPrimary]{}.Place(g.view, cands, rd, now)
+	return cwroute.Router[cwroute.ToPrimary]{}.Place(g.sup.View(), cands, rd, now)
 }
 
 // PlaceRead returns the member to serve a read, waiting where the entry's
@@ -173,12 +173,12 @@
 // members answers. The caller holds mu.
 func (g *Group) replaceable(now time.Time) bool {
 	n := 0
-	for _, r := range g.view.Reports() {
+	for _, r := range g.sup.View().Reports() {
 		if r.Reachable && now.Sub(r.At) <= cwroute.Fresh {
 			n++
 		}
 	}
-	return n >= cwgroup.Majority(len(g.view.Members()))
+	return n >= cwgroup.Majority(len(g.sup.View().Members()))
 }
 
 // Primary returns the member that takes writes. While the primary is being
@@ -188,8 +188,8 @@
 	for {
 		now := g.cfg.Clock.Now()
 		g.mu.Lock()
-		p, ok := cwroute.WritePrimary(g.view, now)
-		ok = ok && !g.stopping[p.Member]
+		p, ok := cwroute.WritePrimary(g.sup.View(), now)
+		ok = ok && !g.sup.Stopping(p.Member)
 		changed, hope := g.changed, g.replaceable(now)
 		g.mu.Unlock()
 		if ok {
@@ -240,7 +240,7 @@
 		Deadline: now.Add(g.contract.AckTimeout),
 		Done:     func(o cwack.Outcome) { done <- o },
 	})
-	g.tracker.Observe(g.view, now)
+	g.tracker.Observe(g.sup.View(), now)
 	g.mu.Unlock()
 	return <-done
 }
@@ -249,12 +249,12 @@
 // of its own: it is the earliest news of the primary's position. The caller
 // holds mu.
 func (g *Group) noteCommit(m cwgroup.Mark, now time.Time) {
-	p, ok := g.view.Primary()
+	p, ok := g.sup.View().Primary()
 	if !ok || p.Adopted != m.Term || p.Last.AtLeast(m) {
 		return
 	}
 	p.Last, p.Applied, p.At = m, m, now
-	g.view = g.view.WithReport(p)
+	g.sup.Report(p, "", now)
 	g.lag.Primary(m, now)
 }
 
@@ -263,7 +263,7 @@
 func (g *Group) StillLeads(t cwgroup.Term) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.view.Superseded(t) && g.view.Term() <= t
+	return !g.sup.View().Superseded(t) && g.sup.View().Term() <= t
 }
 
 // Changed returns a channel that is closed at the next change of the view.
@@ -282,6 +282,6 @@
 func (g *Group) Reachable(id cwgroup.MemberID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r, ok := g.view.Report(id)
+	r, ok := g.sup.View().Report(id)
 	return ok && r.Reachable && g.cfg.Clock.Since(r.At) <= cwroute.Fresh
 }
--- a/internal/proxy/cwwatch/row.go
+++ b/internal/proxy/cwwatch/row.go
@@ -90,20 +90,15 @@
 	return cwfailover.RowUnavailable
 }
 
-// mayClaim reports whether an unfinished claim of another proxy may be
-// replaced: its term is over, or this proxy has watched it unchanged for the
-// whole life of a claim. Clocks of two machines are never compared.
+// mayClaim reports whether the row may be claimed.
 func (g *Group) mayClaim(body rowBody, t cwgroup.Term) bool {
-	if body.Done {
-		return body.Term < uint64(t)
-	}
-	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	claim := cwgroup.ClaimID(body.Claim)
-	if g.otherClaim != claim {
-		g.otherClaim, g.otherSince = claim, now
-		return false
+	row := cwfailover.Row{
+		Term:   cwgroup.Term(body.Term),
+		Claim:  cwgroup.ClaimID(body.Claim),
+		Keeper: cwfailover.InstanceID(body.Keeper),
+		Done:   body.Done,
 	}
-	return now.Sub(g.otherSince) >= cwfailover.ClaimLife
+	return g.sup.MayClaim(row, t, g.cfg.Clock.Now())
 }
