failover: replace a primary that nobody can copy from

Cause: a primary that every proxy reaches but no replica does takes writes that nobody can acknowledge; nothing suspected it. Change: a primary with too few members copying from it counts as suspect after one second. So the keeper fences that member but counts and promotes only the others, which are a majority and hold everything that was acknowledged.

--- a/internal/core/cwfailover/detector.go
+++ b/internal/core/cwfailover/detector.go
@@ -34,10 +34,10 @@
 	// Persist is how long a unanimous suspicion must last to outweigh replicas
 	// that still hear the primary.
 	Persist = 2 * time.Second
-	// LeaderlessFor is how long a group must be without any primary before that
-	// counts: a change of primary in progress looks the same, and so does a
-	// proxy that has just started.
-	LeaderlessFor = time.Second
+	// SettleFor is how long a group must be without any primary, or with one
+	// that nobody copies from, before that counts: a change of primary in
+	// progress looks the same, and so does a proxy that has just started.
+	SettleFor = time.Second
 	// FreshMember is how recent a member's report must be to count as reachable.
 	FreshMember = 1500 * time.Millisecond
 )
@@ -153,7 +153,7 @@
 	if !d.own.Suspect || d.own.Term != v.Term() {
 		return false
 	}
-	if v.Term() == 0 && now.Sub(d.own.Since) < LeaderlessFor {
+	if p, ok := v.Primary(); (!ok || p.Reachable) && now.Sub(d.own.Since) < SettleFor {
 		return false
 	}
 	if !majorityReachable(v, now) {
@@ -194,6 +194,27 @@
 	return e
 }
 
+// deserted reports whether so few members hear their primary that nothing can
+// be acknowledged, while enough of them answer for another one to be promoted.
+func deserted(v cwgroup.View, now time.Time) bool {
+	p, ok := v.Primary()
+	if !ok {
+		return false
+	}
+	holding, lost := 1, 0
+	for _, r := range v.Reports() {
+		switch {
+		case r.Member == p.Member || now.Sub(r.At) > FreshMember || !r.Reachable:
+		case r.Role != cwgroup.RoleReplica || r.UpstreamAge > StreamLost:
+			lost++
+		default:
+			holding++
+		}
+	}
+	majority := cwgroup.Majority(len(v.Members()))
+	return holding < majority && lost >= majority
+}
+
 func majorityReachable(v cwgroup.View, now time.Time) bool {
 	n := 0
 	for _, r := range v.Reports() {
--- a/internal/core/cwfailover/keeper.go
+++ b/internal/core/cwfailover/keeper.go
@@ -144,6 +144,11 @@
 	Avoid cwgroup.MemberID
 	// Prefer is taken among equally advanced members.
 	Prefer cwgroup.MemberID
+	// Exclude is a member that is fenced but not counted and not promoted: a
+	// primary that no replica can copy from. It is the most advanced by what
+	// nobody could acknowledge, and would be promoted again and again. Any
+	// majority has what was acknowledged, so one of the others will do.
+	Exclude cwgroup.MemberID
 }
 
 // NextTerm returns the term that a change of primary would move to.
@@ -365,7 +370,7 @@
 		k.abandon(ReasonHigherTerm)
 		return nil
 	}
-	if k.phase != Fencing {
+	if k.phase != Fencing || ev.Member == k.plan.Exclude {
 		return nil
 	}
 	if ev.Failed || ev.Status.Adopted != k.plan.Term || ev.Status.Claim != k.plan.Claim {
@@ -374,7 +379,7 @@
 		k.fenced[ev.Member] = ev.Status
 	}
 	majority := cwgroup.Majority(len(k.plan.Members))
-	if len(k.refused) > len(k.plan.Members)-majority {
+	if len(k.refused) > k.counted()-majority {
 		k.abandon(ReasonMajority)
 		return nil
 	}
@@ -387,11 +392,21 @@
 	return nil
 }
 
+// counted returns how many members count towards the majority. The majority
+// itself is always that of the whole group.
+func (k *Keeper) counted() int {
+	n := len(k.plan.Members)
+	if k.plan.Exclude != "" {
+		n--
+	}
+	return n
+}
+
 func (k *Keeper) fenceOver(now time.Time) bool {
 	if k.majorityAt.IsZero() {
 		return false
 	}
-	all := len(k.fenced)+len(k.refused) == len(k.plan.Members)
+	all := len(k.fenced)+len(k.refused) == k.counted()
 	return all || now.Sub(k.majorityAt) >= FencePatience
 }
 
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -125,12 +125,13 @@
 	return s.vote(now)
 }
 
-// vote suspects a primary that does not answer, and also a group in which
-// nobody leads: a keeper may have fenced the members and given up, or the
-// primary may have been lost before this proxy started.
+// vote suspects a primary that does not answer, and two more states in which
+// writes cannot go on: nobody leads, since a keeper fenced the members and gave
+// up or the primary was lost before this proxy started; and a primary that
+// answers but that too few members copy from.
 func (s *Supervisor) vote(now time.Time) bool {
 	p, ok := s.view.Primary()
-	return s.detector.SetOwn(s.view.Term(), !ok || !p.Reachable, now)
+	return s.detector.SetOwn(s.view.Term(), !ok || !p.Reachable || deserted(s.view, now), now)
 }
 
 // Vote returns this proxy's vote.
@@ -216,6 +217,8 @@
 	}
 	if planned {
 		plan.Avoid, plan.Prefer = s.before.Member, ""
+	} else if s.before.Reachable && deserted(s.view, now) {
+		plan.Exclude = s.before.Member
 	}
 	s.keeper = NewKeeper(plan)
 }
--- a/internal/core/cwproof/faults_test.go
+++ b/internal/core/cwproof/faults_test.go
@@ -39,12 +39,14 @@
 	killPrimary
 	isolatePrimary
 	freezePrimary
+	// cutPrimaryFromReplicas leaves the primary reachable for the proxies.
+	cutPrimaryFromReplicas
 	faultKinds
 )
 
 var faultNames = [...]string{
 	"killMember", "freezeMember", "isolateMember", "cutProxyFromMember", "cutReplication", "isolateProxy",
-	"killProxy", "pauseProxy", "tableDown", "tableSlow", "tableLoses", "lagMember", "killPrimary", "isolatePrimary", "freezePrimary",
+	"killProxy", "pauseProxy", "tableDown", "tableSlow", "tableLoses", "lagMember", "killPrimary", "isolatePrimary", "freezePrimary", "cutPrimaryFromReplicas",
 }
 
 func (f fault) String() string {
@@ -69,7 +71,7 @@
 	m, p := w.members[f.target], w.proxies[f.target]
 	other := w.members[(f.target+f.other)%3]
 	switch f.kind {
-	case killPrimary, isolatePrimary, freezePrimary:
+	case killPrimary, isolatePrimary, freezePrimary, cutPrimaryFromReplicas:
 		if pr := w.primary(); pr != nil {
 			m = pr
 		}
@@ -89,6 +91,12 @@
 				w.cut(m.name, o.name, f.lasts)
 			}
 		}
+	case cutPrimaryFromReplicas:
+		for _, o := range w.members {
+			if o != m {
+				w.cut(m.name, o.name, f.lasts)
+			}
+		}
 	case cutProxyFromMember:
 		w.cut(p.name, other.name, f.lasts)
 	case cutReplication:
--- a/internal/core/cwproof/found_test.go
+++ b/internal/core/cwproof/found_test.go
@@ -25,3 +25,18 @@
 		fault{kind: freezeMember, at: 606 * time.Millisecond, lasts: 1627 * time.Millisecond, target: 0, other: 2},
 		fault{kind: freezeMember, at: 1110 * time.Millisecond, lasts: 5 * time.Second, target: 1, other: 1})
 }
+
+// Bookings hang and then fail for as long as a path is cut: the primary answers
+// every proxy, but neither replica can copy from it any more, so nothing that
+// it takes can be acknowledged. It must be replaced although it is reachable.
+func TestPrimaryThatCannotReplicateIsReplaced(t *testing.T) {
+	w := newWorld(3, checked)
+	broken := w.play([]fault{{kind: cutPrimaryFromReplicas, at: time.Second, lasts: 10 * time.Second}})
+	if len(broken) > 0 {
+		t.Fatalf("%s", strings.Join(broken, "\n"))
+	}
+	longest := w.longestPause()
+	if longest > 7*time.Second {
+		t.Fatalf("nothing was acknowledged for %v", longest)
+	}
+}
--- a/internal/core/cwproof/ledger_test.go
+++ b/internal/core/cwproof/ledger_test.go
@@ -181,3 +181,14 @@
 	}
 	return out
 }
+
+// longestPause returns the longest time without an acknowledgement.
+func (w *world) longestPause() time.Duration {
+	var longest time.Duration
+	last := epoch
+	for _, at := range w.ledger.acks {
+		longest = max(longest, at.Sub(last))
+		last = at
+	}
+	return longest
+}
--- a/internal/core/cwproof/world_test.go
+++ b/internal/core/cwproof/world_test.go
@@ -25,7 +25,6 @@
 	ledger *ledger
 	// promoted holds who led each term.
 	promoted map[cwgroup.Term][]cwgroup.MemberID
-	faults   []string
 }
 
 // options vary a world.
@@ -34,13 +33,13 @@
 	// ackAtPrimary acknowledges as soon as the primary has the record: the way
 	// that lost, kept to count what it would lose.
 	ackAtPrimary bool
-	// adoptedFirst promotes by the term adopted instead of the last record's.
+	// noSettle answers a request key that is found without waiting until it is
+	// certain to be kept: a mutation.
 	noSettle bool
 	// waitReads lets reads wait for a replica.
-	waitReads  time.Duration
-	lag        time.Duration
-	writeShare float64
-	opEvery    time.Duration
+	waitReads time.Duration
+	// lag delays what replicas copy.
+	lag time.Duration
 }
 
 type event struct {
