--- a/internal/core/cwfailover/detector.go
+++ b/internal/core/cwfailover/detector.go
@@ -156,9 +156,11 @@
 	if p, ok := v.Primary(); (!ok || p.Reachable) && now.Sub(d.own.Since) < SettleFor {
 		return false
 	}
-	if !majorityReachable(v, now) {
-		// Without a majority nothing can be fenced; trying would only make
-		// single members adopt terms for nothing.
+	if !majorityReachable(v, d.own.Since, now) {
+		// Without a majority nothing can be fenced. Trying would only make
+		// single members step aside, which then serve nobody. Only what was heard
+		// since the suspicion began counts: after a cut the others look reachable
+		// until their silence is noticed, too.
 		return false
 	}
 	return d.Policy.Enough(d.evidence(v, listed, now))
@@ -215,10 +217,11 @@
 	return holding < majority && lost >= majority
 }
 
-func majorityReachable(v cwgroup.View, now time.Time) bool {
+// majorityReachable reports whether a majority answered lately, and after since.
+func majorityReachable(v cwgroup.View, since, now time.Time) bool {
 	n := 0
 	for _, r := range v.Reports() {
-		if r.Reachable && now.Sub(r.At) <= FreshMember {
+		if r.Reachable && r.At.After(since) && now.Sub(r.At) <= FreshMember {
 			n++
 		}
 	}
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -246,7 +246,7 @@
 }
 
 func (s *Supervisor) stranded(now time.Time, c Conditions) bool {
-	if c.Rank != 0 || !Stranded(s.view, now) || !majorityReachable(s.view, now) {
+	if c.Rank != 0 || !Stranded(s.view, now) || !majorityReachable(s.view, now.Add(-freshDrain), now) {
 		s.strandedSince = time.Time{}
 		return false
 	}
--- a/internal/proxy/cwfront/session_test.go
+++ b/internal/proxy/cwfront/session_test.go
@@ -100,17 +100,6 @@
 
 func token(conn *pgx.Conn) string { return conn.PgConn().ParameterStatus("cicadawalk.sessionToken") }
 
-func waitFor(c *qt.C, what string, ok func() bool) {
-	c.Helper()
-	for range 1000 {
-		if ok() {
-			return
-		}
-		<-time.After(5 * time.Millisecond)
-	}
-	c.Fatalf("%s did not happen", what)
-}
-
 func TestStatements(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(c, cwdemo.Options{})
--- a/internal/standin/cwdatabase/replicate.go
+++ b/internal/standin/cwdatabase/replicate.go
@@ -72,6 +72,10 @@
 func (c *session) serveReplica(ctx context.Context, req streamRequest) error {
 	m := c.member
 	m.mu.Lock()
+	if m.faults.NoReplication {
+		m.mu.Unlock()
+		return Error.New("cut off from replication")
+	}
 	if m.role != cwgroup.RolePrimary || m.adopted != req.Adopted && m.cfg.ChecksTerm {
 		adopted := m.adopted
 		m.mu.Unlock()
--- a/internal/wire/cwtarget/feed.go
+++ b/internal/wire/cwtarget/feed.go
@@ -60,7 +60,6 @@
 // question is a query whose answer has not come.
 type question struct {
 	asked time.Time
-	probe bool
 	rows  []string
 	err   error
 	done  chan struct{}
@@ -79,6 +78,8 @@
 // Unwrap returns the cause.
 func (e *NoFeedError) Unwrap() error { return e.Cause }
 
+const statusQuery = "SELECT * FROM group_status()"
+
 var errNotConnected = errors.New("not connected")
 
 // Run keeps the feed connected until ctx ends.
@@ -131,6 +132,7 @@
 		return nil
 	})
 	f.send("LISTEN "+PositionChannel, &question{done: make(chan struct{})})
+	f.probe()
 	_ = g.Wait()
 	f.drop()
 }
@@ -173,10 +175,15 @@
 		if silent && f.checkSilent(ctx) {
 			return
 		}
-		f.send("SELECT * FROM group_status()", &question{probe: true, done: make(chan struct{})})
+		f.probe()
 	}
 }
 
+// probe asks for the status. Only what was asked for tells the age of data.
+func (f *Feed) probe() {
+	f.send(statusQuery, &question{done: make(chan struct{})})
+}
+
 // checkSilent tries a fresh connection. It returns true: either way the old
 // connection is of no more use.
 //
@@ -268,7 +275,7 @@
 // Status asks for the status now. The answer was true at some moment after the
 // call.
 func (f *Feed) Status(ctx context.Context) (Report, error) {
-	return f.order(ctx, "SELECT * FROM group_status()")
+	return f.order(ctx, statusQuery)
 }
 
 // Adopt orders the member to adopt a term for a claim.
