core: tests of each decision, and the mutations that they catch

Cause: thirteen guards were turned off one by one on a scratch copy, and six of them passed the model's 150 draws: counting members of a later term, choosing the most advanced by position, reading from any branch, comparing floors by position, a claim that never expires, stranded members left alone. The model rarely draws the three failovers that they need.

Change: each has a test of its own now, beside its code, with the story of what a user would see.

--- /dev/null
+++ b/internal/core/cwfailover/keeper_test.go
@@ -0,0 +1,217 @@
+package cwfailover
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+)
+
+var start = time.Unix(1000, 0)
+
+var members = []cwgroup.MemberID{"a", "b", "c"}
+
+func plan() Plan {
+	return Plan{Group: "g", Members: members, Term: 4, Claim: "k", ChecksTerm: true, WithoutTable: true}
+}
+
+func mark(t cwgroup.Term, p cwgroup.Position) cwgroup.Mark {
+	return cwgroup.Mark{Term: t, Position: p}
+}
+
+func adoptedBy(id cwgroup.MemberID, last cwgroup.Mark) Event {
+	return Event{Kind: Adopt, Member: id, Claim: "k", Status: cwgroup.Status{Member: id, Adopted: 4, Claim: "k", Last: last}}
+}
+
+// kinds returns what orders are for, with their members.
+func kinds(orders []Order) []string {
+	out := []string{}
+	for _, o := range orders {
+		out = append(out, o.Kind.String()+" "+string(o.Member))
+	}
+	return out
+}
+
+func assertOrders(t *testing.T, got []Order, want ...string) {
+	t.Helper()
+	qt.Assert(t, kinds(got), qt.DeepEquals, append([]string{}, want...))
+}
+
+func fencing(t *testing.T, p Plan) *Keeper {
+	k := NewKeeper(p)
+	assertOrders(t, k.Start(start), "claimRow ")
+	assertOrders(t, k.Handle(Event{Kind: ClaimRow, Row: RowDone}, start), "adopt a", "adopt b", "adopt c")
+	return k
+}
+
+func TestKeeperGoesThroughItsSteps(t *testing.T) {
+	k := fencing(t, plan())
+	assertOrders(t, k.Handle(adoptedBy("b", mark(3, 7)), start))
+	assertOrders(t, k.Handle(adoptedBy("c", mark(3, 9)), start))
+	assertOrders(t, k.Tick(start.Add(FencePatience)), "promote c")
+	assertOrders(t, k.Handle(Event{Kind: Promote, Member: "c"}, start), "follow a", "follow b", "recordRow ")
+	k.Handle(Event{Kind: Follow, Member: "a", Failed: true}, start)
+	k.Handle(Event{Kind: Follow, Member: "b"}, start)
+	k.Handle(Event{Kind: RecordRow, Row: RowUnavailable}, start)
+	qt.Assert(t, k.Phase(), qt.Equals, Done)
+}
+
+// Acknowledged records vanish: a member that was cut off led term 2 for a while
+// and has a long log of its own, beyond what the others acknowledged in term 3.
+// The most advanced is the one with the latest term, not the longest log.
+func TestMostAdvancedGoesByTermFirst(t *testing.T) {
+	k := fencing(t, plan())
+	k.Handle(adoptedBy("a", mark(2, 500)), start)
+	k.Handle(adoptedBy("b", mark(3, 100)), start)
+	assertOrders(t, k.Handle(Event{Kind: Adopt, Member: "c", Failed: true}, start), "promote b")
+}
+
+// A keeper is paused after the fence, another proxy changes the primary, and
+// the first one wakes. Whatever it would send now is too late.
+func TestPausedKeeperSendsNothing(t *testing.T) {
+	k := fencing(t, plan())
+	k.Handle(adoptedBy("a", mark(3, 5)), start)
+	woken := start.Add(ClaimLife)
+	assertOrders(t, k.Handle(adoptedBy("b", mark(3, 5)), woken))
+	qt.Assert(t, k.Phase(), qt.Equals, Abandoned)
+	qt.Assert(t, k.Reason(), qt.Equals, ReasonExpired)
+}
+
+func TestKeeperWithoutTable(t *testing.T) {
+	t.Run("allowed", func(t *testing.T) {
+		k := NewKeeper(plan())
+		k.Start(start)
+		assertOrders(t, k.Handle(Event{Kind: ClaimRow, Row: RowUnavailable}, start), "adopt a", "adopt b", "adopt c")
+	})
+	t.Run("not allowed", func(t *testing.T) {
+		p := plan()
+		p.WithoutTable = false
+		k := NewKeeper(p)
+		k.Start(start)
+		assertOrders(t, k.Handle(Event{Kind: ClaimRow, Row: RowUnavailable}, start))
+		qt.Assert(t, k.Reason(), qt.Equals, ReasonTable)
+	})
+	t.Run("slow", func(t *testing.T) {
+		k := NewKeeper(plan())
+		k.Start(start)
+		assertOrders(t, k.Tick(start.Add(TablePatience/2)))
+		assertOrders(t, k.Tick(start.Add(TablePatience)), "adopt a", "adopt b", "adopt c")
+	})
+}
+
+// The table took the claim but its answer was lost. Sent again blindly, the
+// claim would clash with itself; read back, it counts.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	k := NewKeeper(plan())
+	k.Start(start)
+	assertOrders(t, k.Handle(Event{Kind: ClaimRow, Row: RowUnknown}, start), "readRow ")
+	assertOrders(t, k.Handle(Event{Kind: ReadRow, Row: RowDone}, start), "adopt a", "adopt b", "adopt c")
+}
+
+// Two keepers at once: the one that finds another claim, or a later term at a
+// member, gives way.
+func TestKeeperGivesWay(t *testing.T) {
+	k := NewKeeper(plan())
+	k.Start(start)
+	k.Handle(Event{Kind: ClaimRow, Row: RowConflict}, start)
+	qt.Assert(t, k.Reason(), qt.Equals, ReasonClaimed)
+
+	k = fencing(t, plan())
+	k.Handle(Event{Kind: Adopt, Member: "a", Failed: true, Status: cwgroup.Status{Member: "a", Adopted: 5}}, start)
+	qt.Assert(t, k.Reason(), qt.Equals, ReasonHigherTerm)
+
+	k = fencing(t, plan())
+	k.Handle(Event{Kind: Adopt, Member: "a", Failed: true}, start)
+	k.Handle(Event{Kind: Adopt, Member: "b", Failed: true}, start)
+	qt.Assert(t, k.Reason(), qt.Equals, ReasonMajority)
+}
+
+// Members that obey anybody would obey a keeper that was overtaken long ago, so
+// the claim is read back before each order, and the order soon expires.
+func TestOrdersToUncheckedMembersFollowAReadBack(t *testing.T) {
+	p := plan()
+	p.ChecksTerm, p.WithoutTable = false, false
+	k := NewKeeper(p)
+	k.Start(start)
+	assertOrders(t, k.Handle(Event{Kind: ClaimRow, Row: RowDone}, start), "readRow ")
+	orders := k.Handle(Event{Kind: ReadRow, Row: RowDone}, start)
+	assertOrders(t, orders, "adopt a", "adopt b", "adopt c")
+	qt.Assert(t, orders[0].NotAfter, qt.Equals, start.Add(RecheckLife))
+	k.Handle(adoptedBy("a", mark(3, 5)), start)
+	assertOrders(t, k.Handle(adoptedBy("b", mark(3, 5)), start))
+	assertOrders(t, k.Handle(adoptedBy("c", mark(3, 5)), start), "readRow ")
+	assertOrders(t, k.Handle(Event{Kind: ReadRow, Row: RowConflict}, start))
+	qt.Assert(t, k.Reason(), qt.Equals, ReasonClaimed)
+}
+
+func TestPlannedStopAvoidsTheLeavingMember(t *testing.T) {
+	p := plan()
+	p.Avoid = "a"
+	k := fencing(t, p)
+	for _, id := range []cwgroup.MemberID{"a", "b"} {
+		k.Handle(adoptedBy(id, mark(3, 5)), start)
+	}
+	assertOrders(t, k.Handle(adoptedBy("c", mark(3, 4)), start), "promote b")
+	t.Run("unless it alone has everything", func(t *testing.T) {
+		k := fencing(t, p)
+		k.Handle(adoptedBy("a", mark(3, 6)), start)
+		k.Handle(adoptedBy("b", mark(3, 5)), start)
+		assertOrders(t, k.Handle(adoptedBy("c", mark(3, 4)), start), "promote a")
+	})
+}
+
+func TestDetectPolicies(t *testing.T) {
+	for _, tc := range []struct {
+		name                 string
+		e                    Evidence
+		byProxies, byReplica bool
+	}{
+		{"one of three, replicas still hear it", Evidence{Heard: 3, Suspects: 1, Listed: 3, Members: 3, StreamsAlive: 2}, false, false},
+		{"two of three, replicas still hear it", Evidence{Heard: 3, Suspects: 2, Listed: 3, Members: 3, StreamsAlive: 2}, true, false},
+		{"all, for long, replicas still hear it", Evidence{Heard: 3, Suspects: 3, Listed: 3, Members: 3, StreamsAlive: 2, Lasted: Persist}, true, true},
+		{"two of three, replicas lost it", Evidence{Heard: 3, Suspects: 2, Listed: 3, Members: 3, StreamsLost: 2}, true, true},
+		{"the other proxies died with it", Evidence{Heard: 1, Suspects: 1, Listed: 4, Members: 3, StreamsLost: 2}, false, true},
+		{"cut off with one replica", Evidence{Heard: 1, Suspects: 1, Listed: 4, Members: 3, StreamsLost: 1}, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Check(t, ByProxies{}.Enough(tc.e), qt.Equals, tc.byProxies)
+			qt.Check(t, ByProxiesAndReplicas{}.Enough(tc.e), qt.Equals, tc.byReplica)
+		})
+	}
+}
+
+func TestMayClaim(t *testing.T) {
+	s := NewSupervisor("p", "s", "g", members)
+	other := Row{Term: 4, Claim: "x", Keeper: "q"}
+	qt.Assert(t, s.MayClaim(Row{Term: 3, Done: true}, 4, start), qt.IsTrue)
+	qt.Assert(t, s.MayClaim(Row{Term: 4, Done: true}, 4, start), qt.IsFalse)
+	qt.Assert(t, s.MayClaim(other, 4, start), qt.IsFalse)
+	qt.Assert(t, s.MayClaim(other, 4, start.Add(ClaimLife-1)), qt.IsFalse)
+	qt.Assert(t, s.MayClaim(other, 4, start.Add(ClaimLife)), qt.IsTrue)
+}
+
+// A hall is cut off with one replica. The silence of the primary is noticed a
+// moment before that of the other replica; fencing the one that is left in that
+// moment would take its reads away for nothing.
+func TestOnlyMembersHeardSinceTheSuspicionCount(t *testing.T) {
+	s := NewSupervisor("p", "s", "g", members)
+	report := func(id cwgroup.MemberID, r cwgroup.Role, at time.Time) {
+		s.Report(cwgroup.Report{Status: cwgroup.Status{
+			Member: id, Role: r, Adopted: 1, Last: mark(1, 5), Applied: mark(1, 5), UpstreamAge: time.Second,
+		}, At: at, Reachable: true}, "a", at)
+	}
+	report("a", cwgroup.RolePrimary, start)
+	report("b", cwgroup.RoleReplica, start)
+	report("c", cwgroup.RoleReplica, start)
+	cut := start.Add(600 * time.Millisecond)
+	s.Unreachable("a", cut)
+	report("b", cwgroup.RoleReplica, cut.Add(50*time.Millisecond))
+	one := Conditions{Listed: 1, ChecksTerm: true, WithoutTable: true}
+	s.Tick(cut.Add(60*time.Millisecond), one)
+	qt.Assert(t, s.Keeping(), qt.IsFalse)
+	report("c", cwgroup.RoleReplica, cut.Add(70*time.Millisecond))
+	s.Tick(cut.Add(80*time.Millisecond), one)
+	qt.Assert(t, s.Keeping(), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/core/cwgroup/group_test.go
@@ -0,0 +1,70 @@
+package cwgroup
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestMarksCompareByTermFirst(t *testing.T) {
+	// A replaced primary shows position 150 on a branch that nobody else has; a
+	// session that wrote at position 120 of the next term must not read there.
+	qt.Assert(t, Mark{Term: 1, Position: 150}.AtLeast(Mark{Term: 2, Position: 120}), qt.IsFalse)
+	qt.Assert(t, Mark{Term: 2, Position: 120}.AtLeast(Mark{Term: 1, Position: 150}), qt.IsTrue)
+	qt.Assert(t, Mark{Term: 2, Position: 120}.AtLeast(Mark{Term: 2, Position: 120}), qt.IsTrue)
+}
+
+func TestParseMark(t *testing.T) {
+	m, err := ParseMark("3/17")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, m, qt.Equals, Mark{Term: 3, Position: 17})
+	for _, bad := range []string{"", "3", "3/", "/3", "a/b", "-1/2", "1/99999999999999999999"} {
+		_, err := ParseMark(bad)
+		var me *MarkError
+		qt.Assert(t, err, qt.ErrorAs, &me, qt.Commentf("%q", bad))
+	}
+}
+
+// A caller's write is acknowledged and lost: a replica that already follows the
+// next term has a record at the same position, of another branch, and was
+// counted for the old primary.
+func TestOnlyMembersOfTheTermHoldARecord(t *testing.T) {
+	m := Mark{Term: 1, Position: 10}
+	for _, tc := range []struct {
+		name string
+		s    Status
+		want bool
+	}{
+		{"same term and far enough", Status{Adopted: 1, Last: Mark{1, 10}}, true},
+		{"behind", Status{Adopted: 1, Last: Mark{1, 9}}, false},
+		{"moved to the next term", Status{Adopted: 2, Last: Mark{1, 10}}, false},
+		{"another branch", Status{Adopted: 2, Last: Mark{2, 12}}, false},
+		{"record of an earlier term", Status{Adopted: 1, Last: Mark{0, 12}}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) { qt.Assert(t, tc.s.Holds(m), qt.Equals, tc.want) })
+	}
+}
+
+func TestView(t *testing.T) {
+	at := time.Unix(100, 0)
+	report := func(id MemberID, r Role, adopted Term, last Mark) Report {
+		return Report{Status: Status{Member: id, Role: r, Adopted: adopted, Last: last, Applied: last}, At: at, Reachable: true}
+	}
+	v := NewView("g", []MemberID{"a", "b", "c"})
+	_, ok := v.Primary()
+	qt.Assert(t, ok, qt.IsFalse)
+	old := v.WithReport(report("a", RolePrimary, 1, Mark{1, 9})).WithReport(report("b", RoleReplica, 1, Mark{1, 9}))
+	qt.Assert(t, old.HeldByMajority(Mark{1, 9}), qt.IsTrue)
+	qt.Assert(t, old.HeldByMajority(Mark{1, 10}), qt.IsFalse)
+	_, heard := v.Report("a")
+	qt.Assert(t, heard, qt.IsFalse) // the first view did not change
+
+	next := old.WithReport(report("b", RolePrimary, 2, Mark{2, 10}))
+	p, _ := next.Primary()
+	qt.Assert(t, p.Member, qt.Equals, MemberID("b"))
+	qt.Assert(t, next.Superseded(1), qt.IsFalse)
+	qt.Assert(t, next.WithReport(report("c", RoleReplica, 2, Mark{1, 9})).Superseded(1), qt.IsTrue)
+	late := next.WithReport(report("b", RoleReplica, 1, Mark{1, 9}))
+	qt.Assert(t, late.Term(), qt.Equals, Term(2)) // a report that was overtaken
+}
--- a/internal/core/cwproof/found_test.go
+++ b/internal/core/cwproof/found_test.go
@@ -40,3 +40,14 @@
 		t.Fatalf("nothing was acknowledged for %v", longest)
 	}
 }
+
+// A database stays without work for good: a keeper made it adopt a later term,
+// found no majority and died. It cannot follow the primary of an earlier term,
+// so the primary's term must be raised for it.
+func TestStrandedMemberComesBack(t *testing.T) {
+	w := newWorld(5, checked)
+	w.after(2*time.Second, func() { w.members[2].adopt(9, "nobody") })
+	if broken := w.play(nil); len(broken) > 0 {
+		t.Fatalf("%s", strings.Join(broken, "\n"))
+	}
+}
