--- a/internal/core/cwproof/ledger_test.go
+++ b/internal/core/cwproof/ledger_test.go
@@ -17,6 +17,9 @@
 	acked, notRun bool
 	tries         int
 	mark          cwgroup.Mark
+	took          time.Duration
+	// done, if set, is called in place of a read of the record.
+	done func()
 }
 
 // ledger is what callers were told.
@@ -77,7 +80,7 @@
 	found, tombstone := m.has(r.id)
 	if !found {
 		tombstone = bury
-		m.log = append(m.log, rec{term: m.adopted, id: r.id, tombstone: bury})
+		m.append(rec{term: m.adopted, id: r.id, tombstone: bury})
 		m.tell()
 	}
 	mark := m.last()
@@ -107,9 +110,13 @@
 	if r.acked || r.notRun {
 		return
 	}
-	r.acked, r.notRun, r.mark = !tombstone, tombstone, mark
+	r.acked, r.notRun, r.mark, r.took = !tombstone, tombstone, mark, l.w.now.Sub(r.began)
 	if r.acked {
 		l.acks = append(l.acks, l.w.now)
+		if r.done != nil {
+			r.done()
+			return
+		}
 		l.w.after(time.Duration(l.w.rng.Int64N(int64(300*time.Millisecond))), func() { l.read(r) })
 	}
 }
@@ -146,7 +153,7 @@
 		m := l.w.member(d.Member)
 		l.w.send(p.name, m.name, func() {
 			m.do(func() {
-				if found, _ := m.has(r.id); !found {
+				if found, _ := find(m.log[:m.applied()], r.id); !found {
 					l.stale = append(l.stale, fmt.Sprintf("request %d (%v, floor %v) not at %s, which has %v as %v", r.id, r.mark, rd.Floor.Mark, m.name, m.last(), m.role))
 				}
 			})
--- a/internal/core/cwproof/world_test.go
+++ b/internal/core/cwproof/world_test.go
@@ -38,8 +38,8 @@
 	noSettle bool
 	// waitReads lets reads wait for a replica.
 	waitReads time.Duration
-	// lag delays what replicas copy.
-	lag time.Duration
+	// lag delays what replicas copy, applyLag what they show of it to reads.
+	lag, applyLag time.Duration
 }
 
 type event struct {
@@ -204,8 +204,10 @@
 // member is a fake database.
 type member struct {
 	process
-	index   int
-	log     []rec
+	index int
+	log   []rec
+	// took has the time at which each record came.
+	took    []time.Time
 	adopted cwgroup.Term
 	claim   cwgroup.ClaimID
 	role    cwgroup.Role
@@ -218,7 +220,7 @@
 
 func newMember(w *world, i int) *member {
 	m := &member{process: process{w: w, name: fmt.Sprintf("m%d", i)}, index: i, adopted: 1, heard: w.now, lag: w.opts.lag}
-	m.log = []rec{{term: 1}}
+	m.log, m.took = []rec{{term: 1}}, []time.Time{epoch}
 	if i == 0 {
 		m.role = cwgroup.RolePrimary
 	} else {
@@ -237,8 +239,29 @@
 	return cwgroup.Mark{Term: m.log[len(m.log)-1].term, Position: cwgroup.Position(len(m.log))}
 }
 
+// applied is how much of the log reads see.
+func (m *member) applied() int {
+	n := len(m.log)
+	if m.role == cwgroup.RolePrimary {
+		return n
+	}
+	for n > 0 && m.w.now.Sub(m.took[n-1]) < m.w.opts.applyLag {
+		n--
+	}
+	return n
+}
+
+// append adds a record.
+func (m *member) append(r rec) {
+	m.log = append(m.log, r)
+	m.took = append(m.took, m.w.now)
+}
+
 func (m *member) status() cwgroup.Status {
-	s := cwgroup.Status{Member: m.id(), Role: m.role, Adopted: m.adopted, Claim: m.claim, Last: m.last(), Applied: m.last()}
+	s := cwgroup.Status{Member: m.id(), Role: m.role, Adopted: m.adopted, Claim: m.claim, Last: m.last()}
+	if n := m.applied(); n > 0 {
+		s.Applied = cwgroup.Mark{Term: m.log[n-1].term, Position: cwgroup.Position(n)}
+	}
 	if m.role != cwgroup.RolePrimary {
 		s.UpstreamAge = m.w.now.Sub(m.heard)
 	}
@@ -273,7 +296,7 @@
 	}
 	if m.role != cwgroup.RolePrimary || m.adopted != t {
 		m.adopted, m.claim, m.role, m.follow = t, c, cwgroup.RolePrimary, nil
-		m.log = append(m.log, rec{term: t})
+		m.append(rec{term: t})
 		m.w.promoted[t] = append(m.w.promoted[t], m.id())
 	}
 	m.tell()
@@ -333,8 +356,15 @@
 	if slices.Equal(next, m.log) {
 		return
 	}
-	m.log = next
+	same := common(next, m.log)
+	m.log, m.took = next, m.took[:same:same]
+	for len(m.took) < len(next) {
+		m.took = append(m.took, m.w.now)
+	}
 	m.tell()
+	if m.w.opts.applyLag > 0 {
+		m.w.after(m.w.opts.applyLag, func() { m.do(m.tell) })
+	}
 }
 
 // common returns how long the two logs agree in their terms from the end of
@@ -348,8 +378,10 @@
 }
 
 // has reports whether the log has a request, and whether as a tombstone.
-func (m *member) has(id int) (found, tombstone bool) {
-	for _, r := range m.log {
+func (m *member) has(id int) (found, tombstone bool) { return find(m.log, id) }
+
+func find(log []rec, id int) (found, tombstone bool) {
+	for _, r := range log {
 		if r.id == id {
 			return true, r.tombstone
 		}
--- a/internal/tool/cwdemo/bench.go
+++ b/internal/tool/cwdemo/bench.go
@@ -62,7 +62,7 @@
 		QueueLimit:           256,
 		StatementTimeout:     10 * time.Second,
 		AckTimeout:           5 * time.Second,
-		ReadWait:             50 * time.Millisecond,
+		ReadWait:             150 * time.Millisecond,
 		ChecksTerm:           true,
 		FailoverWithoutTable: true,
 	}
