failover: a replica counts as cut off after 300 ms

Cause: after a kill the proxies know at once, since the connection is refused, but they wait until the replicas' word stands in for missing votes: 500 ms without a message. Members send every 100 ms. Change: 300 ms, three messages.

--- a/internal/core/cwfailover/detector.go
+++ b/internal/core/cwfailover/detector.go
@@ -30,7 +30,7 @@
 	FreshVote = 1500 * time.Millisecond
 	// StreamLost is the time without a message after which a replica counts as
 	// having lost its primary. Members send to their replicas every 100 ms.
-	StreamLost = 500 * time.Millisecond
+	StreamLost = 300 * time.Millisecond
 	// Persist is how long a unanimous suspicion must last to outweigh replicas
 	// that still hear the primary.
 	Persist = 2 * time.Second
