front: benchmarks, and bounds on allocations and memory

Cause: a CPU profile of point reads showed the digest for request keys worked out for every batch, also for those without a key. Change: on demand.

--- /dev/null
+++ b/internal/proxy/cwfront/bench_test.go
@@ -0,0 +1,156 @@
+package cwfront_test
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"cicadawalk.example/cicadawalk/internal/tool/cwbound"
+	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
+)
+
+// benchConn starts a demo and returns one connection to a proxy and one
+// straight to the primary, with a table of 100 rows.
+func benchConn(b *testing.B) (proxy, direct *pgx.Conn, bench *cwdemo.Bench) {
+	b.Helper()
+	bench, err := cwdemo.Start(cwdemo.Options{Proxies: 1})
+	qt.Assert(b, err, qt.IsNil)
+	b.Cleanup(bench.Stop)
+	ctx := context.Background()
+	proxy, err = pgx.Connect(ctx, bench.URL(0))
+	qt.Assert(b, err, qt.IsNil)
+	direct, err = pgx.Connect(ctx, cwdemo.URL(bench.Databases[0].Addr()))
+	qt.Assert(b, err, qt.IsNil)
+	_, err = proxy.Exec(ctx, "CREATE TABLE ronda (id bigint PRIMARY KEY, gate text)")
+	qt.Assert(b, err, qt.IsNil)
+	for i := range 100 {
+		_, err = proxy.Exec(ctx, "INSERT INTO ronda VALUES ($1, 'north')", i)
+		qt.Assert(b, err, qt.IsNil)
+	}
+	b.Cleanup(func() {
+		_ = proxy.Close(ctx)
+		_ = direct.Close(ctx)
+	})
+	return proxy, direct, bench
+}
+
+func pointRead(b *testing.B, conn *pgx.Conn, n int) {
+	var gate string
+	if err := conn.QueryRow(context.Background(), "SELECT gate FROM ronda WHERE id = $1", n%100).Scan(&gate); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func BenchmarkPointRead(b *testing.B) {
+	proxy, direct, _ := benchConn(b)
+	for name, conn := range map[string]*pgx.Conn{"direct": direct, "proxy": proxy} {
+		b.Run(name, func(b *testing.B) {
+			for i := range b.N {
+				pointRead(b, conn, i)
+			}
+		})
+	}
+}
+
+func BenchmarkWrite(b *testing.B) {
+	proxy, direct, _ := benchConn(b)
+	for name, conn := range map[string]*pgx.Conn{"direct": direct, "proxy": proxy} {
+		b.Run(name, func(b *testing.B) {
+			for i := range b.N {
+				if _, err := conn.Exec(context.Background(), "UPDATE ronda SET gate = 'south' WHERE id = $1", i%100); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPointReads measures throughput with eight callers at once.
+func BenchmarkPointReads(b *testing.B) {
+	_, _, bench := benchConn(b)
+	for name, url := range map[string]string{"direct": cwdemo.URL(bench.Databases[0].Addr()), "proxy": bench.URL(0)} {
+		b.Run(name, func(b *testing.B) {
+			var wg sync.WaitGroup
+			for range 8 {
+				conn, err := pgx.Connect(context.Background(), url)
+				qt.Assert(b, err, qt.IsNil)
+				defer conn.Close(context.Background())
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for i := range b.N / 8 {
+						pointRead(b, conn, i)
+					}
+				}()
+			}
+			wg.Wait()
+		})
+	}
+}
+
+// TestAllocationsOfAForwardedStatement bounds what the proxy allocates for a
+// point read: the difference between reading through it and reading directly,
+// in one process.
+func TestAllocationsOfAForwardedStatement(t *testing.T) {
+	ctx := context.Background()
+	bench, err := cwdemo.Start(cwdemo.Options{Proxies: 1})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(bench.Stop)
+	perRead := func(url string) float64 {
+		conn, err := pgx.Connect(ctx, url)
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close(ctx)
+		var n int64
+		return testing.AllocsPerRun(2000, func() {
+			if err := conn.QueryRow(ctx, "SELECT 1").Scan(&n); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	direct, proxy := perRead(cwdemo.URL(bench.Databases[0].Addr())), perRead(bench.URL(0))
+	cwbound.Check(t, "allocationsPerForwardedStatement", proxy-direct)
+}
+
+// TestMemoryOfAnIdleCaller bounds the heap and stacks of a caller that is
+// connected and does nothing. The callers are bare sockets in the same process,
+// so the figure is a little too high.
+func TestMemoryOfAnIdleCaller(t *testing.T) {
+	bench, err := cwdemo.Start(cwdemo.Options{Proxies: 1})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(bench.Stop)
+	start, err := (&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "u", "database": cwdemo.Service},
+	}).Encode(nil)
+	qt.Assert(t, err, qt.IsNil)
+	connect := func(n int) {
+		buf := make([]byte, 4096)
+		for range n {
+			conn, err := net.Dial("tcp", bench.Proxies[0].Addr())
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(func() { _ = conn.Close() })
+			_, err = conn.Write(start)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = conn.Read(buf)
+			qt.Assert(t, err, qt.IsNil)
+		}
+	}
+	inUse := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapInuse + m.StackInuse)
+	}
+	connect(200)
+	before := inUse()
+	const callers = 2000
+	connect(callers)
+	cwbound.Check(t, "bytesPerIdleCaller", (inUse()-before)/callers)
+}
--- a/internal/proxy/cwfront/extended.go
+++ b/internal/proxy/cwfront/extended.go
@@ -227,7 +227,7 @@
 			u.done = f
 		}
 	}
-	u.digest = digestOps(ops)
+	u.digest = func() string { return digestOps(ops) }
 	u.send = func(c *cwpool.Conn) *steps {
 		st := &steps{conn: c}
 		for _, o := range ops {
--- a/internal/proxy/cwfront/keyed.go
+++ b/internal/proxy/cwfront/keyed.go
@@ -38,7 +38,7 @@
 		return
 	}
 	deadline := s.server.Clock.Now().Add(s.entry.Contract.StatementTimeout)
-	k := keyed{s: s, key: key, digest: u.digest, deadline: deadline}
+	k := keyed{s: s, key: key, digest: u.digest(), deadline: deadline}
 	if u.begin {
 		k.digest = transactionDigest
 	}
--- a/internal/proxy/cwfront/run.go
+++ b/internal/proxy/cwfront/run.go
@@ -40,8 +40,9 @@
 	send func(c *cwpool.Conn) *steps
 	// done is called with the connection after the answer was passed on.
 	done func(c *cwpool.Conn, rep reply)
-	// digest names the unit for its request key.
-	digest string
+	// digest names the unit for its request key. It is worked out only for a
+	// unit that has one.
+	digest func() string
 }
 
 // errNoGroup is the refusal of a statement whose group is not known.
--- a/internal/proxy/cwfront/simple.go
+++ b/internal/proxy/cwfront/simple.go
@@ -41,7 +41,7 @@
 		begin:  st.Kind == cwsql.Begin,
 		ends:   st.Kind == cwsql.Commit,
 		sync:   true,
-		digest: cwrequest.Digest([]byte(text)),
+		digest: func() string { return cwrequest.Digest([]byte(text)) },
 		send: func(c *cwpool.Conn) *steps {
 			c.Front.SendQuery(&pgproto3.Query{String: text})
 			return nil
@@ -240,7 +240,7 @@
 		s.fail(errAborted)
 		return
 	}
-	u := unit{read: true, sync: true, digest: cwrequest.Digest([]byte(text))}
+	u := unit{read: true, sync: true, digest: func() string { return cwrequest.Digest([]byte(text)) }}
 	sets := 0
 	for _, st := range stmts {
 		switch st.Kind {
