limit: shares of unlisted proxies, and an adaptive limit that stays

Two faults, found by the first tests of these parts. - The shares of six proxies that came and went summed to 120 connections where 20 were free. Cause: a proxy that is not in the list gave itself a whole share that nobody else counted. Change: it has none until it is listed, and the time it waits includes the time between two looks at the list. What gives way: a proxy that starts while the platform is away opens no connections. - The adaptive limit grew to its maximum of 50 for a target whose knee is at 4. Cause: the best latency was forgotten bit by bit all the time, so queueing passed for the normal latency. Ruled out: the increase alone (with the best latency kept it stays at 15 to 16). Change: it is forgotten only while it is 1.

The list of instances is now read 200 times a second by all proxies together instead of once a second by each.

--- /dev/null
+++ b/internal/core/cwack/ack_test.go
@@ -0,0 +1,46 @@
+package cwack
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+)
+
+var now = time.Unix(1000, 0)
+
+func view(adopted cwgroup.Term, last ...cwgroup.Position) cwgroup.View {
+	ids := []cwgroup.MemberID{"a", "b", "c"}
+	v := cwgroup.NewView("g", ids)
+	for i, p := range last {
+		role := cwgroup.RoleReplica
+		if i == 0 {
+			role = cwgroup.RolePrimary
+		}
+		v = v.WithReport(cwgroup.Report{Status: cwgroup.Status{
+			Member: ids[i], Role: role, Adopted: adopted, Last: cwgroup.Mark{Term: adopted, Position: p},
+		}, At: now, Reachable: true})
+	}
+	return v
+}
+
+func TestTracker(t *testing.T) {
+	var tr Tracker
+	got := map[cwgroup.Position]Outcome{}
+	add := func(term cwgroup.Term, p cwgroup.Position, d time.Duration) {
+		tr.Add(Wait{Mark: cwgroup.Mark{Term: term, Position: p}, Deadline: now.Add(d), Done: func(o Outcome) { got[p] = o }})
+	}
+	add(1, 5, time.Second)
+	add(1, 6, time.Second)
+	add(1, 7, time.Millisecond)
+	tr.Observe(view(1, 7, 5, 3), now)
+	qt.Assert(t, got, qt.DeepEquals, map[cwgroup.Position]Outcome{5: Acknowledged})
+	tr.Observe(view(1, 7, 5, 3), now.Add(time.Millisecond))
+	qt.Assert(t, got[7], qt.Equals, TimedOut)
+	// The primary is replaced; a late report of the old term must not count.
+	tr.Observe(view(2, 9, 9, 3), now)
+	qt.Assert(t, got[6], qt.Equals, Superseded)
+	qt.Assert(t, tr.Len(), qt.Equals, 0)
+}
--- a/internal/core/cwlimit/gate.go
+++ b/internal/core/cwlimit/gate.go
@@ -184,15 +184,17 @@
 	limit := a.Limit()
 	if a.best == 0 || latency < a.best {
 		a.best = latency
-	} else {
-		// Forget slowly, so that a target that became slower for good is not
-		// throttled for ever.
-		a.best += (latency - a.best) / 1000
 	}
 	switch {
-	case latency > latencyTolerance*a.best+time.Millisecond:
+	case latency <= latencyTolerance*a.best+time.Millisecond:
+		if busy >= limit {
+			a.limit = min(float64(a.Max), a.limit+1/a.limit)
+		}
+	case limit > 1:
 		a.limit = max(1, a.limit*0.98)
-	case busy >= limit:
-		a.limit = min(float64(a.Max), a.limit+1/a.limit)
+	default:
+		// Alone and still slow: the target became slower for good. Only now may
+		// the best latency be forgotten; otherwise queueing would pass for it.
+		a.best += (latency - a.best) / 16
 	}
 }
--- a/internal/core/cwlimit/share.go
+++ b/internal/core/cwlimit/share.go
@@ -28,12 +28,14 @@
 // always the same instances have one more. Past the size at which every holder
 // can have at least one, the first Limit-Control holders have one each.
 func (s Shares) Of(self, target string, holders []string) int {
-	if len(holders) == 0 {
+	rank := cwplace.Rank(self, target, holders)
+	if rank == len(holders) {
+		// Whoever is not in the list is not counted by the others either.
 		return 0
 	}
 	free := max(0, s.Limit-s.Control)
 	share, rest := free/len(holders), free%len(holders)
-	if cwplace.Rank(self, target, holders) < rest {
+	if rank < rest {
 		share++
 	}
 	return share
@@ -50,7 +52,8 @@
 // that is due to fall falls at once. A proxy that has just started begins at
 // zero and waits as well.
 type Held struct {
-	// Lag is the longest time by which the list of instances lags.
+	// Lag is the longest time by which the list of instances lags, and the time
+	// between two looks at it: a proxy acts on a list that old.
 	Lag time.Duration
 
 	now   int
--- /dev/null
+++ b/internal/core/cwplace/place_test.go
@@ -0,0 +1,39 @@
+package cwplace
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestOrderAndRankAgree(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d", "e"}
+	for i := range 50 {
+		key := fmt.Sprint(i)
+		for rank, n := range Order(key, nodes) {
+			qt.Assert(t, Rank(n, key, nodes), qt.Equals, rank)
+		}
+	}
+	qt.Assert(t, Rank("x", "k", nodes), qt.Equals, len(nodes))
+	qt.Assert(t, First("k", nodes, 9), qt.HasLen, 5)
+}
+
+func TestSpreadIsEvenAndStable(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d", "e"}
+	count := map[string]int{}
+	moved := 0
+	for i := range 5000 {
+		key := fmt.Sprint("shard-", i)
+		first := Order(key, nodes)[0]
+		count[first]++
+		if without := slices.DeleteFunc(slices.Clone(nodes), func(n string) bool { return n == "e" }); Order(key, without)[0] != first {
+			moved++
+		}
+	}
+	for n, c := range count {
+		qt.Assert(t, c > 850 && c < 1150, qt.IsTrue, qt.Commentf("%s has %d", n, c))
+	}
+	qt.Assert(t, moved, qt.Equals, count["e"])
+}
--- a/internal/proxy/cwnode/catalogue.go
+++ b/internal/proxy/cwnode/catalogue.go
@@ -155,7 +155,6 @@
 	}
 	n.pools[t.ID] = &poolState{
 		service: e.Service,
-		held:    cwlimit.Held{Lag: n.cfg.ListLag},
 		Pool: &cwpool.Pool{
 			Address: t.Address,
 			Startup: cwtarget.Startup{User: "cicadawalk", Database: e.Service, Application: "cicadawalk"},
@@ -224,13 +223,14 @@
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	holders := n.liveLocked()
+	holders := n.holdersLocked()
 	for id, p := range n.pools {
 		e, ok := n.entries[p.service]
 		if !ok {
 			continue
 		}
 		s := cwlimit.Shares{Limit: e.Contract.Connections, Control: len(holders) + spareControl}
+		p.held.Lag = n.cfg.ListLag + 2*n.listIntervalLocked()
 		share := p.held.Update(s.Of(n.cfg.Instance, string(id), holders), now)
 		p.SetLimits(share, e.Contract.QueueLimit)
 	}
--- a/internal/proxy/cwnode/node.go
+++ b/internal/proxy/cwnode/node.go
@@ -293,4 +293,14 @@
 	return out
 }
 
+// holdersLocked returns the instances that may hold connections: also those that
+// are leaving, until they are gone, and this one only once it is listed.
+func (n *Node) holdersLocked() []string {
+	out := make([]string, 0, len(n.instances))
+	for _, i := range n.instances {
+		out = append(out, i.ID)
+	}
+	return out
+}
+
 func (n *Node) instanceID() cwfailover.InstanceID { return cwfailover.InstanceID(n.cfg.Instance) }
--- a/internal/proxy/cwnode/peers.go
+++ b/internal/proxy/cwnode/peers.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// instancesEvery is how often the platform's list is read.
-	instancesEvery = time.Second
+	// listEvery is the least time between two looks at the platform's list, and
+	// listEachEvery what each instance adds, so that all of them together read
+	// it at most 200 times a second.
+	listEvery     = 500 * time.Millisecond
+	listEachEvery = 5 * time.Millisecond
 	// maxPartners is how many other proxies a proxy keeps talking to.
 	maxPartners = 8
 )
@@ -30,11 +33,22 @@
 			n.mu.Unlock()
 		}
 		n.choosePartners()
-		n.pause(ctx, instancesEvery)
+		n.pause(ctx, n.listInterval())
 	}
 	return nil
 }
 
+// listInterval is the time between two looks at the platform's list.
+func (n *Node) listInterval() time.Duration {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.listIntervalLocked()
+}
+
+func (n *Node) listIntervalLocked() time.Duration {
+	return max(listEvery, time.Duration(len(n.instances))*listEachEvery)
+}
+
 // choosePartners keeps connections to a few other proxies: those of the list by
 // rendezvous order, or those of the settings while there is no list.
 func (n *Node) choosePartners() {
