--- /dev/null
+++ b/internal/wire/cwcodec/codec_test.go
@@ -0,0 +1,75 @@
+package cwcodec
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestExamplesAreWhole(t *testing.T) {
+	for _, name := range []string{"camara", "margalla", "trial"} {
+		text, err := os.ReadFile(filepath.Join("..", "..", "..", "examples", name+".json"))
+		qt.Assert(t, err, qt.IsNil)
+		c, err := Decode(text)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", name))
+		again, err := Encode(c)
+		qt.Assert(t, err, qt.IsNil)
+		back, err := Decode(again)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, back, qt.DeepEquals, c)
+		parts, err := Parts(c)
+		qt.Assert(t, err, qt.IsNil)
+		joined, err := Join(parts)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, joined.Entries, qt.DeepEquals, c.Entries)
+	}
+}
+
+func TestFaultsNameLineAndField(t *testing.T) {
+	for _, tc := range []struct{ name, text, want string }{
+		{"unknown field", "{\n \"revision\": 1,\n \"colour\": 2\n}", `line 3: colour: "colour" is not allowed; no such field`},
+		{"twice", "{\n \"revision\": 1,\n \"revision\": 2\n}", `line 3: revision: "revision" is not allowed; each field once`},
+		{"wrong type", "{\n \"revision\": \"x\"\n}", "line 2: revision"},
+		{"cut short", "{\n \"revision\": 1,", "line 2: document"},
+		{"not JSON", "revision 1", "line 1: document"},
+		{"two documents", "{}\n{}", "line 2: document"},
+		{"bad value", "{\n \"entries\": [\n  {\"service\": \"Big\",\n   \"owner\": \"\"}]}", `line 3: entries[0].service: "Big" is not allowed`},
+		{"missing value", "{\n \"entries\": [\n  {\"service\": \"a\",\n   \"owner\": \"\"}]}", `line 4: entries[0].owner`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := Decode([]byte(tc.text))
+			var de *DocumentError
+			qt.Assert(t, err, qt.ErrorAs, &de)
+			qt.Assert(t, err.Error(), qt.Contains, tc.want)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "..", "examples", "trial.json"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(string(text))
+	f.Add("{}")
+	f.Add(`{"entries":[{"groups":[{"targets":[]}]}]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Decode([]byte(text))
+		if err != nil {
+			if strings.TrimSpace(err.Error()) == "" {
+				t.Fatal("an error without words")
+			}
+			return
+		}
+		again, err := Encode(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("accepted once, refused again: %v", err)
+		}
+	})
+}
