--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,54 @@
+package cicadawalk_test
+
+import (
+	"fmt"
+	"time"
+
+	"cicadawalk.example/cicadawalk"
+)
+
+// A group of three loses its primary. The example acknowledges a write, places
+// a read of the session that wrote, and lets a supervisor replace the primary;
+// a real program would send the orders and bring the answers back.
+func Example() {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	members := []cicadawalk.MemberID{"a", "b", "c"}
+	report := func(id cicadawalk.MemberID, role cicadawalk.Role, pos cicadawalk.Position) cicadawalk.Report {
+		m := cicadawalk.Mark{Term: 1, Position: pos}
+		return cicadawalk.Report{
+			Status:    cicadawalk.Status{Member: id, Role: role, Adopted: 1, Last: m, Applied: m, UpstreamAge: time.Second},
+			At:        now,
+			Reachable: true,
+		}
+	}
+	sup := cicadawalk.NewSupervisor("proxy-1", "seed", "g", members)
+	sup.Report(report("a", cicadawalk.Primary, 7), "", now)
+	sup.Report(report("b", cicadawalk.Replica, 7), "a", now)
+	sup.Report(report("c", cicadawalk.Replica, 5), "a", now)
+
+	wrote := cicadawalk.Mark{Term: 1, Position: 7}
+	var tracker cicadawalk.Tracker
+	tracker.Add(cicadawalk.Wait{Mark: wrote, Deadline: now.Add(time.Second), Done: func(o cicadawalk.Outcome) {
+		fmt.Println("write:", o)
+	}})
+	tracker.Observe(sup.View(), now)
+
+	token := cicadawalk.Token{}.WithMark("g", wrote)
+	read := cicadawalk.Read{Floor: cicadawalk.FloorOf(token, "g")}
+	candidates := []cicadawalk.Candidate{{Member: "b"}, {Member: "c"}}
+	d := cicadawalk.Router[cicadawalk.ToPrimary]{}.Place(sup.View(), candidates, read, now)
+	fmt.Println("read at:", d.Member)
+
+	now = now.Add(time.Second)
+	sup.Unreachable("a", now)
+	now = now.Add(100 * time.Millisecond)
+	sup.Report(report("b", cicadawalk.Replica, 7), "a", now)
+	sup.Report(report("c", cicadawalk.Replica, 5), "a", now)
+	for _, o := range sup.Tick(now, cicadawalk.Conditions{Listed: 1, ChecksTerm: true}) {
+		fmt.Println("order:", o.Kind, "for term", o.Term)
+	}
+	// Output:
+	// write: acknowledged
+	// read at: b
+	// order: claimRow for term 2
+}
