front: retries from a budget, shards, late answers, silent connections

Retries of all sessions of a proxy now spend from one budget: one for ten statements and 200 saved up, so that an outage is not multiplied. Settings that the database refuses are reported as its refusal instead of being tried again. A group that the catalogue changes or removes ends the waits for its majority; they would have had nobody to end them.

New tests: three groups and a shard through two proxies; an answer that comes after the time ran out; connections that go silent in a transaction, under a write, idle in the pool; a statement of 2.2 s that must not be taken for silence.

--- a/internal/core/cwack/ack.go
+++ b/internal/core/cwack/ack.go
@@ -90,3 +90,12 @@
 	clear(t.waits[len(kept):])
 	t.waits = kept
 }
+
+// Close ends all waits without knowing their outcome.
+func (t *Tracker) Close() {
+	waits := t.waits
+	t.waits = nil
+	for _, w := range waits {
+		w.Done(TimedOut)
+	}
+}
--- a/internal/proxy/cwfront/keyed.go
+++ b/internal/proxy/cwfront/keyed.go
@@ -46,7 +46,7 @@
 	for range maxAttempts {
 		var again bool
 		again, err = k.attempt(u)
-		if err == nil || !again {
+		if err == nil || !again || !s.server.retries.spend() {
 			break
 		}
 		s.server.Metrics.Retries.Inc()
--- a/internal/proxy/cwfront/run.go
+++ b/internal/proxy/cwfront/run.go
@@ -12,6 +12,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
 	"cicadawalk.example/cicadawalk/internal/core/cwsession"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpool"
+	"cicadawalk.example/cicadawalk/internal/wire/cwtarget"
 )
 
 // Limits of running a unit.
@@ -55,6 +56,7 @@
 // runUnit runs a unit inside the transaction or by itself.
 func (s *session) runUnit(u unit) {
 	s.server.Metrics.Statements.Inc()
+	s.server.retries.earn()
 	if s.tx != nil {
 		s.runInTransaction(u)
 		return
@@ -77,7 +79,7 @@
 		if err == nil {
 			return
 		}
-		if !again || attempt == maxAttempts || !s.server.Clock.Now().Before(deadline) {
+		if !again || attempt == maxAttempts || !s.server.Clock.Now().Before(deadline) || !s.server.retries.spend() {
 			s.fail(err)
 			return
 		}
@@ -106,6 +108,9 @@
 		if !flushed {
 			s.out = s.out[:start]
 		}
+		if code := cwtarget.ServerCode(err); code != "" {
+			return false, cwrefusal.NotRun(cwrefusal.Code(code), 0, "the database refused the session's settings: %v", err)
+		}
 		if errors.As(err, &unsent) {
 			return again, cwrefusal.NotRun(cwrefusal.CannotConnectNow, retryAfter, "the connection to the database broke before the statement was sent")
 		}
@@ -128,6 +133,9 @@
 
 func (e *unsentError) Error() string { return "not sent: " + e.cause.Error() }
 
+// Unwrap returns the cause.
+func (e *unsentError) Unwrap() error { return e.cause }
+
 // exchange sends a unit and passes its answer on.
 func (s *session) exchange(r route, u unit) (reply, bool, error) {
 	s.setLease(r.lease)
--- a/internal/proxy/cwfront/server.go
+++ b/internal/proxy/cwfront/server.go
@@ -25,6 +25,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpool"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwwatch"
 	"cicadawalk.example/cicadawalk/internal/wire/cwsql"
@@ -92,12 +93,40 @@
 
 	parsed   cwsql.Cache
 	draining atomic.Bool
+	retries  budget
 
 	mu       sync.Mutex
 	sessions map[cancelKey]*session
 	wg       sync.WaitGroup
 }
 
+// Bounds of retries: one for ten statements, and a few saved up for the moment
+// in which a primary is replaced.
+const (
+	retryRatio = 0.1
+	retrySaved = 200
+)
+
+// budget bounds the retries of all sessions together, so that an outage is not
+// multiplied.
+type budget struct {
+	mu sync.Mutex
+	b  cwlimit.Budget
+}
+
+func (b *budget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.b.Ratio, b.b.Max = retryRatio, retrySaved
+	b.b.Earn()
+}
+
+func (b *budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Spend()
+}
+
 // cancelKey names a session in a request to cancel.
 type cancelKey struct {
 	pid    uint32
--- a/internal/proxy/cwfront/session_test.go
+++ b/internal/proxy/cwfront/session_test.go
@@ -16,6 +16,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwsession"
 	"cicadawalk.example/cicadawalk/internal/standin/cwdatabase"
 	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
 	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
@@ -448,3 +449,91 @@
 		c.Assert(<-errs, qt.IsNil)
 	}
 }
+
+// A booking of one depot is looked for among another's: the service keeps its
+// records in three groups, and every proxy must find the same one for a shard.
+func TestShards(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{Groups: 3})
+	conn := b.connect(c, 0)
+	_, err := conn.Exec(background, "SELECT 1")
+	assertRefused(c, err, "22023")
+	used := make(map[string]bool)
+	for i := range 9 {
+		shard := fmt.Sprintf("estancia-%d", i)
+		one, two := b.connect(c, 0, "cicadawalk.shard", shard), b.connect(c, 1)
+		exec(c, one, "CREATE TABLE IF NOT EXISTS ronda (shard text)")
+		exec(c, one, "INSERT INTO ronda VALUES ($1)", shard)
+		exec(c, two, "SET cicadawalk.shard = '"+shard+"'")
+		exec(c, two, "SET cicadawalk.sessionToken = '"+token(one)+"'")
+		c.Assert(queryInt(c, two, "SELECT count(*) FROM ronda WHERE shard = $1", shard), qt.Equals, int64(1))
+		tok, err := cwsession.ParseToken(token(one))
+		c.Assert(err, qt.IsNil)
+		for _, g := range []string{"rondas-1", "rondas-2", "rondas-3"} {
+			if _, ok := tok.Mark(g); ok {
+				used[g] = true
+			}
+		}
+	}
+	c.Assert(len(used) > 1, qt.IsTrue)
+}
+
+// An answer that comes after its caller was told that time ran out must not be
+// given to the next caller on the same connection.
+func TestLateAnswerIsNobodysElse(t *testing.T) {
+	c := qt.New(t)
+	contract := cwdemo.DefaultContract()
+	contract.Connections, contract.StatementTimeout = 6, 300*time.Millisecond
+	b := newBench(c, cwdemo.Options{Contract: contract})
+	conn, other := b.connect(c, 0), b.connect(c, 0)
+	for range 3 {
+		_, err := conn.Exec(background, "SELECT pg_sleep(0.8)")
+		pe := assertRefused(c, err, "40001")
+		c.Assert(pe.Detail, qt.Contains, "notRun=true")
+		for range 5 {
+			c.Assert(queryInt(c, other, "SELECT 7"), qt.Equals, int64(7))
+		}
+	}
+}
+
+// Something between proxy and database loses track of the open connections. A
+// statement there must end soon, say truly what became of it, and leave the
+// others alone; a long statement looks the same and must not be cut.
+func TestSilentConnections(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	exec(c, b.connect(c, 0), "CREATE TABLE ronda (id bigint)")
+	silence := func() {
+		for _, l := range b.links {
+			l.Silence()
+		}
+	}
+	c.Run("a long statement goes on", func(c *qt.C) {
+		exec(c, b.connect(c, 0), "SELECT pg_sleep(2.2)")
+	})
+	c.Run("in a transaction", func(c *qt.C) {
+		conn := b.connect(c, 0)
+		exec(c, conn, "BEGIN")
+		exec(c, conn, "INSERT INTO ronda VALUES (1)")
+		silence()
+		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (2)")
+		pe := assertRefused(c, err, "40001")
+		c.Assert(pe.Detail, qt.Contains, "notRun=true")
+		exec(c, conn, "ROLLBACK")
+	})
+	c.Run("idle in the pool, then a read and a write", func(c *qt.C) {
+		conn := b.connect(c, 0)
+		queryInt(c, conn, "SELECT count(*) FROM ronda")
+		silence()
+		<-time.After(600 * time.Millisecond)
+		c.Assert(queryInt(c, conn, "SELECT count(*) FROM ronda WHERE id = 1"), qt.Equals, int64(0))
+		exec(c, conn, "INSERT INTO ronda VALUES (3)")
+	})
+	c.Run("under a write", func(c *qt.C) {
+		conn := b.connect(c, 0)
+		exec(c, conn, "INSERT INTO ronda VALUES (4)")
+		silence()
+		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (5)")
+		assertRefused(c, err, "08007")
+	})
+}
--- a/internal/proxy/cwwatch/group.go
+++ b/internal/proxy/cwwatch/group.go
@@ -85,7 +85,9 @@
 	changed chan struct{}
 	// openWrites counts this proxy's write transactions in progress.
 	openWrites int
-	tip        tipAsk
+	// closed is true once Run has ended; no wait begins after.
+	closed bool
+	tip    tipAsk
 	// lostAt is when writes could not be placed any more; zero while they can.
 	lostAt time.Time
 	gaps   []time.Duration
@@ -119,7 +121,19 @@
 		eg.Go(func() error { return f.Run(ctx) })
 	}
 	eg.Go(func() error { return g.loop(ctx, eg) })
-	return eg.Wait()
+	err := eg.Wait()
+	g.close()
+	return err
+}
+
+// close ends the waits of a group that the catalogue has changed or removed.
+// Nothing reports to it any more, so they would never end by themselves.
+func (g *Group) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.tracker.Close()
+	g.notify()
 }
 
 // loop lets time pass.
--- a/internal/proxy/cwwatch/place.go
+++ b/internal/proxy/cwwatch/place.go
@@ -234,6 +234,10 @@
 	now := g.cfg.Clock.Now()
 	done := make(chan cwack.Outcome, 1)
 	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return cwack.TimedOut
+	}
 	g.noteCommit(m, now)
 	g.tracker.Add(cwack.Wait{
 		Mark:     m,
--- a/internal/tool/cwdemo/bench.go
+++ b/internal/tool/cwdemo/bench.go
@@ -48,6 +48,8 @@
 	Contract cwcatalogue.Contract
 	// Log receives the proxies' events.
 	Log io.Writer
+	// Groups is how many groups the service has; zero means one.
+	Groups int
 	// Direct lets tests put something between proxies and databases: it returns
 	// the address under which the proxies find a database.
 	Direct func(id cwgroup.MemberID, address string) string
@@ -128,9 +130,23 @@
 }
 
 func (b *Bench) startDatabases() error {
+	for g := range max(1, b.opts.Groups) {
+		if err := b.startGroup(g); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startGroup starts three databases; the first is the primary.
+func (b *Bench) startGroup(g int) error {
+	prefix := "libro"
+	if g > 0 {
+		prefix = fmt.Sprintf("libro-g%d", g+1)
+	}
 	for i, host := range hosts {
 		cfg := cwdatabase.Config{
-			ID:           cwgroup.MemberID(fmt.Sprintf("libro-%d", i+1)),
+			ID:           cwgroup.MemberID(fmt.Sprintf("%s-%d", prefix, i+1)),
 			Listen:       host + ":0",
 			Connections:  b.opts.Contract.Connections,
 			Slots:        b.opts.Contract.Slots,
@@ -139,7 +155,8 @@
 			Primary:      i == 0,
 		}
 		if i > 0 {
-			cfg.Follow, cfg.FollowID = b.Databases[0].Addr(), b.Databases[0].Status().Member
+			first := b.Databases[g*len(hosts)]
+			cfg.Follow, cfg.FollowID = first.Addr(), first.Status().Member
 		}
 		m, err := cwdatabase.Start(cfg)
 		if err != nil {
@@ -159,20 +176,24 @@
 			c.Links = append(c.Links, cwcatalogue.Link{A: other, B: dc, Delay: time.Millisecond})
 		}
 	}
-	g := cwcatalogue.Group{Name: "rondas-1"}
+	var groups []cwcatalogue.Group
 	for i, d := range b.Databases {
+		if i%len(hosts) == 0 {
+			groups = append(groups, cwcatalogue.Group{Name: fmt.Sprintf("rondas-%d", len(groups)+1)})
+		}
+		g := &groups[len(groups)-1]
 		id, addr := d.Status().Member, d.Addr()
 		if b.opts.Direct != nil {
 			addr = b.opts.Direct(id, addr)
 		}
-		g.Targets = append(g.Targets, cwcatalogue.Target{ID: id, DataCentre: dataCentres[i], Address: addr})
+		g.Targets = append(g.Targets, cwcatalogue.Target{ID: id, DataCentre: dataCentres[i%len(hosts)], Address: addr})
 	}
 	return c.WithEntry(cwcatalogue.Entry{
 		Service:  Service,
 		Title:    "libro central de rondas",
 		Owner:    "Cámara Argentina de Rondas de Casero para Estancias",
 		Contract: b.opts.Contract,
-		Groups:   []cwcatalogue.Group{g},
+		Groups:   groups,
 	})
 }
 
@@ -271,10 +292,11 @@
 	return "postgres://casero@" + host + "/" + Service + "?sslmode=disable"
 }
 
-// Primary returns the index of the database that leads the highest term.
+// Primary returns the index of the database that leads the highest term of the
+// first group.
 func (b *Bench) Primary() int {
 	best, term := -1, cwgroup.Term(0)
-	for i, d := range b.Databases {
+	for i, d := range b.Databases[:len(hosts)] {
 		if s := d.Status(); s.Role == cwgroup.RolePrimary && s.Adopted > term {
 			best, term = i, s.Adopted
 		}
