target, peer: control traffic within 9 KB a second

Cause: one idle group cost a proxy 6.4 KB a second, so two of them and the partners did not fit. Replicas sent heartbeats every 100 ms and were probed four times a second as well; partners heard from each other twice a second.

What is urgent, a vote or a revision, was always told at once and still is.

--- a/internal/core/cwfailover/detector.go
+++ b/internal/core/cwfailover/detector.go
@@ -27,7 +27,7 @@
 // does not silence a voter.
 const (
 	// FreshVote is how long a vote counts.
-	FreshVote = 1500 * time.Millisecond
+	FreshVote = 2500 * time.Millisecond
 	// StreamLost is the time without a message after which a replica counts as
 	// having lost its primary. Members send to their replicas every 100 ms.
 	StreamLost = 300 * time.Millisecond
@@ -187,7 +187,7 @@
 	for _, r := range v.Reports() {
 		switch {
 		case r.Member == primary.Member || now.Sub(r.At) > FreshMember || !r.Reachable:
-		case r.UpstreamAge+now.Sub(r.At) > StreamLost:
+		case r.UpstreamAge > StreamLost:
 			e.StreamsLost++
 		default:
 			e.StreamsAlive++
--- a/internal/proxy/cwnode/peers.go
+++ b/internal/proxy/cwnode/peers.go
@@ -20,7 +20,7 @@
 	listEvery     = 500 * time.Millisecond
 	listEachEvery = 5 * time.Millisecond
 	// maxPartners is how many other proxies a proxy keeps talking to.
-	maxPartners = 8
+	maxPartners = 4
 )
 
 // loopInstances reads the platform's list of instances. While the platform is
--- a/internal/wire/cwpeer/peer.go
+++ b/internal/wire/cwpeer/peer.go
@@ -31,8 +31,9 @@
 
 // Times of the peers.
 const (
-	// Interval is the time between heartbeats.
-	Interval = 500 * time.Millisecond
+	// Interval is the time between heartbeats. What is urgent, a vote or a
+	// revision, is told at once.
+	Interval = time.Second
 	// dialTimeout bounds a connection to a partner.
 	dialTimeout = 500 * time.Millisecond
 	// callTimeout bounds one call. A partner that takes longer is connected to
--- a/internal/wire/cwtarget/feed.go
+++ b/internal/wire/cwtarget/feed.go
@@ -16,8 +16,8 @@
 
 // Times of a feed.
 const (
-	// ProbeInterval is how often a feed asks for the status. The member's own
-	// heartbeats come more often.
+	// ProbeInterval is how often a feed asks a primary for its status, since
+	// only answers tell the age of data. Replicas' own heartbeats are enough.
 	ProbeInterval = 250 * time.Millisecond
 	// Silence is how long a feed may bring nothing before a fresh connection is
 	// tried.
@@ -55,6 +55,8 @@
 	conn    *Conn
 	heard   time.Time
 	pending []*question
+	// leads is false once the member said that it does not lead.
+	leads bool
 }
 
 // question is a query whose answer has not come.
@@ -114,7 +116,7 @@
 // serve uses one connection until it breaks or goes silent.
 func (f *Feed) serve(ctx context.Context, conn *Conn) {
 	f.mu.Lock()
-	f.conn, f.heard = conn, f.Clock.Now()
+	f.conn, f.heard, f.leads = conn, f.Clock.Now(), true
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -170,12 +172,14 @@
 	for ctx.Err() == nil {
 		f.pause(ctx, ProbeInterval)
 		f.mu.Lock()
-		silent := f.Clock.Since(f.heard) > Silence
+		silent, leads := f.Clock.Since(f.heard) > Silence, f.leads
 		f.mu.Unlock()
 		if silent && f.checkSilent(ctx) {
 			return
 		}
-		f.probe()
+		if leads {
+			f.probe()
+		}
 	}
 }
 
@@ -216,9 +220,7 @@
 		f.mu.Unlock()
 		switch m := msg.(type) {
 		case *pgproto3.NotificationResponse:
-			if r, err := ParseStatus(m.Payload); err == nil {
-				f.Events.Reported(r, time.Time{})
-			}
+			f.told(m.Payload, time.Time{})
 		case *pgproto3.DataRow:
 			if q := f.head(); q != nil && len(m.Values) > 0 {
 				q.rows = append(q.rows, string(m.Values[0]))
@@ -252,13 +254,23 @@
 	f.pending = f.pending[1:]
 	f.mu.Unlock()
 	if q.err == nil && len(q.rows) == 1 {
-		if r, err := ParseStatus(q.rows[0]); err == nil {
-			f.Events.Reported(r, q.asked)
-		}
+		f.told(q.rows[0], q.asked)
 	}
 	close(q.done)
 }
 
+// told passes a status on, if the text is one.
+func (f *Feed) told(text string, asked time.Time) {
+	r, err := ParseStatus(text)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	f.leads = r.Role == cwgroup.RolePrimary
+	f.mu.Unlock()
+	f.Events.Reported(r, asked)
+}
+
 // Ask sends a query and returns the first column of its rows. If there is no
 // connection the answer is a NoFeedError.
 func (f *Feed) Ask(ctx context.Context, query string) ([]string, error) {
