peer: partners get what changed, not the whole catalogue

And reading it took 194 ms, since the line of each field was counted from the start of the text again: quadratic.

Change: a proxy remembers what the last 64 revisions changed and sends that; who is further behind gets everything. Lines are counted once.

--- a/internal/proxy/cwnode/catalogue.go
+++ b/internal/proxy/cwnode/catalogue.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"reflect"
+	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
@@ -77,19 +79,87 @@
 	}
 }
 
+// takeFrom takes a partner's catalogue if it is newer. It returns whether the
+// partner has one.
 func (n *Node) takeFrom(ctx context.Context, p *cwpeer.Partner) bool {
-	text, err := p.Catalogue(ctx)
-	if err != nil {
+	n.mu.RLock()
+	known := n.catalogue
+	n.mu.RUnlock()
+	u, err := p.CatalogueSince(ctx, known.Revision)
+	if err != nil || u.Revision == 0 {
+		return false
+	}
+	if u.Revision <= known.Revision {
+		return true
+	}
+	next := known
+	switch {
+	case len(u.Document) > 0:
+		next, err = cwcodec.Decode(u.Document)
+	case u.Base == known.Revision:
+		next, err = cwcodec.Overlay(known, u.Changed, u.Revision)
+	default:
 		return false
 	}
-	c, err := cwcodec.Decode(text)
-	if err != nil || c.Revision == 0 {
+	if err != nil {
 		return false
 	}
-	n.adopt(c)
+	n.adopt(next)
 	return true
 }
 
+// step is what one revision changed.
+type step struct {
+	revision cwcatalogue.Revision
+	changed  map[string][]byte
+}
+
+// maxSteps is how many revisions back a proxy can tell its partners what
+// changed; whoever is further behind gets the whole catalogue.
+const maxSteps = 64
+
+// remember keeps what the move from old to next changed. The caller holds mu.
+func (n *Node) remember(old, next cwcatalogue.Catalogue) {
+	changed, err := cwcodec.Changed(old, next)
+	if err != nil || old.Revision == 0 {
+		n.steps = nil
+		return
+	}
+	n.steps = append(n.steps, step{revision: next.Revision, changed: changed})
+	if len(n.steps) == 1 {
+		n.stepsFrom = old.Revision
+	}
+	if len(n.steps) > maxSteps {
+		n.stepsFrom = n.steps[0].revision
+		n.steps = n.steps[1:]
+	}
+}
+
+// CatalogueSince implements cwpeer.Handler.
+func (n *Node) CatalogueSince(r cwcatalogue.Revision) (cwpeer.Update, error) {
+	n.mu.RLock()
+	c, steps, from := n.catalogue, n.steps, n.stepsFrom
+	n.mu.RUnlock()
+	u := cwpeer.Update{Base: r, Revision: c.Revision}
+	if r >= c.Revision {
+		return u, nil
+	}
+	if r == from || slices.ContainsFunc(steps, func(s step) bool { return s.revision == r }) {
+		u.Changed = make(map[string][]byte)
+		for _, s := range steps {
+			if s.revision > r {
+				maps.Copy(u.Changed, s.changed)
+			}
+		}
+		if len(steps) > 0 {
+			return u, nil
+		}
+	}
+	var err error
+	u.Document, err = cwcodec.Encode(c)
+	return u, err
+}
+
 // adopt moves to a catalogue if its revision is higher, and to no other: a
 // change that was accepted never reverts, whoever serves an old row.
 func (n *Node) adopt(c cwcatalogue.Catalogue) {
@@ -99,6 +169,7 @@
 		return
 	}
 	old := n.catalogue
+	n.remember(old, c)
 	n.catalogue = c
 	n.entries = make(map[string]cwcatalogue.Entry, len(c.Entries))
 	for _, e := range c.Entries {
--- a/internal/proxy/cwnode/failure_test.go
+++ b/internal/proxy/cwnode/failure_test.go
@@ -84,6 +84,22 @@
 	}
 }
 
+// An operator asks the next day why another database is in charge. The audit
+// trail must say what the proxies did by themselves.
+func TestFailoverStandsInTheAuditTrail(t *testing.T) {
+	t.Parallel()
+	c, b := newBench(t, cwdemo.Options{})
+	b.Databases[0].Stop()
+	var acts []cwstore.Act
+	waitFor(c, "the act being recorded", func() bool {
+		acts, _ = b.store().Acts(background)
+		return len(acts) > 0
+	})
+	c.Assert(acts[0].Kind, qt.Equals, "primaryChanged")
+	c.Assert(acts[0].Before, qt.Equals, "libro-1 term 1")
+	c.Assert(acts[0].After, qt.Matches, "libro-[23] term 2")
+}
+
 // The same without request keys: an answer that is lost must say that the
 // outcome is unknown, and "not run" must be true.
 func TestLedgerWithoutKeys(t *testing.T) {
@@ -286,6 +302,25 @@
 		c.Assert(history[len(history)-1].Who, qt.Equals, "ana")
 		waitFor(c, "revision 3 everywhere", inForce(3))
 	})
+	c.Run("partners get only what changed", func(c *qt.C) {
+		u, err := b.Proxies[0].CatalogueSince(2)
+		c.Assert(err, qt.IsNil)
+		c.Assert(u.Revision, qt.Equals, cwcatalogue.Revision(3))
+		c.Assert(u.Changed, qt.HasLen, 1)
+		c.Assert(u.Document, qt.HasLen, 0)
+		u, err = b.Proxies[0].CatalogueSince(0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(u.Document) > 0, qt.IsTrue)
+	})
+	c.Run("a proxy that came later", func(c *qt.C) {
+		cat, err := store.Load(background)
+		c.Assert(err, qt.IsNil)
+		lone, err := b.StartProxy(len(b.Proxies))
+		c.Assert(err, qt.IsNil)
+		waitFor(c, "the third proxy being ready", lone.Ready)
+		c.Assert(apply(cat, "eva", 6*time.Second), qt.IsNil)
+		waitFor(c, "revision 4 everywhere", inForce(4))
+	})
 	c.Run("the table is down", func(c *qt.C) {
 		b.Platform.SetFaults(cwtable.Faults{Down: true})
 		p, err := b.StartProxy(len(b.Proxies))
@@ -293,7 +328,7 @@
 		c.Assert(p.Ready(), qt.IsFalse)
 		b.Platform.SetFaults(cwtable.Faults{})
 		waitFor(c, "the new proxy being ready", p.Ready)
-		c.Assert(p.Revision(), qt.Equals, uint64(3))
+		c.Assert(p.Revision(), qt.Equals, uint64(4))
 	})
 }
 
--- a/internal/proxy/cwnode/node.go
+++ b/internal/proxy/cwnode/node.go
@@ -81,6 +81,9 @@
 	mu        sync.RWMutex
 	catalogue cwcatalogue.Catalogue
 	entries   map[string]cwcatalogue.Entry
+	// steps lead from the revision stepsFrom to the present one.
+	steps     []step
+	stepsFrom cwcatalogue.Revision
 	groups    map[string]*runningGroup
 	pools     map[cwgroup.MemberID]*poolState
 	instances []cwplatform.Instance
--- a/internal/proxy/cwnode/peers.go
+++ b/internal/proxy/cwnode/peers.go
@@ -8,7 +8,6 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwplace"
-	"cicadawalk.example/cicadawalk/internal/wire/cwcodec"
 	"cicadawalk.example/cicadawalk/internal/wire/cwpeer"
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
@@ -151,14 +150,6 @@
 	n.mu.Unlock()
 }
 
-// CatalogueText implements cwpeer.Handler.
-func (n *Node) CatalogueText() ([]byte, error) {
-	n.mu.RLock()
-	c := n.catalogue
-	n.mu.RUnlock()
-	return cwcodec.Encode(c)
-}
-
 // Cancel implements cwpeer.Handler.
 func (n *Node) Cancel(pid uint32, secret []byte) { n.server.CancelLocal(pid, secret) }
 
--- a/internal/wire/cwcodec/codec_test.go
+++ b/internal/wire/cwcodec/codec_test.go
@@ -1,12 +1,17 @@
 package cwcodec
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 )
 
 func TestExamplesAreWhole(t *testing.T) {
@@ -73,3 +78,53 @@
 		}
 	})
 }
+
+func sized(n int) cwcatalogue.Catalogue {
+	c := cwcatalogue.Catalogue{Revision: 1, DataCentres: []cwcatalogue.DataCentre{{Name: "dc", Region: "r"}}}
+	for i := range n {
+		name := fmt.Sprintf("service-%d", i)
+		e := cwcatalogue.Entry{Service: name, Owner: "o", Contract: cwcatalogue.Contract{
+			Class: cwcatalogue.ClassReads, Connections: 25, Slots: 3, QueueLimit: 200,
+			StatementTimeout: time.Second, AckTimeout: time.Second,
+		}}
+		g := cwcatalogue.Group{Name: name}
+		for j := range 3 {
+			g.Targets = append(g.Targets, cwcatalogue.Target{
+				ID: cwgroup.MemberID(fmt.Sprintf("db-%d-%d", i, j)), DataCentre: "dc", Address: fmt.Sprintf("10.%d.%d.%d:5432", i/250, i%250, j+1),
+			})
+		}
+		e.Groups = []cwcatalogue.Group{g}
+		c.Entries = append(c.Entries, e)
+	}
+	return c
+}
+
+// BenchmarkCatalogue measures what a whole catalogue costs to write, to read
+// with all checks, and to make of its rows.
+func BenchmarkCatalogue(b *testing.B) {
+	for _, n := range []int{10, 100, 700} {
+		c := sized(n)
+		text, err := Encode(c)
+		qt.Assert(b, err, qt.IsNil)
+		parts, err := Parts(c)
+		qt.Assert(b, err, qt.IsNil)
+		b.Run(fmt.Sprintf("encode/%d", n), func(b *testing.B) {
+			for range b.N {
+				_, _ = Encode(c)
+			}
+			b.ReportMetric(float64(len(text)), "bytes")
+		})
+		b.Run(fmt.Sprintf("decode/%d", n), func(b *testing.B) {
+			for range b.N {
+				if _, err := Decode(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("join/%d", n), func(b *testing.B) {
+			for range b.N {
+				_, _ = Join(parts)
+			}
+		})
+	}
+}
--- a/internal/wire/cwcodec/document.go
+++ b/internal/wire/cwcodec/document.go
@@ -5,6 +5,7 @@
 package cwcodec
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -268,3 +269,37 @@
 
 // Unwrap returns the cause.
 func (e *PartError) Unwrap() error { return e.Cause }
+
+// Changed returns the parts of next that differ from those of known. A part
+// that is gone is there without content.
+func Changed(known, next cwcatalogue.Catalogue) (map[string][]byte, error) {
+	before, err := Parts(known)
+	if err != nil {
+		return nil, err
+	}
+	after, err := Parts(next)
+	if err != nil {
+		return nil, err
+	}
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			after[name] = []byte("{}")
+		}
+	}
+	maps.DeleteFunc(after, func(name string, v []byte) bool { return bytes.Equal(v, before[name]) })
+	return after, nil
+}
+
+// Overlay returns the catalogue of the revision that changed parts lead to.
+func Overlay(known cwcatalogue.Catalogue, changed map[string][]byte, rev cwcatalogue.Revision) (cwcatalogue.Catalogue, error) {
+	parts, err := Parts(known)
+	if err != nil {
+		return known, err
+	}
+	maps.Copy(parts, changed)
+	c, err := Join(parts)
+	if err != nil {
+		return known, err
+	}
+	return c.WithRevision(rev), nil
+}
--- a/internal/wire/cwcodec/locate.go
+++ b/internal/wire/cwcodec/locate.go
@@ -6,9 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"reflect"
 	"regexp"
-	"slices"
 	"strings"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
@@ -102,11 +102,23 @@
 	dec     *json.Decoder
 	lines   lineTable
 	unknown []LineFault
+	// at and line are the offset up to which lines were counted, and the count.
+	at   int64
+	line int
+}
+
+// here returns the line of the decoder's place. Places only grow, so the text
+// is counted once.
+func (l *locator) here() int {
+	to := l.dec.InputOffset()
+	l.line += bytes.Count(l.text[l.at:to], []byte("\n"))
+	l.at = to
+	return l.line
 }
 
 // locate finds the line of each field, and the fields that nobody knows.
 func locate(text []byte) (lineTable, []LineFault, error) {
-	l := &locator{text: text, dec: json.NewDecoder(bytes.NewReader(text)), lines: lineTable{}}
+	l := &locator{text: text, dec: json.NewDecoder(bytes.NewReader(text)), lines: lineTable{}, line: 1}
 	if err := l.value(""); err != nil {
 		return nil, nil, syntaxError(text, err)
 	}
@@ -122,7 +134,7 @@
 		return err
 	}
 	if _, ok := l.lines[path]; !ok {
-		l.lines[path] = lineAt(l.text, l.dec.InputOffset())
+		l.lines[path] = l.here()
 	}
 	switch tok {
 	case json.Delim('{'):
@@ -144,12 +156,12 @@
 		if path != "" {
 			child = path + "." + name
 		}
-		line := lineAt(l.text, l.dec.InputOffset())
+		line := l.here()
 		if _, twice := l.lines[child]; twice {
 			l.unknown = append(l.unknown, LineFault{Line: line, Fault: cwcatalogue.Fault{Path: child, Value: name, Allowed: "each field once"}})
 		}
 		l.lines[child] = line
-		if !slices.Contains(knownPaths, indexes.ReplaceAllString(child, "")) {
+		if !knownPaths[indexes.ReplaceAllString(child, "")] {
 			l.unknown = append(l.unknown, LineFault{Line: line, Fault: cwcatalogue.Fault{Path: child, Value: name, Allowed: "no such field"}})
 		}
 		if err := l.value(child); err != nil {
@@ -175,18 +187,18 @@
 // knownPaths are the paths of all fields, without indexes.
 var knownPaths = pathsOf(reflect.TypeFor[documentBody](), "")
 
-func pathsOf(t reflect.Type, prefix string) []string {
-	var out []string
+func pathsOf(t reflect.Type, prefix string) map[string]bool {
+	out := make(map[string]bool)
 	for i := range t.NumField() {
 		f := t.Field(i)
 		path := prefix + f.Tag.Get("json")
-		out = append(out, path)
+		out[path] = true
 		ft := f.Type
 		if ft.Kind() == reflect.Slice {
 			ft = ft.Elem()
 		}
 		if ft.Kind() == reflect.Struct && ft.PkgPath() == t.PkgPath() {
-			out = append(out, pathsOf(ft, path+".")...)
+			maps.Copy(out, pathsOf(ft, path+"."))
 		}
 	}
 	return out
--- a/internal/wire/cwpeer/peer.go
+++ b/internal/wire/cwpeer/peer.go
@@ -56,14 +56,23 @@
 type Handler interface {
 	// Heartbeat takes a partner's heartbeat.
 	Heartbeat(h Heartbeat)
-	// CatalogueText returns the catalogue as this proxy has it.
-	CatalogueText() ([]byte, error)
+	// CatalogueSince returns what changed after a revision, or the whole
+	// catalogue if that is too long ago.
+	CatalogueSince(r cwcatalogue.Revision) (Update, error)
 	// Cancel ends a statement of a session of this proxy, if it has it.
 	Cancel(pid uint32, secret []byte)
 	// Admits reports whether an instance may speak to this proxy.
 	Admits(id cwfailover.InstanceID) bool
 }
 
+// Update brings a catalogue to a revision: by the parts that changed since Base,
+// or, if Document is set, as a whole.
+type Update struct {
+	Base, Revision cwcatalogue.Revision
+	Changed        map[string][]byte
+	Document       []byte
+}
+
 type heartbeatBody struct {
 	Instance string              `json:"instance"`
 	Revision uint64              `json:"revision"`
@@ -75,9 +84,32 @@
 	Suspect bool   `json:"suspect,omitempty"`
 }
 
-type catalogueBody struct {
-	Instance string          `json:"instance"`
-	Document json.RawMessage `json:"document,omitempty"`
+type sinceBody struct {
+	Instance string `json:"instance"`
+	Since    uint64 `json:"since"`
+}
+
+type updateBody struct {
+	Base     uint64                     `json:"base"`
+	Revision uint64                     `json:"revision"`
+	Changed  map[string]json.RawMessage `json:"changed,omitempty"`
+	Document json.RawMessage            `json:"document,omitempty"`
+}
+
+func (u Update) body() updateBody {
+	b := updateBody{Base: uint64(u.Base), Revision: uint64(u.Revision), Document: u.Document, Changed: make(map[string]json.RawMessage, len(u.Changed))}
+	for name, value := range u.Changed {
+		b.Changed[name] = value
+	}
+	return b
+}
+
+func (b updateBody) update() Update {
+	u := Update{Base: cwcatalogue.Revision(b.Base), Revision: cwcatalogue.Revision(b.Revision), Document: b.Document, Changed: make(map[string][]byte, len(b.Changed))}
+	for name, value := range b.Changed {
+		u.Changed[name] = value
+	}
+	return u
 }
 
 type cancelBody struct {
@@ -179,11 +211,15 @@
 		s.Handler.Heartbeat(b.heartbeat())
 		return struct{}{}, nil
 	case methodCatalogue:
-		doc, err := s.Handler.CatalogueText()
+		var b sinceBody
+		if err := json.Unmarshal(*req.Params, &b); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		u, err := s.Handler.CatalogueSince(cwcatalogue.Revision(b.Since))
 		if err != nil {
 			return nil, err
 		}
-		return catalogueBody{Document: doc}, nil
+		return u.body(), nil
 	case methodCancel:
 		var b cancelBody
 		if err := json.Unmarshal(*req.Params, &b); err != nil {
@@ -265,11 +301,11 @@
 	return p.call(ctx, methodHeartbeat, h.body(), nil)
 }
 
-// Catalogue asks for the partner's catalogue.
-func (p *Partner) Catalogue(ctx context.Context) ([]byte, error) {
-	var b catalogueBody
-	err := p.call(ctx, methodCatalogue, catalogueBody{Instance: string(p.Self)}, &b)
-	return b.Document, err
+// CatalogueSince asks for what the partner's catalogue has beyond a revision.
+func (p *Partner) CatalogueSince(ctx context.Context, r cwcatalogue.Revision) (Update, error) {
+	var b updateBody
+	err := p.call(ctx, methodCatalogue, sinceBody{Instance: string(p.Self), Since: uint64(r)}, &b)
+	return b.update(), err
 }
 
 // Cancel passes a request to cancel on.
--- a/internal/wire/cwstore/store.go
+++ b/internal/wire/cwstore/store.go
@@ -9,7 +9,6 @@
 package cwstore
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -178,24 +177,17 @@
 	if known.Revision == 0 || rev-known.Revision > maxSteps {
 		return s.Load(ctx)
 	}
-	parts, err := cwcodec.Parts(known)
-	if err != nil {
-		return known, err
-	}
+	changed := make(map[string][]byte)
 	for r := known.Revision + 1; r <= rev; r++ {
 		c, err := s.change(ctx, r)
 		if err != nil {
 			return known, err
 		}
 		for name, value := range c.After {
-			parts[name] = value
+			changed[name] = value
 		}
 	}
-	c, err := cwcodec.Join(parts)
-	if err != nil {
-		return known, err
-	}
-	return c.WithRevision(rev), nil
+	return cwcodec.Overlay(known, changed, rev)
 }
 
 func auditKey(r cwcatalogue.Revision) string { return fmt.Sprintf("%s%012d", keyAudit, r) }
@@ -264,24 +256,16 @@
 	if err != nil {
 		return cwplatform.Change{}, err
 	}
-	after, err := cwcodec.Parts(next)
+	changed, err := cwcodec.Changed(current, next)
 	if err != nil {
 		return cwplatform.Change{}, err
 	}
-	for name := range before {
-		if _, ok := after[name]; !ok {
-			after[name] = []byte("{}")
-		}
-	}
 	ch := cwplatform.Change{Expect: []cwplatform.Expect{{Key: keyRevision, ETag: tag}}}
 	b := changeBody{
 		Revision: uint64(c.Revision), ID: c.ID, Who: c.Who, At: c.At, Note: c.Note, Summary: c.Summary,
 		Before: make(map[string]json.RawMessage), After: make(map[string]json.RawMessage),
 	}
-	for name, value := range after {
-		if bytes.Equal(value, before[name]) {
-			continue
-		}
+	for name, value := range changed {
 		b.After[name] = value
 		if old, ok := before[name]; ok {
 			b.Before[name] = old
--- /dev/null
+++ b/internal/wire/cwstore/store_test.go
@@ -0,0 +1,151 @@
+package cwstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/tool/cwbound"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+var background = context.Background()
+
+// fakeTable is a table in memory that counts, and that can lose answers.
+type fakeTable struct {
+	rows          map[string]cwplatform.Row
+	version       int
+	reads, writes int
+	// loseAfter loses the answer of a commit that took effect, loseBefore that
+	// of one that did not.
+	loseAfter, loseBefore bool
+}
+
+func newTable() *fakeTable { return &fakeTable{rows: make(map[string]cwplatform.Row)} }
+
+func (f *fakeTable) Get(_ context.Context, key string) (cwplatform.Row, error) {
+	f.reads++
+	r, ok := f.rows[key]
+	if !ok {
+		return r, &cwplatform.NotFoundError{Key: key}
+	}
+	return r, nil
+}
+
+func (f *fakeTable) List(_ context.Context, prefix string) ([]cwplatform.Row, error) {
+	f.reads++
+	var out []cwplatform.Row
+	for k, r := range f.rows {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, c cwplatform.Change) error {
+	if f.loseBefore {
+		f.loseBefore = false
+		return &cwplatform.UnknownError{Cause: errors.New("cut")}
+	}
+	f.writes++
+	for _, e := range c.Expect {
+		if f.rows[e.Key].ETag != e.ETag {
+			return &cwplatform.ConflictError{Key: e.Key}
+		}
+	}
+	for _, p := range c.Put {
+		f.version++
+		f.rows[p.Key] = cwplatform.Row{Key: p.Key, Value: p.Value, ETag: fmt.Sprint(f.version)}
+	}
+	if f.loseAfter {
+		f.loseAfter = false
+		return &cwplatform.UnknownError{Cause: errors.New("cut")}
+	}
+	return nil
+}
+
+func entry(service string) cwcatalogue.Entry {
+	return cwcatalogue.Entry{Service: service, Owner: "o", Groups: []cwcatalogue.Group{{Name: service + "-1"}}}
+}
+
+func change(who string) Change {
+	return Change{ID: who, Who: who, At: time.Unix(1000, 0), Summary: []string{"by " + who}}
+}
+
+func TestApplyAndRefresh(t *testing.T) {
+	table := newTable()
+	s := Store{Table: table}
+	rev, err := s.Apply(background, cwcatalogue.Catalogue{}.WithEntry(entry("a")), change("maria"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rev, qt.Equals, cwcatalogue.Revision(1))
+	known, err := s.Load(background)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = s.Apply(background, known.WithEntry(entry("b")), change("jorge"))
+	qt.Assert(t, err, qt.IsNil)
+
+	table.reads = 0
+	same, err := s.Refresh(background, known)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, same.Entries, qt.HasLen, 2)
+	cwbound.Check(t, "tableReadsPerChange", float64(table.reads))
+	table.reads = 0
+	_, err = s.Refresh(background, same)
+	qt.Assert(t, err, qt.IsNil)
+	cwbound.Check(t, "tableReadsPerIdlePoll", float64(table.reads))
+
+	t.Run("a removed entry goes", func(t *testing.T) {
+		gone := same
+		gone.Entries = gone.Entries[:1]
+		_, err := s.Apply(background, gone, change("ana"))
+		qt.Assert(t, err, qt.IsNil)
+		c, err := s.Refresh(background, same)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.Entries, qt.HasLen, 1)
+	})
+	t.Run("the trail has no gaps", func(t *testing.T) {
+		h, err := s.History(background)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, h, qt.HasLen, 3)
+		qt.Assert(t, string(h[2].Before["entry/b"]), qt.Contains, `"service":"b"`)
+	})
+}
+
+// Two operators race. The second change must not overwrite the first, and says
+// whose it was.
+func TestConflictNamesTheOther(t *testing.T) {
+	s := Store{Table: newTable()}
+	_, err := s.Apply(background, cwcatalogue.Catalogue{}.WithEntry(entry("a")), change("maria"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = s.Apply(background, cwcatalogue.Catalogue{}.WithEntry(entry("b")), change("jorge"))
+	var conflict *ConflictError
+	qt.Assert(t, err, qt.ErrorAs, &conflict)
+	qt.Assert(t, conflict.Error(), qt.Contains, "revision 1 by maria")
+}
+
+// The table's answer is lost. Sent again, the change would clash with itself or
+// be made twice; read back by its id, it is known, or said not to be.
+func TestLostAnswers(t *testing.T) {
+	table := newTable()
+	s := Store{Table: table}
+	table.loseAfter = true
+	rev, err := s.Apply(background, cwcatalogue.Catalogue{}.WithEntry(entry("a")), change("maria"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, rev, qt.Equals, cwcatalogue.Revision(1))
+	qt.Assert(t, table.writes, qt.Equals, 1)
+	known, err := s.Load(background)
+	qt.Assert(t, err, qt.IsNil)
+	table.loseBefore = true
+	_, err = s.Apply(background, known.WithEntry(entry("b")), change("ana"))
+	var undecided *UndecidedError
+	qt.Assert(t, err, qt.ErrorAs, &undecided)
+	qt.Assert(t, table.writes, qt.Equals, 1)
+}
