--- a/internal/proxy/cwnode/catalogue.go
+++ b/internal/proxy/cwnode/catalogue.go
@@ -92,7 +92,7 @@
 	if u.Revision <= known.Revision {
 		return true
 	}
-	next := known
+	var next cwcatalogue.Catalogue
 	switch {
 	case len(u.Document) > 0:
 		next, err = cwcodec.Decode(u.Document)
