front: the end of a database's session is no answer to a statement

Cause: the stand-in, when it was killed, canceled the statements in progress and sometimes still sent that as their error. Change: a stand-in that is killed says nothing; one that is put out of charge ends its sessions with FATAL 57P01, as PostgreSQL does; and the proxy takes any FATAL as the loss of the connection, so the caller hears what is true of the statement: not run, or unknown, or the recorded answer of its key.

The race could not be forced: the new test of a database put out of charge under a waiting write passes without the change, too.

--- a/internal/proxy/cwfront/relay.go
+++ b/internal/proxy/cwfront/relay.go
@@ -103,6 +103,11 @@
 		case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
 			return rep, flushed, &lostError{why: "the target began a COPY"}
 		case *pgproto3.ErrorResponse:
+			if cwtarget.EndsConnection(m) {
+				// The database ends its sessions, for instance since it was put
+				// out of charge. That is no answer to the caller's statement.
+				return rep, flushed, &lostError{why: "the database ended the connection"}
+			}
 			if rep.code == "" {
 				rep.code = m.Code
 			}
--- a/internal/proxy/cwfront/session_test.go
+++ b/internal/proxy/cwfront/session_test.go
@@ -537,3 +537,44 @@
 		assertRefused(c, err, "08007")
 	})
 }
+
+// A clerk sees "canceling statement due to user request" and nobody canceled
+// anything: his booking waited for a lock at a database that was just then put
+// out of charge, which ends its sessions. He must be told what is true of his
+// booking, and the next one must find the new primary.
+func TestDatabasePutOutOfChargeUnderAWaitingWrite(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	holder, waiting, sleeping := b.connect(c, 0), b.connect(c, 0), b.connect(c, 1)
+	exec(c, holder, "CREATE TABLE ronda (id bigint)")
+	exec(c, sleeping, "BEGIN")
+	slept := make(chan error)
+	go func() {
+		_, err := sleeping.Exec(background, "SELECT pg_sleep(8)")
+		slept <- err
+	}()
+	exec(c, holder, "BEGIN")
+	exec(c, holder, "INSERT INTO ronda VALUES (1)")
+	done := make(chan error)
+	go func() {
+		_, err := waiting.Exec(background, "INSERT INTO ronda VALUES (2)")
+		done <- err
+	}()
+	direct, err := pgx.Connect(background, cwdemo.URL(b.Databases[0].Addr()))
+	c.Assert(err, qt.IsNil)
+	defer direct.Close(background)
+	<-time.After(100 * time.Millisecond)
+	exec(c, direct, "SELECT * FROM group_adopt(2, 'somebody')", pgx.QueryExecModeSimpleProtocol)
+	// Either the lock came first, and the database refused the write, which then
+	// ran at the new primary; or the end of the session did.
+	want := int64(2)
+	if err := <-done; err != nil {
+		assertRefused(c, err, "08007")
+		want = 1
+	}
+	c.Assert(assertRefused(c, <-slept, "40001").Detail, qt.Contains, "notRun=true")
+	_, err = holder.Exec(background, "COMMIT")
+	c.Assert(err, qt.IsNotNil)
+	exec(c, b.connect(c, 1), "INSERT INTO ronda VALUES (3)")
+	c.Assert(queryInt(c, b.connect(c, 0), "SELECT count(*) FROM ronda"), qt.Equals, want)
+}
--- a/internal/standin/cwdatabase/server.go
+++ b/internal/standin/cwdatabase/server.go
@@ -128,14 +128,17 @@
 	}
 }
 
-// endWriters closes the connections that have a write transaction open.
+// endWriters ends the statements in progress, and closes the connections that
+// have a write transaction open.
 func (s *server) endWriters() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.sessions {
+		if c.cancelStatement() {
+			c.ended.Store(true)
+		}
 		if c.writing.Load() {
 			_ = c.conn.Close()
-			c.cancelStatement()
 		}
 	}
 }
@@ -217,7 +220,7 @@
 	c, ok := s.sessions[pid]
 	s.mu.Unlock()
 	if ok && binary.BigEndian.Uint32(c.secret) == binary.BigEndian.Uint32(secret) {
-		c.cancelStatement()
+		_ = c.cancelStatement()
 	}
 }
 
--- a/internal/standin/cwdatabase/session.go
+++ b/internal/standin/cwdatabase/session.go
@@ -29,7 +29,11 @@
 	pid     uint32
 	secret  []byte
 
-	active  atomic.Bool
+	active atomic.Bool
+	// ended is true once the member ended the session's statement.
+	ended atomic.Bool
+	// done is closed once the member is killed.
+	done    <-chan struct{}
 	writing atomic.Bool
 
 	// sendMu keeps notifications and answers apart.
@@ -103,6 +107,7 @@
 // run serves the connection until it ends. An open transaction ends with it.
 func (c *session) run(ctx context.Context) {
 	defer c.abandon()
+	c.done = ctx.Done()
 	if c.greet() != nil {
 		return
 	}
@@ -170,6 +175,9 @@
 var errGone = errors.New("the connection is closed")
 
 func (c *session) extended(err error) error {
+	if err != nil && c.over() {
+		return c.terminated()
+	}
 	if err == nil || errors.Is(err, errGone) {
 		return err
 	}
@@ -178,6 +186,30 @@
 	return nil
 }
 
+// over reports whether an error came from the end of the session, or of the
+// whole member, and not from the statement.
+func (c *session) over() bool { return c.ended.Load() || c.stopped() }
+
+// stopped reports whether the member was killed.
+func (c *session) stopped() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// terminated says that the member ended the session, as PostgreSQL does. A
+// member that was killed says nothing.
+func (c *session) terminated() error {
+	if c.stopped() {
+		return errGone
+	}
+	c.fatal("57P01", "terminating connection due to administrator command")
+	return errGone
+}
+
 // fail sends an error and marks the transaction.
 func (c *session) fail(err error) {
 	e := toSQL(err)
@@ -220,6 +252,9 @@
 	}
 	for _, s := range stmts {
 		res, err := c.exec(ctx, s, nil)
+		if err != nil && c.over() {
+			return c.terminated()
+		}
 		if errors.Is(err, errGone) {
 			return err
 		}
@@ -415,12 +450,15 @@
 	c.cancelMu.Unlock()
 }
 
-func (c *session) cancelStatement() {
+// cancelStatement ends the statement in progress, if there is one.
+func (c *session) cancelStatement() bool {
 	c.cancelMu.Lock()
 	defer c.cancelMu.Unlock()
-	if c.cancel != nil {
-		c.cancel()
+	if c.cancel == nil {
+		return false
 	}
+	c.cancel()
+	return true
 }
 
 // loopNotify tells the connection where the log ends, at each change and as a
--- a/internal/wire/cwtarget/conn.go
+++ b/internal/wire/cwtarget/conn.go
@@ -147,6 +147,9 @@
 				res.Mark = m.Value
 			}
 		case *pgproto3.ErrorResponse:
+			if EndsConnection(m) {
+				return res, &EndedError{Message: m.Message}
+			}
 			failed = &ServerError{Code: m.Code, Message: m.Message}
 		case *pgproto3.ReadyForQuery:
 			res.Status = m.TxStatus
@@ -158,6 +161,17 @@
 	}
 }
 
+// EndedError says that the target ended the connection.
+type EndedError struct{ Message string }
+
+func (e *EndedError) Error() string { return "the target ended the connection: " + e.Message }
+
+// EndsConnection reports whether an error is the target's last word on the
+// connection, as at its shutdown.
+func EndsConnection(m *pgproto3.ErrorResponse) bool {
+	return m.SeverityUnlocalized == "FATAL" || m.SeverityUnlocalized == "PANIC"
+}
+
 // ServerCode returns the SQLSTATE that a target answered with, or the empty
 // text if err is something else.
 func ServerCode(err error) string {
