watch: a rank is worked out once for each list of instances

Cause: each group's tick, 40 a second, hashed the whole list of instances to find this proxy's rank; read off the code for 1,700 instances and two groups, 136,000 hashes a second. Not measured at that size. Change: the rank is kept with the list it is of.

load: a table with records of an earlier run is refused. Cause: three runs into one table reported every record as doubled, which was true and meant nothing.

--- a/internal/proxy/cwnode/node.go
+++ b/internal/proxy/cwnode/node.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,8 @@
 	groups    map[string]*runningGroup
 	pools     map[cwgroup.MemberID]*poolState
 	instances []cwplatform.Instance
+	// live are the ids of the live instances, this one included.
+	live []string
 	// listed is true once the platform's list was read.
 	listed   bool
 	partners map[string]*cwpeer.Partner
@@ -112,6 +115,7 @@
 func New(cfg Config) (*Node, error) {
 	n := &Node{
 		cfg:      cfg,
+		live:     []string{cfg.Instance},
 		store:    cwstore.Store{Table: cfg.Table},
 		set:      metrics.NewSet(),
 		entries:  make(map[string]cwcatalogue.Entry),
@@ -278,22 +282,26 @@
 func (n *Node) Live() []string {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	return n.liveLocked()
+	return n.live
 }
 
-func (n *Node) liveLocked() []string {
-	var out []string
-	self := false
-	for _, i := range n.instances {
+// setInstances takes the platform's list. The list of live ids is made anew
+// only if it differs, so that whoever holds it can tell by its address. The
+// caller holds mu.
+func (n *Node) setInstances(list []cwplatform.Instance) {
+	n.instances, n.listed = list, true
+	live := []string{}
+	for _, i := range list {
 		if i.State == cwplatform.Live {
-			out = append(out, i.ID)
-			self = self || i.ID == n.cfg.Instance
+			live = append(live, i.ID)
 		}
 	}
-	if !self {
-		out = append(out, n.cfg.Instance)
+	if !slices.Contains(live, n.cfg.Instance) {
+		live = append(live, n.cfg.Instance)
+	}
+	if !slices.Equal(live, n.live) {
+		n.live = live
 	}
-	return out
 }
 
 // holdersLocked returns the instances that may hold connections: also those that
--- a/internal/proxy/cwnode/peers.go
+++ b/internal/proxy/cwnode/peers.go
@@ -28,7 +28,7 @@
 	for ctx.Err() == nil {
 		if list, err := n.cfg.Instances.Instances(ctx); err == nil {
 			n.mu.Lock()
-			n.instances, n.listed = list, true
+			n.setInstances(list)
 			n.mu.Unlock()
 		}
 		n.choosePartners()
--- a/internal/proxy/cwwatch/group.go
+++ b/internal/proxy/cwwatch/group.go
@@ -32,7 +32,8 @@
 // Watchers is what a group knows about the other proxies.
 type Watchers interface {
 	// Live returns the ids of the instances that the platform lists as live,
-	// this one included.
+	// this one included. The slice does not change, and is the same one while
+	// the list stays the same.
 	Live() []string
 	// Publish tells the other watchers how this proxy votes.
 	Publish(group string, v cwfailover.Vote)
@@ -74,6 +75,8 @@
 type Group struct {
 	cfg   Config
 	feeds map[cwgroup.MemberID]*cwtarget.Feed
+	// ranked is used by loop only.
+	ranked ranked
 
 	mu       sync.Mutex
 	contract cwcatalogue.Contract
@@ -172,10 +175,22 @@
 // conditions asks who else watches the group. It takes no lock of the group's.
 func (g *Group) conditions() cwfailover.Conditions {
 	live := g.cfg.Watchers.Live()
-	return cwfailover.Conditions{
-		Listed: len(live),
-		Rank:   cwplace.Rank(string(g.cfg.Self), g.cfg.Group.Name, live),
+	if !g.ranked.of(live) {
+		g.ranked = ranked{live: live, rank: cwplace.Rank(string(g.cfg.Self), g.cfg.Group.Name, live)}
 	}
+	return cwfailover.Conditions{Listed: len(live), Rank: g.ranked.rank}
+}
+
+// ranked remembers a rank with the list that it was worked out from; hashing
+// 1,700 instances at each tick would cost more than all other control.
+type ranked struct {
+	live []string
+	rank int
+}
+
+// of reports whether the rank is that of the list.
+func (r ranked) of(live []string) bool {
+	return len(r.live) > 0 && len(r.live) == len(live) && &r.live[0] == &live[0]
 }
 
 // Reported implements cwtarget.FeedEvents.
--- a/internal/tool/cwload/load.go
+++ b/internal/tool/cwload/load.go
@@ -147,7 +147,17 @@
 		return Error.Wrap(err)
 	}
 	_, err = conn.Exec(ctx, fmt.Sprintf("CREATE INDEX IF NOT EXISTS %s_session ON %s (session, seq)", l.plan.Table, l.plan.Table))
-	return Error.Wrap(err)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	var n int64
+	if err := conn.QueryRow(ctx, "SELECT count(*) FROM "+l.plan.Table).Scan(&n); err != nil {
+		return Error.Wrap(err)
+	}
+	if n > 0 {
+		return Error.New("table %s has %d records of an earlier run, which would count as doubled; name another one", l.plan.Table, n)
+	}
+	return nil
 }
 
 // drive runs the sessions until the duration is over.
