--- a/internal/standin/cwtable/table.go
+++ b/internal/standin/cwtable/table.go
@@ -198,16 +198,21 @@
 	return "", false
 }
 
-func (p *Platform) getInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) getInstances(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.reads++
-	out := []cwplatform.InstanceBody{}
-	for _, l := range p.instances {
+	out, tag := []cwplatform.InstanceBody{}, etag(0)
+	for i, l := range p.instances {
 		if time.Since(l.at) >= p.ListLag {
-			out = l.list
+			out, tag = l.list, etag(uint64(i+1))
 		}
 	}
 	p.mu.Unlock()
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	_ = json.NewEncoder(w).Encode(out)
 }
 
--- a/internal/wire/cwplatform/client.go
+++ b/internal/wire/cwplatform/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 )
 
@@ -61,6 +62,11 @@
 	Timeout time.Duration
 	// HTTP is used for requests; nil means http.DefaultClient.
 	HTTP *http.Client
+
+	mu sync.Mutex
+	// listTag and list are the last list of instances.
+	listTag string
+	list    []Instance
 }
 
 var (
@@ -70,7 +76,7 @@
 
 // Get implements Table.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
-	body, resp, err := c.do(ctx, http.MethodGet, PathRows+url.PathEscape(key), nil)
+	body, resp, err := c.do(ctx, http.MethodGet, PathRows+url.PathEscape(key), nil, "")
 	if err != nil {
 		return Row{}, &UnavailableError{Cause: err}
 	}
@@ -96,12 +102,37 @@
 	return out, nil
 }
 
-// Instances implements Instances.
+// Instances implements Instances. The request is conditional: a list that did
+// not change is not sent again.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	var list []InstanceBody
-	if err := c.read(ctx, PathInstances, &list); err != nil {
+	c.mu.Lock()
+	tag, known := c.listTag, c.list
+	c.mu.Unlock()
+	body, resp, err := c.do(ctx, http.MethodGet, PathInstances, nil, tag)
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	if resp.StatusCode == http.StatusNotModified && tag != "" {
+		return known, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
+	}
+	out, err := decodeInstances(body)
+	if err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	c.listTag, c.list = resp.Header.Get("ETag"), out
+	c.mu.Unlock()
+	return out, nil
+}
+
+func decodeInstances(body []byte) ([]Instance, error) {
+	var list []InstanceBody
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
 	out := make([]Instance, 0, len(list))
 	for _, i := range list {
 		out = append(out, Instance{ID: i.ID, DataCentre: i.DataCentre, Peer: i.Peer, State: InstanceState(i.State)})
@@ -110,7 +141,7 @@
 }
 
 func (c *Client) read(ctx context.Context, path string, into any) error {
-	body, resp, err := c.do(ctx, http.MethodGet, path, nil)
+	body, resp, err := c.do(ctx, http.MethodGet, path, nil, "")
 	if err != nil {
 		return &UnavailableError{Cause: err}
 	}
@@ -136,7 +167,7 @@
 	if err != nil {
 		return &UnavailableError{Cause: err}
 	}
-	body, resp, err := c.do(ctx, http.MethodPost, PathCommit, payload)
+	body, resp, err := c.do(ctx, http.MethodPost, PathCommit, payload, "")
 	if err != nil {
 		return changeError(err)
 	}
@@ -160,7 +191,7 @@
 	return &UnknownError{Cause: err}
 }
 
-func (c *Client) do(ctx context.Context, method, path string, payload []byte) ([]byte, *http.Response, error) {
+func (c *Client) do(ctx context.Context, method, path string, payload []byte, ifNoneMatch string) ([]byte, *http.Response, error) {
 	timeout := c.Timeout
 	if timeout == 0 {
 		timeout = DefaultTimeout
@@ -171,6 +202,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if ifNoneMatch != "" {
+		req.Header.Set("If-None-Match", ifNoneMatch)
+	}
 	client := c.HTTP
 	if client == nil {
 		client = http.DefaultClient
