all: large files split, logic that stood three times joined, typed errors

Sentinel errors became types, two functions that nothing used are gone, and merging catalogues is the method that the proxy itself calls.

--- a/internal/core/cwcatalogue/catalogue.go
+++ b/internal/core/cwcatalogue/catalogue.go
@@ -218,13 +218,8 @@
 	return c
 }
 
-// Newer returns the catalogue with the higher revision. It is all that merging
-// takes: every accepted change has a revision of its own from the table, and a
-// proxy only ever moves to a higher one, so an old row or an old peer can never
-// make a change revert.
-func Newer(a, b Catalogue) Catalogue {
-	if b.Revision > a.Revision {
-		return b
-	}
-	return a
-}
+// NewerThan reports whether c replaces o. It is all that merging takes: every
+// accepted change has a revision of its own from the table, and a proxy only
+// ever moves to a higher one, so an old row or an old peer can never make a
+// change revert.
+func (c Catalogue) NewerThan(o Catalogue) bool { return c.Revision > o.Revision }
--- a/internal/core/cwcatalogue/check.go
+++ b/internal/core/cwcatalogue/check.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -38,17 +37,6 @@
 	return fmt.Sprintf("%s: %q is not allowed; %s", f.Path, f.Value, f.Allowed)
 }
 
-// CheckError reports every fault of a catalogue.
-type CheckError struct{ Faults []Fault }
-
-func (e *CheckError) Error() string {
-	lines := make([]string, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		lines = append(lines, f.String())
-	}
-	return strings.Join(lines, "\n")
-}
-
 type checker struct {
 	cat     Catalogue
 	faults  []Fault
--- /dev/null
+++ b/internal/proxy/cwfront/caller_test.go
@@ -0,0 +1,83 @@
+package cwfront_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
+)
+
+// Somebody sends garbage, or far too much, or leaves in the middle. The others
+// must not notice.
+func TestBadCallers(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	conn := b.connect(c, 0)
+	exec(c, conn, "CREATE TABLE ronda (id bigint PRIMARY KEY)")
+	raw := func(c *qt.C) net.Conn {
+		nc, err := net.Dial("tcp", b.Proxies[0].Addr())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = nc.Close() })
+		return nc
+	}
+	started := func(c *qt.C) (net.Conn, *pgproto3.Frontend) {
+		nc := raw(c)
+		f := pgproto3.NewFrontend(nc, nc)
+		f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": cwdemo.Service}})
+		c.Assert(f.Flush(), qt.IsNil)
+		for {
+			m, err := f.Receive()
+			c.Assert(err, qt.IsNil)
+			if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+				return nc, f
+			}
+		}
+	}
+	c.Run("garbage before the start-up", func(c *qt.C) {
+		nc := raw(c)
+		_, _ = nc.Write([]byte("GET / HTTP/1.1\r\n\r\n\r\n"))
+		assertEnds(c, nc)
+	})
+	c.Run("an oversized message", func(c *qt.C) {
+		nc, _ := started(c)
+		_, _ = nc.Write([]byte{'Q', 0x7f, 0xff, 0xff, 0xff})
+		assertEnds(c, nc)
+	})
+	c.Run("an unknown message", func(c *qt.C) {
+		nc, _ := started(c)
+		_, _ = nc.Write([]byte{'!', 0, 0, 0, 4})
+		assertEnds(c, nc)
+	})
+	c.Run("gone in the middle of a transaction", func(c *qt.C) {
+		nc, f := started(c)
+		f.Send(&pgproto3.Query{String: "BEGIN; INSERT INTO ronda VALUES (1)"})
+		c.Assert(f.Flush(), qt.IsNil)
+		_, err := f.Receive()
+		c.Assert(err, qt.IsNil)
+		_ = nc.Close()
+		exec(c, conn, "INSERT INTO ronda VALUES (2)")
+		c.Assert(queryInt(c, conn, "SELECT count(*) FROM ronda WHERE id = 1"), qt.Equals, int64(0))
+	})
+	c.Run("gone before the answer", func(c *qt.C) {
+		nc, f := started(c)
+		f.Send(&pgproto3.Query{String: "SELECT pg_sleep(0.05)"})
+		c.Assert(f.Flush(), qt.IsNil)
+		_ = nc.Close()
+		c.Assert(queryInt(c, conn, "SELECT 1"), qt.Equals, int64(1))
+	})
+}
+
+// assertEnds checks that the proxy closes the connection.
+func assertEnds(c *qt.C, nc net.Conn) {
+	c.Helper()
+	_ = nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := io.Copy(io.Discard, nc)
+	var ne net.Error
+	c.Assert(errors.As(err, &ne) && ne.Timeout(), qt.IsFalse)
+}
--- a/internal/proxy/cwfront/keyed.go
+++ b/internal/proxy/cwfront/keyed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/base64"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -240,7 +239,13 @@
 	return nil
 }
 
-var errTermChanged = errors.New("the primary changed")
+// termChangedError means that what was read came from a primary that no longer
+// leads.
+type termChangedError struct{}
+
+func (termChangedError) Error() string { return "the primary changed" }
+
+var errTermChanged = termChangedError{}
 
 // resolveLost answers for a transaction whose COMMIT may have been carried out.
 func (s *session) resolveLost(key, digest string) {
--- /dev/null
+++ b/internal/proxy/cwfront/promise_test.go
@@ -0,0 +1,267 @@
+package cwfront_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwsession"
+	"cicadawalk.example/cicadawalk/internal/standin/cwdatabase"
+	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
+)
+
+// An owner opens a gate record, the phone reconnects through another proxy, and
+// the record is not there: the replica near that proxy lags. With the token, or
+// without, the second proxy must not answer from data that is too old.
+func TestReadsOwnWritesAfterRoaming(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	conn := b.connect(c, 0)
+	exec(c, conn, "CREATE TABLE ronda (id bigint PRIMARY KEY)")
+	for _, d := range b.Databases[1:] {
+		d.SetFaults(cwdatabase.Faults{ApplyLag: 400 * time.Millisecond})
+	}
+	for i := range 5 {
+		exec(c, conn, "INSERT INTO ronda VALUES ($1)", i)
+		with := b.connect(c, 1, "cicadawalk.sessionToken", token(conn))
+		c.Assert(queryInt(c, with, "SELECT count(*) FROM ronda"), qt.Equals, int64(i+1))
+		without := b.connect(c, 1)
+		c.Assert(queryInt(c, without, "SELECT count(*) FROM ronda"), qt.Equals, int64(i+1))
+	}
+	c.Run("a token that is not ours", func(c *qt.C) {
+		for _, bad := range []string{"x", "cw1.", "cw1.AAAA", strings.Repeat("a", 5000), token(conn) + "x"} {
+			_, err := b.tryConnect(1, "cicadawalk.sessionToken", bad)
+			assertRefused(c, err, "22023")
+		}
+	})
+}
+
+// A caller with a forged token that names a position far in the future must
+// get an answer, not wait for a record that never comes.
+func TestTokenFromTheFuture(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	conn := b.connect(c, 0)
+	exec(c, conn, "CREATE TABLE ronda (id bigint PRIMARY KEY)")
+	forged := forge(c, "rondas-1", cwgroup.Mark{Term: 9, Position: 1 << 40})
+	late := b.connect(c, 1, "cicadawalk.sessionToken", forged)
+	began := time.Now()
+	_, err := late.Exec(background, "SELECT count(*) FROM ronda")
+	assertRefused(c, err, "22023")
+	c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+}
+
+// A canceled statement ends, and only that one: the next caller who is lent the
+// same connection must not be hit by a cancel that arrives late.
+func TestCancel(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	conn, other := b.connect(c, 0), b.connect(c, 0)
+	ctx, cancel := context.WithCancel(background)
+	go func() {
+		<-time.After(100 * time.Millisecond)
+		_ = conn.PgConn().CancelRequest(background)
+	}()
+	_, err := conn.Exec(ctx, "SELECT pg_sleep(20)")
+	cancel()
+	assertRefused(c, err, "57014")
+	c.Assert(queryInt(c, conn, "SELECT 1"), qt.Equals, int64(1))
+	for range 20 {
+		_ = conn.PgConn().CancelRequest(background)
+		c.Assert(queryInt(c, other, "SELECT 1"), qt.Equals, int64(1))
+	}
+	c.Run("through another proxy", func(c *qt.C) {
+		go func() {
+			<-time.After(100 * time.Millisecond)
+			c.Check(cancelAt(b.Proxies[1].Addr(), conn.PgConn()), qt.IsNil)
+		}()
+		_, err := conn.Exec(background, "SELECT pg_sleep(20)")
+		assertRefused(c, err, "57014")
+	})
+}
+
+func cancelAt(addr string, pc *pgconn.PgConn) error {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	buf, err := (&pgproto3.CancelRequest{ProcessID: pc.PID(), SecretKey: pc.SecretKey()}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	_, err = nc.Write(buf)
+	return err
+}
+
+// Two callers use one connection in turns, with answers that differ, and each
+// must get its own: a mixed-up answer would show another client's bookings.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	c := qt.New(t)
+	contract := cwdemo.DefaultContract()
+	contract.Connections = 6
+	b := newBench(c, cwdemo.Options{Contract: contract})
+	conns := make([]*pgx.Conn, 8)
+	for i := range conns {
+		conns[i] = b.connect(c, i%2)
+	}
+	errs := make(chan error, len(conns))
+	for i, conn := range conns {
+		go func() {
+			for n := range 50 {
+				want := fmt.Sprintf("%d-%d", i, n)
+				var got string
+				err := conn.QueryRow(background, "SELECT CAST($1 AS text)", want).Scan(&got)
+				if err == nil && got != want {
+					err = fmt.Errorf("got %q, want %q", got, want)
+				}
+				if err != nil {
+					errs <- err
+					return
+				}
+			}
+			errs <- nil
+		}()
+	}
+	for range conns {
+		c.Assert(<-errs, qt.IsNil)
+	}
+}
+
+// A booking of one depot is looked for among another's: the service keeps its
+// records in three groups, and every proxy must find the same one for a shard.
+func TestShards(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{Groups: 3})
+	conn := b.connect(c, 0)
+	_, err := conn.Exec(background, "SELECT 1")
+	assertRefused(c, err, "22023")
+	used := make(map[string]bool)
+	for i := range 9 {
+		shard := fmt.Sprintf("estancia-%d", i)
+		one, two := b.connect(c, 0, "cicadawalk.shard", shard), b.connect(c, 1)
+		exec(c, one, "CREATE TABLE IF NOT EXISTS ronda (shard text)")
+		exec(c, one, "INSERT INTO ronda VALUES ($1)", shard)
+		exec(c, two, "SET cicadawalk.shard = '"+shard+"'")
+		exec(c, two, "SET cicadawalk.sessionToken = '"+token(one)+"'")
+		c.Assert(queryInt(c, two, "SELECT count(*) FROM ronda WHERE shard = $1", shard), qt.Equals, int64(1))
+		tok, err := cwsession.ParseToken(token(one))
+		c.Assert(err, qt.IsNil)
+		for _, g := range []string{"rondas-1", "rondas-2", "rondas-3"} {
+			if _, ok := tok.Mark(g); ok {
+				used[g] = true
+			}
+		}
+	}
+	c.Assert(len(used) > 1, qt.IsTrue)
+}
+
+// An answer that comes after its caller was told that time ran out must not be
+// given to the next caller on the same connection.
+func TestLateAnswerIsNobodysElse(t *testing.T) {
+	c := qt.New(t)
+	contract := cwdemo.DefaultContract()
+	contract.Connections, contract.StatementTimeout = 6, 300*time.Millisecond
+	b := newBench(c, cwdemo.Options{Contract: contract})
+	conn, other := b.connect(c, 0), b.connect(c, 0)
+	for range 3 {
+		_, err := conn.Exec(background, "SELECT pg_sleep(0.8)")
+		pe := assertRefused(c, err, "40001")
+		c.Assert(pe.Detail, qt.Contains, "notRun=true")
+		for range 5 {
+			c.Assert(queryInt(c, other, "SELECT 7"), qt.Equals, int64(7))
+		}
+	}
+}
+
+// Something between proxy and database loses track of the open connections. A
+// statement there must end soon, say truly what became of it, and leave the
+// others alone; a long statement looks the same and must not be cut.
+func TestSilentConnections(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	exec(c, b.connect(c, 0), "CREATE TABLE ronda (id bigint)")
+	silence := func() {
+		for _, l := range b.links {
+			l.Silence()
+		}
+	}
+	c.Run("a long statement goes on", func(c *qt.C) {
+		exec(c, b.connect(c, 0), "SELECT pg_sleep(2.2)")
+	})
+	c.Run("in a transaction", func(c *qt.C) {
+		conn := b.connect(c, 0)
+		exec(c, conn, "BEGIN")
+		exec(c, conn, "INSERT INTO ronda VALUES (1)")
+		silence()
+		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (2)")
+		pe := assertRefused(c, err, "40001")
+		c.Assert(pe.Detail, qt.Contains, "notRun=true")
+		exec(c, conn, "ROLLBACK")
+	})
+	c.Run("idle in the pool, then a read and a write", func(c *qt.C) {
+		conn := b.connect(c, 0)
+		queryInt(c, conn, "SELECT count(*) FROM ronda")
+		silence()
+		<-time.After(600 * time.Millisecond)
+		c.Assert(queryInt(c, conn, "SELECT count(*) FROM ronda WHERE id = 1"), qt.Equals, int64(0))
+		exec(c, conn, "INSERT INTO ronda VALUES (3)")
+	})
+	c.Run("under a write", func(c *qt.C) {
+		conn := b.connect(c, 0)
+		exec(c, conn, "INSERT INTO ronda VALUES (4)")
+		silence()
+		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (5)")
+		assertRefused(c, err, "08007")
+	})
+}
+
+// A clerk sees "canceling statement due to user request" and nobody canceled
+// anything: his booking waited for a lock at a database that was just then put
+// out of charge, which ends its sessions. He must be told what is true of his
+// booking, and the next one must find the new primary.
+func TestDatabasePutOutOfChargeUnderAWaitingWrite(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	holder, waiting, sleeping := b.connect(c, 0), b.connect(c, 0), b.connect(c, 1)
+	exec(c, holder, "CREATE TABLE ronda (id bigint)")
+	exec(c, sleeping, "BEGIN")
+	slept := make(chan error)
+	go func() {
+		_, err := sleeping.Exec(background, "SELECT pg_sleep(8)")
+		slept <- err
+	}()
+	exec(c, holder, "BEGIN")
+	exec(c, holder, "INSERT INTO ronda VALUES (1)")
+	done := make(chan error)
+	go func() {
+		_, err := waiting.Exec(background, "INSERT INTO ronda VALUES (2)")
+		done <- err
+	}()
+	direct, err := pgx.Connect(background, cwdemo.URL(b.Databases[0].Addr()))
+	c.Assert(err, qt.IsNil)
+	defer direct.Close(background)
+	<-time.After(100 * time.Millisecond)
+	exec(c, direct, "SELECT * FROM group_adopt(2, 'somebody')", pgx.QueryExecModeSimpleProtocol)
+	// Either the lock came first, and the database refused the write, which then
+	// ran at the new primary; or the end of the session did.
+	want := int64(2)
+	if err := <-done; err != nil {
+		assertRefused(c, err, "08007")
+		want = 1
+	}
+	c.Assert(assertRefused(c, <-slept, "40001").Detail, qt.Contains, "notRun=true")
+	_, err = holder.Exec(background, "COMMIT")
+	c.Assert(err, qt.IsNotNil)
+	exec(c, b.connect(c, 1), "INSERT INTO ronda VALUES (3)")
+	c.Assert(queryInt(c, b.connect(c, 0), "SELECT count(*) FROM ronda"), qt.Equals, want)
+}
--- a/internal/proxy/cwfront/relay.go
+++ b/internal/proxy/cwfront/relay.go
@@ -134,8 +134,12 @@
 	}
 }
 
-// errCallerGone means that the answer cannot be delivered.
-var errCallerGone = errors.New("the caller is gone")
+// callerGoneError means that the answer cannot be delivered.
+type callerGoneError struct{}
+
+func (callerGoneError) Error() string { return "the caller is gone" }
+
+var errCallerGone = callerGoneError{}
 
 // watchdog reads from a target and gives up where no answer will come.
 type watchdog struct {
--- a/internal/proxy/cwfront/server.go
+++ b/internal/proxy/cwfront/server.go
@@ -13,7 +13,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -28,6 +27,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpool"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwwatch"
+	"cicadawalk.example/cicadawalk/internal/wire/cwlisten"
 	"cicadawalk.example/cicadawalk/internal/wire/cwsql"
 )
 
@@ -94,10 +94,10 @@
 	parsed   cwsql.Cache
 	draining atomic.Bool
 	retries  budget
+	listener *cwlisten.Listener
 
 	mu       sync.Mutex
 	sessions map[cancelKey]*session
-	wg       sync.WaitGroup
 }
 
 // Bounds of retries: one for ten statements, and a few saved up for the moment
@@ -136,24 +136,12 @@
 // Run accepts callers until ctx ends, and then returns without waiting for the
 // sessions; see Drain.
 func (v *Server) Run(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			v.Log.Warn("acceptFailed", "error", err)
-			v.Clock.Sleep(10 * time.Millisecond)
-			continue
-		}
-		v.wg.Add(1)
-		go func() {
-			defer v.wg.Done()
-			v.serve(conn)
-		}()
+	v.listener = &cwlisten.Listener{
+		Listener: ln,
+		Handle:   func(_ context.Context, conn net.Conn) { v.serve(conn) },
+		Failed:   func(err error) { v.Log.Warn("acceptFailed", "error", err) },
 	}
+	return v.listener.Run(ctx)
 }
 
 func (v *Server) serve(conn net.Conn) {
@@ -225,7 +213,7 @@
 	v.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
-		v.wg.Wait()
+		v.listener.Wait()
 		close(done)
 	}()
 	select {
--- a/internal/proxy/cwnode/catalogue.go
+++ b/internal/proxy/cwnode/catalogue.go
@@ -164,7 +164,7 @@
 // change that was accepted never reverts, whoever serves an old row.
 func (n *Node) adopt(c cwcatalogue.Catalogue) {
 	n.mu.Lock()
-	if c.Revision <= n.catalogue.Revision {
+	if !c.NewerThan(n.catalogue) {
 		n.mu.Unlock()
 		return
 	}
--- a/internal/standin/cwdatabase/replicate.go
+++ b/internal/standin/cwdatabase/replicate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -276,3 +277,24 @@
 	}
 	m.notify()
 }
+
+// runReplication serves a replica.
+func (c *session) runReplication(ctx context.Context) {
+	msg, err := c.backend.Receive()
+	if err != nil {
+		return
+	}
+	q, ok := msg.(*pgproto3.Query)
+	if !ok {
+		return
+	}
+	body, ok := strings.CutPrefix(q.String, startReplication)
+	var req streamRequest
+	if !ok || json.Unmarshal([]byte(body), &req) != nil {
+		c.fatal("08P01", "replication request expected")
+		return
+	}
+	if err := c.serveReplica(ctx, req); err != nil {
+		c.fatal("55000", err.Error())
+	}
+}
--- a/internal/wire/cwpeer/peer.go
+++ b/internal/wire/cwpeer/peer.go
@@ -20,6 +20,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/wire/cwlisten"
 )
 
 // Methods.
@@ -145,24 +146,9 @@
 
 // Run accepts partners until ctx ends.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			continue
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			s.serve(ctx, conn)
-		}()
-	}
+	l := cwlisten.Listener{Listener: ln, Handle: s.serve}
+	defer l.Wait()
+	return l.Run(ctx)
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
--- a/internal/wire/cwtarget/feed.go
+++ b/internal/wire/cwtarget/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -82,7 +81,12 @@
 
 const statusQuery = "SELECT * FROM group_status()"
 
-var errNotConnected = errors.New("not connected")
+// notConnectedError is the cause of a question that found no connection.
+type notConnectedError struct{}
+
+func (notConnectedError) Error() string { return "not connected" }
+
+var errNotConnected = notConnectedError{}
 
 // Run keeps the feed connected until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
