peer: tests of messages, strangers and silent connections

A partner that is not in the platform's list is refused; a connection that goes silent is given up after one call and made anew: without that the test fails.

--- /dev/null
+++ b/internal/wire/cwpeer/peer_test.go
@@ -0,0 +1,119 @@
+package cwpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
+	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
+)
+
+// recorder keeps what a server was told.
+type recorder struct {
+	mu    sync.Mutex
+	beats []Heartbeat
+	pid   uint32
+}
+
+func (r *recorder) Heartbeat(h Heartbeat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.beats = append(r.beats, h)
+}
+
+func (r *recorder) CatalogueSince(since cwcatalogue.Revision) (Update, error) {
+	return Update{Base: since, Revision: since + 1, Changed: map[string][]byte{"stops": []byte("{}")}}, nil
+}
+
+func (r *recorder) Cancel(pid uint32, _ []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pid = pid
+}
+
+func (r *recorder) Admits(id cwfailover.InstanceID) bool { return id == "entry-1" }
+
+// told returns the heartbeats and the process id of the last cancel.
+func (r *recorder) told() ([]Heartbeat, uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.beats, r.pid
+}
+
+func serve(c *qt.C) (*recorder, string) {
+	rec := &recorder{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	s := Server{Handler: rec}
+	go func() { done <- s.Run(ctx, ln) }()
+	c.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return rec, ln.Addr().String()
+}
+
+func beat(vote bool) Heartbeat {
+	return Heartbeat{Instance: "entry-1", Revision: 7, Votes: map[string]cwfailover.Vote{
+		"g": {Voter: "entry-1", Term: 3, Suspect: vote},
+	}}
+}
+
+func TestMessages(t *testing.T) {
+	c := qt.New(t)
+	rec, addr := serve(c)
+	ctx := context.Background()
+	p := &Partner{Self: "entry-1", Address: addr}
+	defer p.Close()
+	c.Assert(p.Heartbeat(ctx, beat(true)), qt.IsNil)
+	beats, _ := rec.told()
+	c.Assert(beats, qt.DeepEquals, []Heartbeat{beat(true)})
+	u, err := p.CatalogueSince(ctx, 4)
+	c.Assert(err, qt.IsNil)
+	c.Assert(u.Base, qt.Equals, cwcatalogue.Revision(4))
+	c.Assert(string(u.Changed["stops"]), qt.Equals, "{}")
+	c.Assert(p.Cancel(ctx, 9, []byte{1, 2, 3, 4}), qt.IsNil)
+	_, pid := rec.told()
+	c.Assert(pid, qt.Equals, uint32(9))
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	c := qt.New(t)
+	rec, addr := serve(c)
+	p := &Partner{Self: "stranger", Address: addr}
+	defer p.Close()
+	h := beat(false)
+	h.Instance = "stranger"
+	c.Assert(p.Heartbeat(context.Background(), h), qt.IsNotNil)
+	_, err := p.CatalogueSince(context.Background(), 0)
+	c.Assert(err, qt.IsNotNil)
+	beats, _ := rec.told()
+	c.Assert(beats, qt.HasLen, 0)
+}
+
+// Votes stop arriving and a failover waits for the list: the open connection
+// between two proxies went silent for good, while new ones would work. A call
+// that gets no answer gives the connection up, and the next one makes a new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	rec, addr := serve(c)
+	l, err := cwlink.Start("127.0.0.1:0", addr)
+	c.Assert(err, qt.IsNil)
+	defer l.Stop()
+	p := &Partner{Self: "entry-1", Address: l.Addr()}
+	defer p.Close()
+	ctx := context.Background()
+	c.Assert(p.Heartbeat(ctx, beat(false)), qt.IsNil)
+	l.Silence()
+	c.Assert(p.Heartbeat(ctx, beat(false)), qt.IsNotNil)
+	c.Assert(p.Heartbeat(ctx, beat(true)), qt.IsNil)
+	beats, _ := rec.told()
+	c.Assert(beats[len(beats)-1].Votes["g"].Suspect, qt.IsTrue)
+}
