failover, route: three faults that reading and drawing found

A session that had written at a new primary and roamed to a proxy on the wrong side of a partition, together with the replaced primary, read stale data, with its token and without. Cause: reads that no replica can serve went to the primary without comparing terms, and the primary's word on its position was taken although it may have been replaced. Change: a primary of an earlier term than the floor's is refused; a position counts only once a majority of the members has confirmed the primary's term after the question was sent. The price: without a majority, reads without a token and without an age are refused as not run.

A database that had adopted a term for one claim never followed the primary of the other claim in that term ('m0 does not follow m1'). Cause: only members beyond the primary's term counted as stranded. Change: those of another claim in the same term count, too.

Reading the code: an answer of a write over 8 MB could be followed by its error after its success; a query that ends transactions in its middle could be run again after the first part had committed; a keyed request with an answer over 8 MB would have panicked. Changed; the last two have no test of their own.

--- a/internal/core/cwfailover/repair.go
+++ b/internal/core/cwfailover/repair.go
@@ -33,15 +33,19 @@
 	return orders
 }
 
-// Stranded reports whether a member adopted a later term than the primary's,
-// for a change that came to nothing. It can follow only in a yet later term.
+// Stranded reports whether a member cannot follow the primary in its term: it
+// adopted a later one, for a change that came to nothing, or the same one for
+// the claim of another keeper. It can follow only in a later term yet.
 func Stranded(v cwgroup.View, now time.Time) bool {
 	p, ok := v.Primary()
 	if !ok {
 		return false
 	}
 	for _, r := range v.Reports() {
-		if r.Reachable && now.Sub(r.At) <= FreshMember && r.Adopted > p.Adopted {
+		if r.Member == p.Member || !r.Reachable || now.Sub(r.At) > FreshMember {
+			continue
+		}
+		if r.Adopted > p.Adopted || r.Adopted == p.Adopted && r.Claim != p.Claim {
 			return true
 		}
 	}
--- a/internal/core/cwgroup/group.go
+++ b/internal/core/cwgroup/group.go
@@ -268,3 +268,25 @@
 	}
 	return n >= Majority(len(v.members))
 }
+
+// Confirmed reports whether a majority of n members, by their answers to one
+// question, is in the primary's term, and returns the primary's mark.
+//
+// A primary may have been replaced without knowing. A majority that had not
+// moved to a later term when it was asked proves that nothing had been
+// acknowledged in a later term by then.
+func Confirmed(answers []Status, n int) (Mark, bool) {
+	var primary Status
+	for _, s := range answers {
+		if s.Role == RolePrimary && s.Adopted > primary.Adopted {
+			primary = s
+		}
+	}
+	same := 0
+	for _, s := range answers {
+		if s.Adopted == primary.Adopted {
+			same++
+		}
+	}
+	return primary.Last, primary.Adopted > 0 && same >= Majority(n)
+}
--- a/internal/core/cwgroup/group_test.go
+++ b/internal/core/cwgroup/group_test.go
@@ -68,3 +68,28 @@
 	late := next.WithReport(report("b", RoleReplica, 1, Mark{1, 9}))
 	qt.Assert(t, late.Term(), qt.Equals, Term(2)) // a report that was overtaken
 }
+
+func TestConfirmed(t *testing.T) {
+	primary := Status{Member: "a", Role: RolePrimary, Adopted: 3, Last: Mark{3, 8}}
+	same := Status{Member: "b", Adopted: 3, Last: Mark{3, 7}}
+	later := Status{Member: "c", Adopted: 4, Last: Mark{3, 8}}
+	for _, tc := range []struct {
+		name    string
+		answers []Status
+		want    bool
+	}{
+		{"primary alone", []Status{primary}, false},
+		{"primary and a member", []Status{primary, same}, true},
+		{"all but one that moved on", []Status{primary, same, later}, true},
+		{"the other moved on", []Status{primary, later}, false},
+		{"no primary", []Status{same, same}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m, ok := Confirmed(tc.answers, 3)
+			qt.Assert(t, ok, qt.Equals, tc.want)
+			if ok {
+				qt.Assert(t, m, qt.Equals, Mark{3, 8})
+			}
+		})
+	}
+}
--- a/internal/core/cwproof/faults_test.go
+++ b/internal/core/cwproof/faults_test.go
@@ -41,12 +41,14 @@
 	freezePrimary
 	// cutPrimaryFromReplicas leaves the primary reachable for the proxies.
 	cutPrimaryFromReplicas
+	// splitPrimary cuts the primary and one proxy, together, off from the rest.
+	splitPrimary
 	faultKinds
 )
 
 var faultNames = [...]string{
 	"killMember", "freezeMember", "isolateMember", "cutProxyFromMember", "cutReplication", "isolateProxy",
-	"killProxy", "pauseProxy", "tableDown", "tableSlow", "tableLoses", "lagMember", "killPrimary", "isolatePrimary", "freezePrimary", "cutPrimaryFromReplicas",
+	"killProxy", "pauseProxy", "tableDown", "tableSlow", "tableLoses", "lagMember", "killPrimary", "isolatePrimary", "freezePrimary", "cutPrimaryFromReplicas", "splitPrimary",
 }
 
 func (f fault) String() string {
@@ -71,7 +73,7 @@
 	m, p := w.members[f.target], w.proxies[f.target]
 	other := w.members[(f.target+f.other)%3]
 	switch f.kind {
-	case killPrimary, isolatePrimary, freezePrimary, cutPrimaryFromReplicas:
+	case killPrimary, isolatePrimary, freezePrimary, cutPrimaryFromReplicas, splitPrimary:
 		if pr := w.primary(); pr != nil {
 			m = pr
 		}
@@ -91,6 +93,8 @@
 				w.cut(m.name, o.name, f.lasts)
 			}
 		}
+	case splitPrimary:
+		w.split(p, m, f.lasts)
 	case cutPrimaryFromReplicas:
 		for _, o := range w.members {
 			if o != m {
@@ -127,6 +131,23 @@
 	}
 }
 
+// split cuts a proxy and a member, together, off from everything else.
+func (w *world) split(p *proxy, m *member, lasts time.Duration) {
+	w.cut(p.name, "table", lasts)
+	for _, o := range w.proxies {
+		if o != p {
+			w.cut(p.name, o.name, lasts)
+			w.cut(m.name, o.name, lasts)
+		}
+	}
+	for _, o := range w.members {
+		if o != m {
+			w.cut(m.name, o.name, lasts)
+			w.cut(p.name, o.name, lasts)
+		}
+	}
+}
+
 // primary returns the member that leads the highest term.
 func (w *world) primary() *member {
 	var best *member
--- a/internal/core/cwproof/found_test.go
+++ b/internal/core/cwproof/found_test.go
@@ -51,3 +51,23 @@
 		t.Fatalf("%s", strings.Join(broken, "\n"))
 	}
 }
+
+// A casero writes, his phone reconnects without its token through a proxy that
+// is cut off together with a primary that has been replaced, and his record is
+// not there. That proxy asked its primary for its position, and the primary
+// still believed that it led.
+func TestReadAfterRoamingToTheWrongSide(t *testing.T) {
+	for seed := range uint64(20) {
+		assertHolds(t, seed, checked, fault{kind: splitPrimary, at: time.Second, lasts: 6 * time.Second, target: int(seed % 3)})
+	}
+}
+
+// A database stays without work for good: two keepers claimed the same term
+// while the table was slow, the database adopted it for the one that lost, and
+// so refuses to follow the primary of the other.
+func TestMemberThatAdoptedForTheOtherClaimComesBack(t *testing.T) {
+	assertHolds(t, 0, checked,
+		fault{kind: freezeMember, at: 500 * time.Millisecond, lasts: time.Millisecond, target: 0, other: 1},
+		fault{kind: killMember, at: 503 * time.Millisecond, lasts: 988 * time.Millisecond, target: 0, other: 1},
+		fault{kind: tableSlow, at: 500 * time.Millisecond, lasts: 1736 * time.Millisecond, target: 1, other: 1})
+}
--- a/internal/core/cwproof/ledger_test.go
+++ b/internal/core/cwproof/ledger_test.go
@@ -130,7 +130,7 @@
 			l.placed(r, p, cwroute.Read{Floor: floorOf(r.mark)})
 			return
 		}
-		p.tip(func(tip cwgroup.Mark, _ cwgroup.Term) { l.placed(r, p, cwroute.Read{Floor: floorOf(tip)}) })
+		p.tip(func(tip cwgroup.Mark) { l.placed(r, p, cwroute.Read{Floor: floorOf(tip)}) })
 	})
 }
 
--- a/internal/core/cwproof/proxy_test.go
+++ b/internal/core/cwproof/proxy_test.go
@@ -264,22 +264,27 @@
 	return cwroute.Router[cwroute.ToPrimary]{}.Place(v, cands, rd, p.w.now)
 }
 
-// tip asks the primary for its position.
-func (p *proxy) tip(then func(cwgroup.Mark, cwgroup.Term)) {
-	pr, ok := p.sup.View().Primary()
-	if !ok {
-		return
-	}
-	m := p.w.member(pr.Member)
-	p.w.send(p.name, m.name, func() {
-		m.do(func() {
-			if m.role != cwgroup.RolePrimary {
-				return
-			}
-			mark := m.last()
-			p.w.send(m.name, p.name, func() { p.do(func() { then(mark, mark.Term) }) })
+// tip asks every member for its status, and answers with the primary's position
+// once a majority has confirmed its term.
+func (p *proxy) tip(then func(cwgroup.Mark)) {
+	var answers []cwgroup.Status
+	done := false
+	for _, m := range p.w.members {
+		p.w.send(p.name, m.name, func() {
+			m.do(func() {
+				s := m.status()
+				p.w.send(m.name, p.name, func() {
+					p.do(func() {
+						answers = append(answers, s)
+						if mark, ok := cwgroup.Confirmed(answers, len(p.w.members)); ok && !done {
+							done = true
+							then(mark)
+						}
+					})
+				})
+			})
 		})
-	})
+	}
 }
 
 func floorOf(m cwgroup.Mark) cwsession.Floor { return cwsession.Floor{Mark: m, Known: true} }
--- a/internal/core/cwroute/route.go
+++ b/internal/core/cwroute/route.go
@@ -125,7 +125,10 @@
 	if best != nil {
 		return Decision{Kind: Serve, Member: best.Member, Replica: true}
 	}
-	if !primaryOK {
+	// The failure: a proxy on the wrong side of a partition still sees a primary
+	// that was replaced, and a session that has written at the new one roams
+	// here. Its floor tells: a primary of an earlier term lacks its writes.
+	if !primaryOK || rd.Floor.Known && primary.Adopted < rd.Floor.Mark.Term {
 		return Decision{Kind: Refuse, RetryAfter: RetryAfter}
 	}
 	if catchUp >= 0 {
--- a/internal/core/cwroute/route_test.go
+++ b/internal/core/cwroute/route_test.go
@@ -59,6 +59,7 @@
 		{"the nearest that has the floor", group(), Read{Floor: floor(1, 7)}, at("c")},
 		{"the farther one if only it has the floor", group(), Read{Floor: floor(1, 9)}, at("b")},
 		{"the primary if no replica has it", group(), Read{Floor: floor(1, 11)}, primary},
+		{"a floor of a later term than the primary's", group(), Read{Floor: floor(2, 3)}, Decision{Kind: Refuse, RetryAfter: RetryAfter}},
 		{"no floor known", group(), Read{}, Decision{Kind: AskPrimary}},
 		{"an age that one replica keeps", group(), Read{MaxAge: 100 * time.Millisecond}, at("b")},
 		{"an age that none keeps", group(), Read{MaxAge: 10 * time.Millisecond}, primary},
--- a/internal/proxy/cwfront/extended.go
+++ b/internal/proxy/cwfront/extended.go
@@ -325,9 +325,7 @@
 		s.setLease(nil)
 		r.lease.Discard()
 		endWrite()
-		if !flushed {
-			s.out = s.out[:start]
-		}
+		s.undo(start, flushed)
 		s.fail(lost(err, r.primary))
 		return
 	}
--- a/internal/proxy/cwfront/keyed.go
+++ b/internal/proxy/cwfront/keyed.go
@@ -78,10 +78,10 @@
 		return k.openFailed(r, err)
 	}
 	start := len(s.out)
-	rep, _, err := s.exchangeKeyed(r, u)
+	rep, flushed, err := s.exchangeKeyed(r, u)
 	if err != nil {
 		s.drop(r)
-		s.out = s.out[:start]
+		s.undo(start, flushed)
 		// COMMIT was not sent, so the target rolls back.
 		return true, cwrefusal.NotRun(cwrefusal.SerializationFailure, retryAfter, "the connection to the database broke before the commit")
 	}
@@ -97,9 +97,8 @@
 		}
 		return false, nil
 	}
-	answer := s.out[start:]
-	if len(answer) > cwrequest.MaxAnswerLen {
-		s.out = s.out[:start]
+	if flushed || len(s.out)-start > cwrequest.MaxAnswerLen {
+		s.undo(start, flushed)
 		s.rollback(r)
 		return false, cwrefusal.NotRun(cwrefusal.LimitExceeded, 0, "the answer to a request with a key is longer than %d bytes", cwrequest.MaxAnswerLen)
 	}
--- a/internal/proxy/cwfront/output.go
+++ b/internal/proxy/cwfront/output.go
@@ -32,6 +32,16 @@
 	return err
 }
 
+// undo drops what was to be sent since start, where nothing of it went out. If
+// something did, the rest is dropped: an error follows, and nothing that says
+// that the statement succeeded may stand before it.
+func (s *session) undo(start int, flushed bool) {
+	if flushed {
+		start = 0
+	}
+	s.out = s.out[:start]
+}
+
 // sendError answers with an error.
 func (s *session) sendError(severity string, err error) {
 	e := &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: "XX000", Message: err.Error()}
--- a/internal/proxy/cwfront/relay.go
+++ b/internal/proxy/cwfront/relay.go
@@ -125,7 +125,9 @@
 			continue
 		}
 		s.send(msg)
-		if len(s.out) > limit {
+		if _, row := msg.(*pgproto3.DataRow); row && len(s.out) > limit {
+			// Only rows are passed on early, never what says that a write
+			// succeeded: that waits for its majority.
 			flushed = true
 			if err := s.flush(); err != nil {
 				return rep, flushed, errCallerGone
--- a/internal/proxy/cwfront/run.go
+++ b/internal/proxy/cwfront/run.go
@@ -104,9 +104,7 @@
 		}
 		var unsent *unsentError
 		again = !flushed && (u.read || errors.As(err, &unsent))
-		if !flushed {
-			s.out = s.out[:start]
-		}
+		s.undo(start, flushed)
 		if code := cwtarget.ServerCode(err); code != "" {
 			return false, cwrefusal.NotRun(cwrefusal.Code(code), 0, "the database refused the session's settings: %v", err)
 		}
@@ -115,9 +113,10 @@
 		}
 		return again, lost(err, !u.read)
 	}
-	if rep.code == codeReadOnly && rep.status == 'I' && !flushed && !u.read && !s.defaultReadOnly() {
+	if rep.code == codeReadOnly && rep.status == 'I' && !flushed && !u.read && !u.ends && !s.defaultReadOnly() {
 		// The member stopped leading after it was chosen, and said so before
-		// anything ran. The view knows a moment later.
+		// anything ran, unless an earlier statement of the unit had committed.
+		// The view knows a moment later.
 		s.out = s.out[:start]
 		s.give(r)
 		endWrite()
@@ -184,8 +183,8 @@
 	s.give(r)
 	err := s.acknowledge(rep.mark)
 	endWrite()
-	if err != nil && !flushed {
-		s.out = s.out[:start]
+	if err != nil {
+		s.undo(start, flushed)
 	}
 	return err
 }
--- a/internal/proxy/cwfront/transaction.go
+++ b/internal/proxy/cwfront/transaction.go
@@ -52,9 +52,7 @@
 	}
 	rep, flushed, err := s.exchangeInTransaction(r, u)
 	if err != nil {
-		if !flushed {
-			s.out = s.out[:start]
-		}
+		s.undo(start, flushed)
 		s.loseTransaction(u, err)
 		return
 	}
@@ -67,9 +65,7 @@
 	}
 	s.endTransaction(rep.tag == "COMMIT")
 	if err := s.acknowledge(rep.mark); err != nil {
-		if !flushed {
-			s.out = s.out[:start]
-		}
+		s.undo(start, flushed)
 		if tx.key != "" {
 			s.resolveLost(tx.key, transactionDigest)
 		} else {
--- a/internal/proxy/cwwatch/place.go
+++ b/internal/proxy/cwwatch/place.go
@@ -37,7 +37,8 @@
 	err  error
 }
 
-// Tip returns the primary's position at some moment after the call.
+// Tip returns the primary's position at some moment after the call, when it was
+// certainly still the primary.
 func (g *Group) Tip(ctx context.Context) (cwgroup.Mark, error) {
 	g.mu.Lock()
 	if g.tip.next == nil {
@@ -68,24 +69,34 @@
 			g.mu.Unlock()
 			return
 		}
-		p, ok := g.sup.View().Primary()
 		g.mu.Unlock()
-		a.mark, a.err = cwgroup.Mark{}, noPrimary()
-		if ok && p.Reachable {
-			a.mark, a.err = g.askTip(p)
-		}
+		a.mark, a.err = g.askTip()
 		close(a.done)
 	}
 }
 
-func (g *Group) askTip(p cwgroup.Report) (cwgroup.Mark, error) {
+// askTip asks every member at once, and answers once a majority has confirmed
+// the primary's term.
+func (g *Group) askTip() (cwgroup.Mark, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), tipTimeout)
 	defer cancel()
-	r, err := g.feeds[p.Member].Status(ctx)
-	if err != nil || r.Role != cwgroup.RolePrimary {
-		return cwgroup.Mark{}, noPrimary()
+	results := make(chan cwgroup.Status, len(g.feeds))
+	for _, f := range g.feeds {
+		go func() {
+			r, _ := f.Status(ctx)
+			results <- r.Status
+		}()
+	}
+	var answers []cwgroup.Status
+	for range g.feeds {
+		if s := <-results; s.Member != "" {
+			answers = append(answers, s)
+		}
+		if m, ok := cwgroup.Confirmed(answers, len(g.feeds)); ok {
+			return m, nil
+		}
 	}
-	return r.Last, nil
+	return cwgroup.Mark{}, noPrimary()
 }
 
 func noPrimary() error {
