front: tests that nothing says success before the acknowledgement

A write with a 9 MB answer that cannot be acknowledged: the caller gets rows and 08007, never a command tag. Keyed requests with answers of 100 KB and 9 MB are rolled back and refused as not run.

--- a/internal/proxy/cwfront/promise_test.go
+++ b/internal/proxy/cwfront/promise_test.go
@@ -265,3 +265,33 @@
 	exec(c, b.connect(c, 1), "INSERT INTO ronda VALUES (3)")
 	c.Assert(queryInt(c, b.connect(c, 0), "SELECT count(*) FROM ronda"), qt.Equals, want)
 }
+
+// A clerk's program sees that its booking succeeded, and only then an error: a
+// long answer was passed on before the booking was acknowledged.
+func TestNoSuccessBeforeTheAcknowledgement(t *testing.T) {
+	c := qt.New(t)
+	contract := cwdemo.DefaultContract()
+	contract.AckTimeout = 200 * time.Millisecond
+	b := newBench(c, cwdemo.Options{Contract: contract})
+	exec(c, b.connect(c, 0), "CREATE TABLE ronda (note text)")
+	b.Databases[0].SetFaults(cwdatabase.Faults{NoReplication: true})
+	nc, err := net.Dial("tcp", b.Proxies[0].Addr())
+	c.Assert(err, qt.IsNil)
+	defer nc.Close()
+	f := pgproto3.NewFrontend(nc, nc)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": cwdemo.Service}})
+	f.Send(&pgproto3.Query{String: "INSERT INTO ronda VALUES ('" + strings.Repeat("x", 9<<20) + "') RETURNING note"})
+	c.Assert(f.Flush(), qt.IsNil)
+	for ready := 0; ready < 2; {
+		m, err := f.Receive()
+		c.Assert(err, qt.IsNil)
+		switch m := m.(type) {
+		case *pgproto3.CommandComplete:
+			c.Fatalf("told %s", m.CommandTag)
+		case *pgproto3.ErrorResponse:
+			c.Assert(m.Code, qt.Equals, "08007")
+		case *pgproto3.ReadyForQuery:
+			ready++
+		}
+	}
+}
--- a/internal/proxy/cwnode/failure_test.go
+++ b/internal/proxy/cwnode/failure_test.go
@@ -1,6 +1,8 @@
 package cwnode_test
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -188,6 +190,16 @@
 		}
 		c.Assert(count(c, 7), qt.Equals, int64(1))
 	})
+	c.Run("an answer too long to be recorded", func(c *qt.C) {
+		for i, size := range []int{100 << 10, 9 << 20} {
+			conn := b.connect(c, 0)
+			setKey(c, conn, fmt.Sprint("long", i))
+			_, err := conn.Exec(background, "INSERT INTO booking VALUES (12, $1) RETURNING crusher", strings.Repeat("x", size))
+			assertNotRun(c, err)
+			assertCode(c, err, "54000")
+			c.Assert(count(c, 12), qt.Equals, int64(0))
+		}
+	})
 	c.Run("a transaction whose COMMIT loses its answer", func(c *qt.C) {
 		conn := b.connect(c, 0)
 		setKey(c, conn, "k10")
