front: the end of a flushed batch reaches the database

Found by a test of Flush written for it: in a transaction, an error before a Flush and then a bare Sync left the database ignoring everything, so the ROLLBACK after it got an error instead ('EZE', 'CZI' expected). Cause: a batch without messages was answered by the proxy alone. Change: a batch that was flushed in a transaction is always ended at the database, too. Outside a transaction an error before a Flush now also drops what follows up to the Sync.

The stand-in sends errors at once, as PostgreSQL does; it held them back until the Sync, and the first runs of the test waited 5 s for that.

--- a/internal/proxy/cwfront/extended.go
+++ b/internal/proxy/cwfront/extended.go
@@ -36,12 +36,15 @@
 	endWrite func()
 	// failed is true after an error that was passed on before the Sync.
 	failed bool
+	// unsynced is true if a part of the batch was flushed inside a transaction.
+	unsynced bool
 }
 
-func (b *batch) active() bool { return len(b.ops) > 0 || b.lease != nil }
+func (b *batch) active() bool { return len(b.ops) > 0 || b.lease != nil || b.unsynced }
 
-func (b *batch) hold(r route, endWrite func()) {
-	b.lease, b.route, b.endWrite = r.lease, r, endWrite
+// hold keeps the connection of a batch that was flushed.
+func (b *batch) hold(r route, endWrite func(), rep reply) {
+	b.lease, b.route, b.endWrite, b.failed = r.lease, r, endWrite, rep.code != ""
 }
 
 // collect adds a message to the batch. The message is copied: its memory is
@@ -135,6 +138,10 @@
 	b.ops = nil
 	err := b.err
 	b.err = nil
+	if b.unsynced && s.tx != nil {
+		s.continueInTransaction(ops, err, sync)
+		return
+	}
 	if b.failed {
 		if sync {
 			s.finishFlushed(nil)
@@ -294,6 +301,29 @@
 	return true
 }
 
+// continueInTransaction runs more of a batch that was flushed inside a
+// transaction. The target hears of the batch's end whatever became of it:
+// after an error it ignores everything up to the Sync.
+func (s *session) continueInTransaction(ops []op, err error, sync bool) {
+	b := &s.batch
+	if err != nil && !b.failed {
+		s.fail(err)
+		b.failed = true
+	}
+	if b.failed {
+		ops = nil
+	}
+	if !sync && len(ops) == 0 {
+		return
+	}
+	u := s.batchUnit(ops, sync)
+	u.resync = sync
+	if sync {
+		b.unsynced, b.failed = false, false
+	}
+	s.runInTransaction(u)
+}
+
 // continueFlushed runs more of a batch that was flushed before.
 func (s *session) continueFlushed(ops []op, sync bool) {
 	u := s.batchUnit(ops, sync)
--- a/internal/proxy/cwfront/run.go
+++ b/internal/proxy/cwfront/run.go
@@ -33,8 +33,9 @@
 	begin bool
 	// ends is true if the unit may commit the transaction it runs in.
 	ends bool
-	// sync is false for a batch that was flushed before its end.
-	sync bool
+	// sync is false for a batch that was flushed before its end. resync is true
+	// for the end of such a batch: the target must hear of it in any case.
+	sync, resync bool
 	// steps returns what to expect for a batch, and nil for a simple query. It
 	// queues the messages at the connection.
 	send func(c *cwpool.Conn) *steps
@@ -177,7 +178,7 @@
 		return nil
 	}
 	if !u.sync {
-		s.batch.hold(r, endWrite)
+		s.batch.hold(r, endWrite, rep)
 		return nil
 	}
 	s.give(r)
--- a/internal/proxy/cwfront/transaction.go
+++ b/internal/proxy/cwfront/transaction.go
@@ -30,7 +30,7 @@
 // runInTransaction runs a unit on the transaction's connection.
 func (s *session) runInTransaction(u unit) {
 	tx := s.tx
-	if tx.failed || tx.lease == nil {
+	if tx.lease == nil || tx.failed && !u.resync {
 		s.fail(errAborted)
 		return
 	}
@@ -57,6 +57,7 @@
 		return
 	}
 	if !u.sync {
+		s.batch.unsynced, s.batch.failed = true, rep.code != ""
 		return
 	}
 	tx.status = rep.status
--- a/internal/standin/cwdatabase/session.go
+++ b/internal/standin/cwdatabase/session.go
@@ -211,10 +211,11 @@
 	return errGone
 }
 
-// fail sends an error and marks the transaction.
+// fail sends an error, at once as PostgreSQL does, and marks the transaction.
 func (c *session) fail(err error) {
 	e := toSQL(err)
 	c.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: e.Code, Message: e.Message})
+	_ = c.backend.Flush()
 	if c.tx.explicit {
 		c.tx.failed = true
 		return
