route: the age of data needs a majority, too

Found by reading on from the stale reads on the wrong side of a partition: a primary that was replaced without knowing answers promptly, so the data of those who follow it, and its own, counted as young for good, and reads of a stated age were served from it. Cause: the age was sampled from its answers alone. Change: a sample counts as of when a majority was last heard in the primary's term, and a read of a stated age goes to the primary only if it is known to be that young, or a majority has confirmed it since the read came.

--- a/internal/core/cwproof/proxy_test.go
+++ b/internal/core/cwproof/proxy_test.go
@@ -52,8 +52,8 @@
 	}
 	if pr, ok := p.sup.View().Primary(); ok && pr.Member == s.Member {
 		p.lagging.Primary(s.Last, p.w.now)
-		if !asked.IsZero() {
-			p.history.Observe(s.Last, asked)
+		if at, ok := cwroute.Sampled(p.sup.View(), pr, asked); ok && !asked.IsZero() {
+			p.history.Observe(s.Last, at)
 		}
 	} else {
 		p.lagging.Replica(s.Member, s.Applied, p.w.now)
--- a/internal/core/cwroute/age.go
+++ b/internal/core/cwroute/age.go
@@ -1,6 +1,7 @@
 package cwroute
 
 import (
+	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -60,6 +61,35 @@
 	return 0, false
 }
 
+// Sampled returns the time at which a primary's answer to a question that was
+// sent at asked may be taken as the newest there was: when a majority, the
+// primary among them, was last heard to be in its term. The second result is
+// false if there is no such majority.
+//
+// The failure: a primary that was replaced, and this proxy with it, are cut off
+// from the rest. Its answers are prompt, but its data gets older and older, and
+// reads of a stated age would be served from it for good.
+func Sampled(v cwgroup.View, primary cwgroup.Report, asked time.Time) (time.Time, bool) {
+	need := cwgroup.Majority(len(v.Members())) - 1
+	var heard []time.Time
+	for _, r := range v.Reports() {
+		if r.Member != primary.Member && r.Adopted == primary.Adopted {
+			heard = append(heard, r.At)
+		}
+	}
+	if len(heard) < need {
+		return time.Time{}, false
+	}
+	if need == 0 {
+		return asked, true
+	}
+	slices.SortFunc(heard, func(a, b time.Time) int { return b.Compare(a) })
+	if at := heard[need-1]; at.Before(asked) {
+		return at, true
+	}
+	return asked, true
+}
+
 // lagSmoothing is the weight of the newest lag in the average, as a divisor.
 const lagSmoothing = 4
 
--- a/internal/core/cwroute/route.go
+++ b/internal/core/cwroute/route.go
@@ -26,7 +26,8 @@
 	Serve Kind = iota
 	// Wait until a report arrives, Decision.Wait at most, and decide again.
 	Wait
-	// AskPrimary for its position first: the floor is not known.
+	// AskPrimary for its position first, confirmed by a majority: the floor is
+	// not known, or not how old the primary's data is.
 	AskPrimary
 	// Refuse the read as not run.
 	Refuse
@@ -70,6 +71,9 @@
 	MaxAge time.Duration
 	// Waited is how long the read has been waiting already.
 	Waited time.Duration
+	// Confirmed is true if a majority has confirmed the primary since the read
+	// came; then the primary's data has no age.
+	Confirmed bool
 }
 
 // Fresh is how long a report counts. A member that was silent for longer takes
@@ -131,6 +135,9 @@
 	if !primaryOK || rd.Floor.Known && primary.Adopted < rd.Floor.Mark.Term {
 		return Decision{Kind: Refuse, RetryAfter: RetryAfter}
 	}
+	if rd.MaxAge > 0 && !rd.Confirmed && !youngEnough(cands, primary.Member, rd.MaxAge) {
+		return Decision{Kind: AskPrimary}
+	}
 	if catchUp >= 0 {
 		if wait, ok := r.Policy.Behind(catchUp, rd.Waited); ok {
 			return Decision{Kind: Wait, Wait: wait}
@@ -164,6 +171,17 @@
 	return best, catchUp
 }
 
+// youngEnough reports whether the primary is known to have led lately enough. A
+// primary that was replaced without knowing has data as old as that.
+func youngEnough(cands []Candidate, primary cwgroup.MemberID, maxAge time.Duration) bool {
+	for i := range cands {
+		if cands[i].Member == primary {
+			return cands[i].AgeKnown && cands[i].Age <= maxAge
+		}
+	}
+	return false
+}
+
 // onBranch reports whether the member is a replica on the branch of the current
 // primary.
 //
--- a/internal/core/cwroute/route_test.go
+++ b/internal/core/cwroute/route_test.go
@@ -62,7 +62,8 @@
 		{"a floor of a later term than the primary's", group(), Read{Floor: floor(2, 3)}, Decision{Kind: Refuse, RetryAfter: RetryAfter}},
 		{"no floor known", group(), Read{}, Decision{Kind: AskPrimary}},
 		{"an age that one replica keeps", group(), Read{MaxAge: 100 * time.Millisecond}, at("b")},
-		{"an age that none keeps", group(), Read{MaxAge: 10 * time.Millisecond}, primary},
+		{"an age that none keeps", group(), Read{MaxAge: 10 * time.Millisecond}, Decision{Kind: AskPrimary}},
+		{"an age that none keeps, the primary confirmed", group(), Read{MaxAge: 10 * time.Millisecond, Confirmed: true}, primary},
 		{"age and floor", group(), Read{Floor: floor(1, 9), MaxAge: time.Second}, at("b")},
 		{"nobody is there", view(), Read{Floor: floor(1, 1)}, Decision{Kind: Refuse, RetryAfter: RetryAfter}},
 		{"no primary, floor unknown", view(report("b", cwgroup.RoleReplica, 1, cwgroup.Mark{Term: 1, Position: 10})), Read{}, Decision{Kind: Refuse, RetryAfter: RetryAfter}},
@@ -147,6 +148,22 @@
 	qt.Assert(t, known, qt.IsFalse)
 }
 
+// A hall is cut off together with a primary that has been replaced. An owner
+// who accepts data of five seconds must not be served from it for ever.
+func TestSampledNeedsAMajority(t *testing.T) {
+	v := group()
+	p, _ := v.Primary()
+	at, ok := Sampled(v, p, now.Add(-time.Second))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, at, qt.Equals, now.Add(-time.Second))
+	// The others were last heard at now; later questions sample no later time.
+	at, ok = Sampled(v, p, now.Add(time.Hour))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, at, qt.Equals, now)
+	_, ok = Sampled(view(p), p, now)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
 func TestLagMeter(t *testing.T) {
 	var l LagMeter
 	for i := range 20 {
--- a/internal/proxy/cwfront/caller_test.go
+++ b/internal/proxy/cwfront/caller_test.go
@@ -105,7 +105,7 @@
 		for {
 			m, err := f.Receive()
 			c.Assert(err, qt.IsNil)
-			buf, err := m.(pgproto3.BackendMessage).Encode(nil)
+			buf, err := m.Encode(nil)
 			c.Assert(err, qt.IsNil)
 			if buf[0] != 'S' {
 				kinds = append(kinds, buf[0])
--- a/internal/proxy/cwfront/run.go
+++ b/internal/proxy/cwfront/run.go
@@ -256,8 +256,10 @@
 	if err := s.checkFloor(ctx); err != nil {
 		return cwroute.Decision{}, err
 	}
+	rd := cwroute.Read{MaxAge: s.own.maxAge}
 	for {
-		d, err := s.group.PlaceRead(ctx, cwroute.Read{Floor: s.floor(), MaxAge: s.own.maxAge}, deadline)
+		rd.Floor = s.floor()
+		d, err := s.group.PlaceRead(ctx, rd, deadline)
 		if err != nil || d.Kind != cwroute.AskPrimary {
 			return d, err
 		}
@@ -269,6 +271,7 @@
 			s.tips = make(map[string]cwgroup.Mark)
 		}
 		s.tips[s.group.Name()] = mark
+		rd.Confirmed = true
 	}
 }
 
--- a/internal/proxy/cwwatch/group.go
+++ b/internal/proxy/cwwatch/group.go
@@ -199,8 +199,8 @@
 	g.mu.Lock()
 	voted := g.sup.Report(cwgroup.Report{Status: r.Status, At: now, Reachable: true}, r.Following, now)
 	if p, ok := g.sup.View().Primary(); ok && p.Member == r.Member && r.Role == cwgroup.RolePrimary {
-		if !asked.IsZero() {
-			g.history.Observe(r.Last, asked)
+		if at, ok := cwroute.Sampled(g.sup.View(), p, asked); ok && !asked.IsZero() {
+			g.history.Observe(r.Last, at)
 		}
 		g.lag.Primary(r.Last, now)
 	} else {
