front: a cancel finds its proxy among many

Found by reading: requests to cancel were passed on to partners, and since those are four, a cancel that the balancer brought to another proxy was lost. The test with eight proxies failed before (the statement ran on). Change: a session's process id has a tag of its instance, and the request goes straight there; with equal tags, to both.

--- a/internal/proxy/cwfront/server.go
+++ b/internal/proxy/cwfront/server.go
@@ -13,6 +13,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"hash/fnv"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -43,8 +44,8 @@
 	Group(name string) (*cwwatch.Group, bool)
 	// Pool returns the pool of connections to a member.
 	Pool(id cwgroup.MemberID) (*cwpool.Pool, bool)
-	// ForwardCancel passes a request to cancel on to the other proxies, since
-	// the platform's balancer may bring it to any of them.
+	// ForwardCancel passes a request to cancel on to the proxy that its process
+	// id tells.
 	ForwardCancel(pid uint32, secret []byte)
 }
 
@@ -88,6 +89,8 @@
 	Clock    clockwork.Clock
 	Log      *log.Logger
 	Metrics  *Metrics
+	// Tag is in the process ids of this proxy's sessions, see TagOf.
+	Tag uint16
 	// Version is reported to callers as server_version.
 	Version string
 
@@ -180,12 +183,32 @@
 	return len(v.sessions)
 }
 
-func newCancelKey() cancelKey {
-	var b [8]byte
+func newCancelKey(tag uint16) cancelKey {
+	var b [6]byte
 	_, _ = rand.Read(b[:])
-	return cancelKey{pid: binary.BigEndian.Uint32(b[:4]) >> 1, secret: binary.BigEndian.Uint32(b[4:])}
+	pid := uint32(tag&tagMask)<<tagShift | uint32(binary.BigEndian.Uint16(b[:2]))
+	return cancelKey{pid: pid, secret: binary.BigEndian.Uint32(b[2:])}
 }
 
+// A process id is 31 bits: 15 tell the proxy, 16 the session.
+const (
+	tagShift = 16
+	tagMask  = 0x7fff
+)
+
+// TagOf returns the tag of an instance. The platform's balancer may bring a
+// request to cancel to any proxy; the tag in its process id tells which one to
+// pass it on to. Two instances can have the same tag; then both are told.
+func TagOf(instance string) uint16 {
+	h := fnv.New32a()
+	h.Write([]byte(instance))
+	sum := h.Sum32()
+	return uint16(sum^sum>>16) & tagMask
+}
+
+// TagOfPID returns the tag that a process id has.
+func TagOfPID(pid uint32) uint16 { return uint16(pid>>tagShift) & tagMask }
+
 // CancelLocal ends the statement of a session of this proxy. It reports whether
 // there is such a session.
 func (v *Server) CancelLocal(pid uint32, secret []byte) bool {
--- a/internal/proxy/cwfront/session.go
+++ b/internal/proxy/cwfront/session.go
@@ -59,7 +59,7 @@
 func newSession(v *Server, conn net.Conn) *session {
 	b := pgproto3.NewBackend(conn, conn)
 	b.SetMaxBodyLen(maxStartup)
-	return &session{server: v, conn: conn, backend: b, key: newCancelKey()}
+	return &session{server: v, conn: conn, backend: b, key: newCancelKey(v.Tag)}
 }
 
 // chooseGroup finds the group that has the caller's data: the entry's only one,
--- a/internal/proxy/cwnode/node.go
+++ b/internal/proxy/cwnode/node.go
@@ -131,6 +131,7 @@
 		Log:      cfg.Log,
 		Metrics:  cwfront.NewMetrics(n.set),
 		Version:  serverVersion,
+		Tag:      cwfront.TagOf(cfg.Instance),
 	}
 	n.registerGauges()
 	for _, l := range []struct {
--- a/internal/proxy/cwnode/operator_test.go
+++ b/internal/proxy/cwnode/operator_test.go
@@ -1,11 +1,14 @@
 package cwnode_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -145,3 +148,28 @@
 	c.Assert(<-done, qt.IsNil)
 	c.Assert(queryInt(c, b.connect(c, 0), "SELECT count(*) FROM ronda"), qt.Equals, int64(2))
 }
+
+// A clerk cancels a long search and it runs on: the balancer brought the cancel
+// to a proxy that has nothing to do with the one that runs it. Whichever of
+// eight proxies it reaches, it must find its statement.
+func TestCancelReachesItsProxy(t *testing.T) {
+	t.Parallel()
+	c, b := newBench(t, cwdemo.Options{Proxies: 8})
+	conn := b.connect(c, 0)
+	buf, err := (&pgproto3.CancelRequest{ProcessID: conn.PgConn().PID(), SecretKey: conn.PgConn().SecretKey()}).Encode(nil)
+	c.Assert(err, qt.IsNil)
+	for _, p := range b.Proxies[1:] {
+		timer := time.AfterFunc(50*time.Millisecond, func() {
+			nc, err := net.Dial("tcp", p.Addr())
+			if err == nil {
+				_, _ = nc.Write(buf)
+				_ = nc.Close()
+			}
+		})
+		ctx, cancel := context.WithTimeout(background, 3*time.Second)
+		_, err := conn.Exec(ctx, "SELECT pg_sleep(20)")
+		cancel()
+		timer.Stop()
+		assertCode(c, err, "57014")
+	}
+}
--- a/internal/proxy/cwnode/peers.go
+++ b/internal/proxy/cwnode/peers.go
@@ -8,6 +8,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwplace"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwfront"
 	"cicadawalk.example/cicadawalk/internal/wire/cwpeer"
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
@@ -165,9 +166,20 @@
 	return slices.ContainsFunc(n.instances, func(i cwplatform.Instance) bool { return i.ID == string(id) })
 }
 
-// ForwardCancel implements cwfront.Services.
+// ForwardCancel implements cwfront.Services. The other proxy need not be a
+// partner; it is called over a connection of its own.
 func (n *Node) ForwardCancel(pid uint32, secret []byte) {
-	for _, p := range n.partnerList() {
-		go func() { _ = p.Cancel(n.run, pid, secret) }()
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	for _, i := range n.instances {
+		if i.ID == n.cfg.Instance || i.Peer == "" || cwfront.TagOf(i.ID) != cwfront.TagOfPID(pid) {
+			continue
+		}
+		go n.runCancel(&cwpeer.Partner{Self: n.instanceID(), Address: i.Peer}, pid, secret)
 	}
 }
+
+func (n *Node) runCancel(p *cwpeer.Partner, pid uint32, secret []byte) {
+	defer p.Close()
+	_ = p.Cancel(n.run, pid, secret)
+}
