node: a test that eight proxies with four partners agree

Asked when reading the partners' number: can a majority of eight be heard with four partners each? One of them is always heard by four, and five are a majority of eight, so yes; the test cuts the primary off from all eight while its replicas still hear it.

--- a/internal/proxy/cwnode/failure_test.go
+++ b/internal/proxy/cwnode/failure_test.go
@@ -336,3 +336,19 @@
 	})
 	c.Assert(queryInt(c, b.connect(c, 1), "SELECT count(*) FROM ronda"), qt.Equals, int64(2))
 }
+
+// Bookings stand still: no proxy reaches the primary any more, though its
+// replicas still do. Eight proxies with four partners each must agree that a
+// majority of them all has lost it.
+func TestEightProxiesAgree(t *testing.T) {
+	t.Parallel()
+	c, b := newBench(t, cwdemo.Options{Proxies: 8})
+	conn := b.connect(c, 0)
+	exec(c, conn, "CREATE TABLE ronda (id bigint)")
+	b.links[0].SetFaults(cwlink.Faults{Cut: true})
+	waitFor(c, "another primary", func() bool { return b.Primary() > 0 })
+	waitFor(c, "writes going on", func() bool {
+		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (1)")
+		return err == nil
+	})
+}
