proof: a killed proxy loses what it knew

Found by reading: the model's killed proxy was only paused, so nothing was drawn in which a keeper dies in the middle and comes back knowing nothing. Change: it is down and then made anew, with claims of its own.

--- a/internal/core/cwproof/faults_test.go
+++ b/internal/core/cwproof/faults_test.go
@@ -115,7 +115,13 @@
 			w.cut(p.name, o.name, f.lasts)
 		}
 		w.cut(p.name, "table", f.lasts)
-	case killProxy, pauseProxy:
+	case killProxy:
+		p.down = true
+		w.after(f.lasts, func() {
+			p.restart()
+			p.down = false
+		})
+	case pauseProxy:
 		p.pause(f.lasts)
 	case tableDown:
 		w.table.down = true
--- a/internal/core/cwproof/proxy_test.go
+++ b/internal/core/cwproof/proxy_test.go
@@ -25,13 +25,14 @@
 	history cwroute.History
 	heard   map[cwgroup.MemberID]time.Time
 	changes int
+	// starts counts the restarts, which makes claims unique.
+	starts int
 }
 
 func newProxy(w *world, i int) *proxy {
 	p := &proxy{process: process{w: w, name: fmt.Sprintf("p%d", i)}, index: i, heard: make(map[cwgroup.MemberID]time.Time)}
-	p.sup = cwfailover.NewSupervisor(cwfailover.InstanceID(p.name), "s", "g", []cwgroup.MemberID{"m0", "m1", "m2"})
+	p.restart()
 	for _, m := range w.members {
-		p.heard[m.id()] = w.now
 		w.every(250*time.Millisecond, func() { p.do(func() { p.probe(m) }) })
 	}
 	w.every(25*time.Millisecond, func() { p.do(p.tick) })
@@ -39,6 +40,16 @@
 	return p
 }
 
+// restart makes the proxy anew; whatever it knew is gone.
+func (p *proxy) restart() {
+	p.starts++
+	p.sup = cwfailover.NewSupervisor(cwfailover.InstanceID(p.name), fmt.Sprint(p.starts), "g", []cwgroup.MemberID{"m0", "m1", "m2"})
+	p.tracker, p.lagging, p.history = cwack.Tracker{}, cwroute.LagMeter{}, cwroute.History{}
+	for _, m := range p.w.members {
+		p.heard[m.id()] = p.w.now
+	}
+}
+
 // hear brings a member's status to the proxy.
 func (p *proxy) hear(m *member) {
 	s, f := m.status(), m.following()
