store: go back to an earlier catalogue

A newcomer who applied the wrong thing wants yesterday's catalogue. Each accepted catalogue is copied into the platform's object store, which had no use and no stand-in so far; without the copy the audit trail leads to the same. 'demo' checks its settings and reads the environment like the other commands.

--- a/cmd/cicadawalk/process_test.go
+++ b/cmd/cicadawalk/process_test.go
@@ -227,6 +227,12 @@
 	c.Assert(out, qt.Contains, "libro-1-3  planned by ana")
 	_, code = tr.run("cicadawalk", "stop", "plan", "absent", "--platform", tr.platform, "--who", "ana")
 	c.Assert(code, qt.Equals, 2)
+	out, code = tr.run("cicadawalk", "catalogue", "get", "--revision", "1", "--platform", tr.platform)
+	c.Assert(code, qt.Equals, 0)
+	c.Assert(out, qt.Contains, `"slots": 3`)
+	c.Assert(out, qt.Contains, `"revision": 3`)
+	_, code = tr.run("cicadawalk", "catalogue", "get", "--revision", "77", "--platform", tr.platform)
+	c.Assert(code, qt.Equals, 2)
 	out, _ = tr.run("cicadawalk", "catalogue", "history", "--platform", tr.platform)
 	for _, want := range []string{"maria: revision 1", "jorge: revision 2", "ana: revision 3"} {
 		c.Assert(out, qt.Contains, want)
--- a/internal/standin/cwtable/table.go
+++ b/internal/standin/cwtable/table.go
@@ -1,11 +1,12 @@
-// Package cwtable is a stand-in for the platform: the transactional table and
-// the lagging list of instances, in memory, over HTTP. It can be down, slow, or
+// Package cwtable is a stand-in for the platform: the transactional table, the
+// object store and the lagging list of instances, in memory, over HTTP. It can be down, slow, or
 // lose the answer after a change took effect.
 package cwtable
 
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -54,6 +55,7 @@
 
 	mu        sync.Mutex
 	rows      map[string]row
+	objects   map[string][]byte
 	versions  uint64
 	instances []listed
 	faults    Faults
@@ -67,12 +69,14 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &Platform{ListLag: listLag, ln: ln, rows: make(map[string]row)}
+	p := &Platform{ListLag: listLag, ln: ln, rows: make(map[string]row), objects: make(map[string][]byte)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+cwplatform.PathRows+"{key...}", p.getRow)
 	mux.HandleFunc("GET "+cwplatform.PathList, p.list)
 	mux.HandleFunc("POST "+cwplatform.PathCommit, p.commit)
 	mux.HandleFunc("GET "+cwplatform.PathInstances, p.getInstances)
+	mux.HandleFunc("GET "+cwplatform.PathObjects+"{key...}", p.getObject)
+	mux.HandleFunc("PUT "+cwplatform.PathObjects+"{key...}", p.putObject)
 	mux.HandleFunc("PUT "+cwplatform.PathInstances, p.putInstances)
 	p.srv = &http.Server{Handler: p.faulty(mux), ReadHeaderTimeout: 5 * time.Second}
 	go p.run()
@@ -225,3 +229,31 @@
 	p.SetInstances(list)
 	w.WriteHeader(http.StatusNoContent)
 }
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	value, ok := p.objects[r.PathValue("key")]
+	p.mu.Unlock()
+	if !ok {
+		http.Error(w, "absent", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(value)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 64<<20))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := r.PathValue("key")
+	if _, ok := p.objects[key]; ok && r.Header.Get("If-None-Match") == "*" {
+		http.Error(w, key, http.StatusPreconditionFailed)
+		return
+	}
+	p.objects[key] = value
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/standin/cwtable/table_test.go
+++ b/internal/standin/cwtable/table_test.go
@@ -83,3 +83,17 @@
 	c.Assert(list, qt.HasLen, 2)
 	c.Assert(list[1].State, qt.Equals, cwplatform.Leaving)
 }
+
+func TestObjectsAreWrittenOnce(t *testing.T) {
+	c := qt.New(t)
+	_, client, _ := start(c)
+	ctx := context.Background()
+	_, err := client.GetObject(ctx, "a/b")
+	var absent *cwplatform.NotFoundError
+	c.Assert(err, qt.ErrorAs, &absent)
+	c.Assert(client.PutObject(ctx, "a/b", []byte("1")), qt.IsNil)
+	c.Assert(client.PutObject(ctx, "a/b", []byte("2")), qt.IsNil)
+	value, err := client.GetObject(ctx, "a/b")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(value), qt.Equals, "1")
+}
--- a/internal/tool/cwcommand/catalogue.go
+++ b/internal/tool/cwcommand/catalogue.go
@@ -61,7 +61,8 @@
 }
 
 func (o *operator) store() cwstore.Store {
-	return cwstore.Store{Table: &cwplatform.Client{URL: strings.TrimRight(o.platform, "/")}}
+	client := &cwplatform.Client{URL: strings.TrimRight(o.platform, "/")}
+	return cwstore.Store{Table: client, Objects: client}
 }
 
 func (o *operator) change(summary []string) cwstore.Change {
@@ -76,23 +77,40 @@
 
 func getCommand() *cobra.Command {
 	var o operator
-	return o.command(&cobra.Command{
-		Use:     "get",
-		Short:   "Print the catalogue as JSON, to be edited and applied",
+	var revision uint64
+	cmd := o.command(&cobra.Command{
+		Use:   "get",
+		Short: "Print the catalogue as JSON, to be edited and applied",
+		Long: `Prints the catalogue as JSON, to be edited and applied. With --revision it is the
+catalogue as it was then, but based on the present revision: apply it to go back.`,
 		Example: "  cicadawalk catalogue get --platform http://127.0.0.1:7000 > catalogue.json",
 		Args:    cobra.NoArgs,
 	}, false, func(cmd *cobra.Command, _ []string) error {
-		c, err := o.store().Load(cmd.Context())
-		if err != nil {
-			return err
-		}
-		text, err := cwcodec.Encode(c)
+		return o.get(cmd, cwcatalogue.Revision(revision))
+	})
+	cmd.Flags().Uint64Var(&revision, "revision", 0, "an earlier revision; 0 is the present one")
+	return cmd
+}
+
+func (o *operator) get(cmd *cobra.Command, revision cwcatalogue.Revision) error {
+	ctx, store := cmd.Context(), o.store()
+	c, err := store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	if revision != 0 {
+		old, err := store.At(ctx, revision)
 		if err != nil {
-			return err
+			return &ExitError{Code: ExitUsage, Cause: err}
 		}
-		_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s\n", text)
+		c = old.WithRevision(c.Revision)
+	}
+	text, err := cwcodec.Encode(c)
+	if err != nil {
 		return err
-	})
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s\n", text)
+	return err
 }
 
 func checkCommand() *cobra.Command {
--- a/internal/tool/cwcommand/demo.go
+++ b/internal/tool/cwcommand/demo.go
@@ -1,6 +1,8 @@
 package cwcommand
 
 import (
+	"net/netip"
+
 	"github.com/spf13/cobra"
 
 	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
@@ -20,6 +22,14 @@
 		Example: "  cicadawalk demo --once\n  cicadawalk demo --listen 127.0.0.1:6543,127.0.0.1:6544",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkSettings(cmd, func(s *settings) {
+				for _, a := range listen {
+					_, err := netip.ParseAddrPort(a)
+					s.require("listen", err == nil, "IP addresses and ports, with commas between")
+				}
+			}); err != nil {
+				return err
+			}
 			logs := quiet(cmd, verbose)
 			if once {
 				return cwdemo.Once(cmd.Context(), cmd.OutOrStdout(), logs)
--- a/internal/wire/cwplatform/client.go
+++ b/internal/wire/cwplatform/client.go
@@ -19,6 +19,7 @@
 	PathList      = "/table/list"
 	PathCommit    = "/table/commit"
 	PathInstances = "/instances"
+	PathObjects   = "/objects/"
 )
 
 // maxBody bounds what is read of an answer.
@@ -72,6 +73,7 @@
 var (
 	_ Table     = (*Client)(nil)
 	_ Instances = (*Client)(nil)
+	_ Objects   = (*Client)(nil)
 )
 
 // Get implements Table.
@@ -89,6 +91,36 @@
 	return Row{}, &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
 }
 
+// GetObject implements Objects.
+func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
+	body, resp, err := c.do(ctx, http.MethodGet, PathObjects+url.PathEscape(key), nil, "")
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return body, nil
+	case http.StatusNotFound:
+		return nil, &NotFoundError{Key: key}
+	}
+	return nil, &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
+}
+
+// PutObject implements Objects.
+func (c *Client) PutObject(ctx context.Context, key string, value []byte) error {
+	_, resp, err := c.do(ctx, http.MethodPut, PathObjects+url.PathEscape(key), value, "*")
+	if err != nil {
+		return changeError(err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusNoContent, http.StatusPreconditionFailed:
+		return nil
+	case http.StatusServiceUnavailable:
+		return &UnavailableError{Cause: &StatusError{Status: resp.StatusCode}}
+	}
+	return &UnknownError{Cause: &StatusError{Status: resp.StatusCode}}
+}
+
 // List implements Table.
 func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
 	var rows []RowBody
--- a/internal/wire/cwplatform/platform.go
+++ b/internal/wire/cwplatform/platform.go
@@ -1,7 +1,7 @@
 // Package cwplatform is the port to what the platform gives: a transactional
-// table, and a lagging list of live and leaving instances.
+// table, an object store, and a lagging list of live and leaving instances.
 //
-// The ports are Table and Instances. Client implements both over HTTP with
+// The ports are Table, Objects and Instances. Client implements them over HTTP with
 // conditional requests (RFC 9110, sections 8.8.3 and 13). When the users name
 // the real service, only Client changes.
 //
@@ -53,6 +53,15 @@
 	Commit(ctx context.Context, c Change) error
 }
 
+// Objects is the platform's object store. Objects are written once.
+type Objects interface {
+	// GetObject returns an object, or a NotFoundError.
+	GetObject(ctx context.Context, key string) ([]byte, error)
+	// PutObject writes an object. One that is there already stays as it is, so
+	// that repeating after a lost answer is harmless.
+	PutObject(ctx context.Context, key string, value []byte) error
+}
+
 // InstanceState is the state of an instance in the platform's list.
 type InstanceState string
 
--- a/internal/wire/cwstore/store.go
+++ b/internal/wire/cwstore/store.go
@@ -88,9 +88,12 @@
 // Unwrap returns the cause.
 func (e *UndecidedError) Unwrap() error { return e.Cause }
 
-// Store keeps the catalogue in a table.
+// Store keeps the catalogue in a table, and a copy of each revision in the
+// object store.
 type Store struct {
 	Table cwplatform.Table
+	// Objects may be nil; then there are no copies.
+	Objects cwplatform.Objects
 }
 
 type revisionBody struct {
@@ -248,9 +251,57 @@
 	case err != nil:
 		return 0, err
 	}
+	s.keepCopy(ctx, next.WithRevision(c.Revision))
 	return c.Revision, nil
 }
 
+func copyKey(r cwcatalogue.Revision) string { return fmt.Sprintf("catalogue/%012d.json", r) }
+
+// keepCopy puts a copy of an accepted catalogue into the object store. The
+// catalogue is in force without it, and can be made of the audit trail.
+func (s Store) keepCopy(ctx context.Context, c cwcatalogue.Catalogue) {
+	if s.Objects == nil {
+		return
+	}
+	if text, err := cwcodec.Encode(c); err == nil {
+		_ = s.Objects.PutObject(ctx, copyKey(c.Revision), text)
+	}
+}
+
+// At returns the catalogue as it was at a revision: the copy, or, if there is
+// none, what the audit trail leads to.
+func (s Store) At(ctx context.Context, r cwcatalogue.Revision) (cwcatalogue.Catalogue, error) {
+	if s.Objects != nil {
+		if text, err := s.Objects.GetObject(ctx, copyKey(r)); err == nil {
+			return cwcodec.Decode(text)
+		}
+	}
+	history, err := s.History(ctx)
+	if err != nil {
+		return cwcatalogue.Catalogue{}, err
+	}
+	if r == 0 || len(history) == 0 || history[len(history)-1].Revision < r {
+		return cwcatalogue.Catalogue{}, &RevisionError{Revision: r}
+	}
+	parts := make(map[string][]byte)
+	for _, c := range history {
+		for name, value := range c.After {
+			if c.Revision <= r {
+				parts[name] = value
+			}
+		}
+	}
+	c, err := cwcodec.Join(parts)
+	return c.WithRevision(r), err
+}
+
+// RevisionError reports a revision that the catalogue never had.
+type RevisionError struct{ Revision cwcatalogue.Revision }
+
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("the catalogue never had revision %d", e.Revision)
+}
+
 func (s Store) build(current, next cwcatalogue.Catalogue, tag string, c *Change) (cwplatform.Change, error) {
 	before, err := cwcodec.Parts(current)
 	if err != nil {
--- a/internal/wire/cwstore/store_test.go
+++ b/internal/wire/cwstore/store_test.go
@@ -111,6 +111,15 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, c.Entries, qt.HasLen, 1)
 	})
+	t.Run("an earlier revision", func(t *testing.T) {
+		c, err := s.At(background, 2)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.Entries, qt.HasLen, 2)
+		qt.Assert(t, c.Revision, qt.Equals, cwcatalogue.Revision(2))
+		_, err = s.At(background, 9)
+		var re *RevisionError
+		qt.Assert(t, err, qt.ErrorAs, &re)
+	})
 	t.Run("the trail has no gaps", func(t *testing.T) {
 		h, err := s.History(background)
 		qt.Assert(t, err, qt.IsNil)
