peer: an endless message is cut off

Found by reading: the bound on a partner's message was checked after the whole of it was in memory. Change: a connection that brings more than one message may have before it is answered is ended. The test, a message that claims 4 GB, failed before: 128 MB were taken.

--- a/internal/wire/cwpeer/peer.go
+++ b/internal/wire/cwpeer/peer.go
@@ -13,6 +13,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -40,8 +41,7 @@
 	// callTimeout bounds one call. A partner that takes longer is connected to
 	// anew: an open connection can go silent while new ones work.
 	callTimeout = time.Second
-	// maxMessage bounds what is read from a partner, in bytes, per connection
-	// and message.
+	// maxMessage bounds one message of a partner, in bytes.
 	maxMessage = 16 << 20
 )
 
@@ -162,17 +162,38 @@
 	}
 }
 
-// limitedConn ends a connection that is idle for long.
-type limitedConn struct{ net.Conn }
+// limitedConn ends a connection that is idle for long, or that brings more than
+// one message may have before it is answered: every request has an answer, so a
+// partner never needs to send more.
+type limitedConn struct {
+	net.Conn
+	// unanswered counts the bytes read since the last answer.
+	unanswered atomic.Int64
+}
 
 // idleTimeout is how long a partner may send nothing.
 const idleTimeout = 20 * Interval
 
+// TooLongError reports a partner that sends more than a message may have.
+type TooLongError struct{}
+
+func (*TooLongError) Error() string { return "a partner's message is too long" }
+
 func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.unanswered.Load() > maxMessage {
+		return 0, &TooLongError{}
+	}
 	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.unanswered.Add(int64(n))
+	return n, err
+}
+
+func (c *limitedConn) Write(b []byte) (int, error) {
+	c.unanswered.Store(0)
+	return c.Conn.Write(b)
 }
 
 func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
--- a/internal/wire/cwpeer/peer_test.go
+++ b/internal/wire/cwpeer/peer_test.go
@@ -1,6 +1,7 @@
 package cwpeer
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -117,3 +118,25 @@
 	beats, _ := rec.told()
 	c.Assert(beats[len(beats)-1].Votes["g"].Suspect, qt.IsTrue)
 }
+
+// A process that is no partner sends without end, and the proxy's memory grows
+// until it dies. It is cut off at the bound of a message.
+func TestEndlessMessageIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	_, addr := serve(c)
+	conn, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = conn.Write([]byte("Content-Length: 4000000000\r\n\r\n{\"jsonrpc\":\"2.0\",\"method\":\""))
+	c.Assert(err, qt.IsNil)
+	chunk := bytes.Repeat([]byte("x"), 1<<20)
+	sent := 0
+	for sent < 8*maxMessage {
+		n, err := conn.Write(chunk)
+		sent += n
+		if err != nil {
+			break
+		}
+	}
+	c.Assert(sent < 8*maxMessage, qt.IsTrue)
+}
