node: drained targets stand in the audit trail

Each proxy records once that a stopping target leads no group and has no more work of this proxy; the test of planned stops counts the records.

--- a/internal/proxy/cwnode/catalogue.go
+++ b/internal/proxy/cwnode/catalogue.go
@@ -284,6 +284,7 @@
 func (n *Node) loopShares(ctx context.Context) error {
 	for ctx.Err() == nil {
 		n.updateShares()
+		n.noteDrained()
 		n.takeGaps()
 		n.pause(ctx, sharesEvery)
 	}
@@ -307,6 +308,30 @@
 	}
 }
 
+// noteDrained records in the audit trail when a target that is to be left in
+// peace leads no group and has no more work of this proxy.
+func (n *Node) noteDrained() {
+	leads := make(map[cwgroup.MemberID]bool)
+	for _, g := range n.groupList() {
+		if p, ok := g.View().Primary(); ok {
+			leads[p.Member] = true
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, p := range n.pools {
+		stopping := n.catalogue.Stopping(id)
+		if !stopping || p.drained {
+			p.drained = stopping && p.drained
+			continue
+		}
+		if !leads[id] && p.Stats().Busy == 0 {
+			p.drained = true
+			n.journal.Record("targetDrained", string(id), "in use", "left in peace")
+		}
+	}
+}
+
 func (n *Node) takeGaps() {
 	for _, g := range n.groupList() {
 		for _, gap := range g.TakeGaps() {
--- a/internal/proxy/cwnode/node.go
+++ b/internal/proxy/cwnode/node.go
@@ -109,6 +109,8 @@
 	*cwpool.Pool
 	service string
 	held    cwlimit.Held
+	// drained is true once a stopping target had no work of this proxy left.
+	drained bool
 }
 
 // New opens the node's listeners.
--- a/internal/proxy/cwnode/operator_test.go
+++ b/internal/proxy/cwnode/operator_test.go
@@ -127,6 +127,15 @@
 				return n
 			}
 			c.Check(busy(), qt.Equals, 0)
+			acts, err := b.store().Acts(background)
+			c.Assert(err, qt.IsNil)
+			drained := 0
+			for _, a := range acts {
+				if a.Kind == "targetDrained" && a.Subject == target {
+					drained++
+				}
+			}
+			c.Check(drained, qt.Equals, len(b.Proxies))
 		})
 	}
 }
