watch: what nothing used is gone

Read once more as a newcomer: Publish took a group and a vote that its only implementation ignored, a group was told its data centre for nothing, and two methods had no caller left after the supervisor moved into the core. Checks are unchanged.

--- a/internal/proxy/cwnode/peers.go
+++ b/internal/proxy/cwnode/peers.go
@@ -118,7 +118,7 @@
 }
 
 // Publish implements cwwatch.Watchers: a vote that changed is told at once.
-func (n *Node) Publish(string, cwfailover.Vote) { n.beat(n.run) }
+func (n *Node) Publish() { n.beat(n.run) }
 
 // Heartbeat implements cwpeer.Handler.
 func (n *Node) Heartbeat(h cwpeer.Heartbeat) {
--- a/internal/proxy/cwwatch/group.go
+++ b/internal/proxy/cwwatch/group.go
@@ -35,8 +35,8 @@
 	// this one included. The slice does not change, and is the same one while
 	// the list stays the same.
 	Live() []string
-	// Publish tells the other watchers how this proxy votes.
-	Publish(group string, v cwfailover.Vote)
+	// Publish tells the other watchers at once how this proxy votes.
+	Publish()
 }
 
 // Journal records what the proxy did by itself.
@@ -54,11 +54,10 @@
 
 // Config is what a group is made with.
 type Config struct {
-	Self       cwfailover.InstanceID
-	DataCentre string
-	Service    string
-	Group      cwcatalogue.Group
-	Contract   cwcatalogue.Contract
+	Self     cwfailover.InstanceID
+	Service  string
+	Group    cwcatalogue.Group
+	Contract cwcatalogue.Contract
 	// Distance returns the one-way delay to a data centre.
 	Distance func(dataCentre string) time.Duration
 	Clock    clockwork.Clock
@@ -237,7 +236,7 @@
 // publish tells the other watchers of a vote that changed.
 func (g *Group) publish(changed bool) {
 	if changed {
-		go g.cfg.Watchers.Publish(g.cfg.Group.Name, g.Vote())
+		go g.cfg.Watchers.Publish()
 	}
 }
 
--- a/internal/proxy/cwwatch/place.go
+++ b/internal/proxy/cwwatch/place.go
@@ -232,13 +232,6 @@
 	}
 }
 
-// OpenWrites returns this proxy's write transactions in progress.
-func (g *Group) OpenWrites() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.openWrites
-}
-
 // AwaitMajority waits until a majority of the members holds the record at m, or
 // it is certain that this will not be known.
 func (g *Group) AwaitMajority(m cwgroup.Mark) cwack.Outcome {
@@ -281,13 +274,6 @@
 	return !g.sup.View().Superseded(t) && g.sup.View().Term() <= t
 }
 
-// Changed returns a channel that is closed at the next change of the view.
-func (g *Group) Changed() <-chan struct{} {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.changed
-}
-
 // Activity asks a member what one of its sessions is doing.
 func (g *Group) Activity(ctx context.Context, id cwgroup.MemberID, pid uint32) (string, error) {
 	return g.feeds[id].Activity(ctx, pid)
--- /dev/null
+++ b/internal/wire/cwstore/trail.go
@@ -0,0 +1,58 @@
+package cwstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"cicadawalk.example/cicadawalk/internal/wire/cwcodec"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+// History returns the audit trail, oldest first.
+func (s Store) History(ctx context.Context) ([]Change, error) {
+	rows, err := s.Table.List(ctx, keyAudit)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Change, 0, len(rows))
+	for _, r := range rows {
+		c, err := decodeChange(r)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+// Record adds an act of a proxy. The id must be unique; recording it twice has
+// the effect of once.
+func (s Store) Record(ctx context.Context, id string, a Act) error {
+	value, err := json.Marshal(actBody(a))
+	if err != nil {
+		return err
+	}
+	key := fmt.Sprintf("%s%020d-%s", keyActs, a.At.UnixNano(), id)
+	err = s.Table.Commit(ctx, cwplatform.Change{Put: []cwplatform.Put{{Key: key, Value: value}}})
+	return err
+}
+
+// Acts returns what the proxies did, oldest first.
+func (s Store) Acts(ctx context.Context) ([]Act, error) {
+	rows, err := s.Table.List(ctx, keyActs)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Act, 0, len(rows))
+	for _, r := range rows {
+		var b actBody
+		if err := json.Unmarshal(r.Value, &b); err != nil {
+			return nil, &cwcodec.PartError{Part: r.Key, Cause: err}
+		}
+		out = append(out, Act(b))
+	}
+	slices.SortStableFunc(out, func(a, b Act) int { return a.At.Compare(b.At) })
+	return out, nil
+}
