engine: transactions that may write begin only at a confirmed primary

Ruled out: a confirmation that outlives its lease (none was younger than the cut), the floor of aged reads (all breaks were on the newest-data route). The test brings it about with a stand-in for groups that tell nothing unasked; without the change it fails.

--- /dev/null
+++ b/internal/proxy/cwengine/harness_test.go
@@ -0,0 +1,241 @@
+package cwengine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwlead"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/standin/cwreplica"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+// world is some engines before one group, on virtual time.
+type world struct {
+	c     *qt.C
+	clock *clockwork.FakeClock
+	group *cwreplica.Group
+	table *memoryTable
+	entry cwcatalogue.Entry
+}
+
+const (
+	testService  = "ledger"
+	testDatabase = "bookings"
+)
+
+func newWorld(t *testing.T, rule cwcatalogue.ReadRule) *world {
+	c := qt.New(t)
+	w := &world{
+		c: c, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)),
+		group: cwreplica.NewGroup(testService, "a", "b", "c"), table: &memoryTable{rows: map[string]cwplatform.Row{}},
+	}
+	w.entry = cwcatalogue.Entry{
+		Service: testDatabase,
+		Groups:  []cwcatalogue.Group{{Name: testService}},
+		Contract: cwcatalogue.Contract{
+			Connections: 8, StatementTimeout: 800 * time.Millisecond, Aim: 250 * time.Millisecond,
+			Reads: rule, MaxAge: 1500 * time.Millisecond,
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go w.loopTime(ctx, done)
+	c.Cleanup(func() { cancel(); <-done })
+	return w
+}
+
+// loopTime lets virtual time pass, some ten times as fast as real time.
+func (w *world) loopTime(ctx context.Context, done chan struct{}) {
+	defer close(done)
+	for ctx.Err() == nil {
+		w.clock.Advance(2 * time.Millisecond)
+		time.Sleep(200 * time.Microsecond)
+	}
+}
+
+// engine starts an engine that is called name on the paths of the group.
+func (w *world) engine(name string) *Engine {
+	logger := log.New(io.Discard)
+	e := New(Config{
+		Clock: w.clock, Log: logger, Grace: 6 * time.Second,
+		NewGroup: func(service string) *cwlead.Group {
+			return cwlead.New(cwlead.Config{
+				Self: cwfailover.InstanceID(name), DataCentre: "dc-a", Service: service, Clock: w.clock,
+				Log: logger, Dialer: w.group.From(name), Table: w.table, Promoter: w.group, Seed: "test",
+			})
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	eg, ctx := errgroup.WithContext(ctx)
+	e.Start(ctx, eg)
+	e.SetCatalogue(cwcatalogue.Catalogue{Revision: 1, Entries: []cwcatalogue.Entry{w.entry}})
+	var all []cwport.Listing
+	for _, id := range []string{"a", "b", "c"} {
+		all = append(all, cwport.Listing{ID: memberID(id), Service: testService, Address: id, DataCentre: "dc-" + id, Slots: 3})
+	}
+	e.SetListings(all)
+	w.c.Cleanup(func() {
+		cancel()
+		w.c.Check(eg.Wait(), qt.IsNil)
+	})
+	return e
+}
+
+// session opens a caller's session.
+func (w *world) session(e *Engine) *testCaller {
+	tc := &testCaller{c: w.c, in: make(chan cwstatement.Statement), out: make(chan cwstatement.Answer, 1), gone: make(chan struct{})}
+	s := &session{engine: e, caller: tc}
+	e.mu.Lock()
+	e.sessions[s] = struct{}{}
+	e.mu.Unlock()
+	go s.run()
+	w.c.Cleanup(func() { _ = tc.Close() })
+	return tc
+}
+
+// eventually waits, in virtual time, until f holds.
+func (w *world) eventually(what string, f func() bool) {
+	w.c.Helper()
+	end := w.clock.Now().Add(20 * time.Second)
+	for !f() {
+		if w.clock.Now().After(end) {
+			w.c.Fatalf("not within 20 s: %s", what)
+		}
+		w.clock.Sleep(10 * time.Millisecond)
+	}
+}
+
+// settled waits until the engine knows a primary that writes can go to.
+func (w *world) settled(e *Engine) {
+	w.c.Helper()
+	w.eventually("a primary is known", func() bool {
+		g, _ := e.Group(testService)
+		_, err := g.Primary()
+		return err == nil
+	})
+}
+
+// testCaller is a caller's end of a session. It implements cwport.Caller.
+type testCaller struct {
+	c    *qt.C
+	in   chan cwstatement.Statement
+	out  chan cwstatement.Answer
+	gone chan struct{}
+	once sync.Once
+	n    int
+
+	mu   sync.Mutex
+	wake chan struct{}
+}
+
+func (tc *testCaller) Startup() (string, error)        { return testDatabase, nil }
+func (tc *testCaller) Accept() error                   { return nil }
+func (tc *testCaller) Refuse(cwstatement.Answer) error { return nil }
+
+func (tc *testCaller) Next() (cwstatement.Statement, error) {
+	tc.mu.Lock()
+	wake := tc.wake
+	tc.mu.Unlock()
+	select {
+	case st := <-tc.in:
+		return st, nil
+	case <-wake:
+		return cwstatement.Statement{}, os.ErrDeadlineExceeded
+	case <-tc.gone:
+		return cwstatement.Statement{}, io.EOF
+	}
+}
+
+func (tc *testCaller) Reply(a cwstatement.Answer) error {
+	tc.out <- a
+	return nil
+}
+
+func (tc *testCaller) SetReadTimeout(d time.Duration) error {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	if d == time.Nanosecond && tc.wake != nil {
+		close(tc.wake)
+	}
+	tc.wake = make(chan struct{})
+	return nil
+}
+
+func (tc *testCaller) Close() error {
+	tc.once.Do(func() { close(tc.gone) })
+	return nil
+}
+
+// ask sends a statement and returns its answer.
+func (tc *testCaller) ask(v cwstatement.Verb, text string) cwstatement.Answer {
+	tc.c.Helper()
+	tc.n++
+	return tc.send(cwstatement.Statement{ID: text, Verb: v, Text: text})
+}
+
+func (tc *testCaller) send(st cwstatement.Statement) cwstatement.Answer {
+	tc.c.Helper()
+	select {
+	case tc.in <- st:
+	case <-tc.gone:
+		tc.c.Fatalf("the session has ended")
+	}
+	return <-tc.out
+}
+
+// memoryTable is a table that loses nothing unless told so.
+type memoryTable struct {
+	mu   sync.Mutex
+	rows map[string]cwplatform.Row
+	next int
+	away bool
+}
+
+var errAway = errors.New("away")
+
+func (m *memoryTable) Get(_ context.Context, key string) (cwplatform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		return cwplatform.Row{}, &cwplatform.UnavailableError{Cause: errAway}
+	}
+	row, ok := m.rows[key]
+	if !ok {
+		return cwplatform.Row{}, &cwplatform.NotFoundError{Key: key}
+	}
+	return row, nil
+}
+
+func (m *memoryTable) List(context.Context, string) ([]cwplatform.Row, error) { return nil, nil }
+
+func (m *memoryTable) Commit(_ context.Context, ch cwplatform.Change) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		return &cwplatform.UnavailableError{Cause: errAway}
+	}
+	for _, e := range ch.Expect {
+		if m.rows[e.Key].ETag != e.ETag {
+			return &cwplatform.ConflictError{Key: e.Key}
+		}
+	}
+	for _, p := range ch.Put {
+		m.next++
+		m.rows[p.Key] = cwplatform.Row{Key: p.Key, Value: p.Value, ETag: itoa(m.next)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/cwengine/promise_test.go
@@ -0,0 +1,70 @@
+package cwengine
+
+import (
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func memberID(s string) cwgroup.MemberID { return cwgroup.MemberID(s) }
+
+func succeeds(c *qt.C, a cwstatement.Answer) {
+	c.Helper()
+	c.Assert(a.Code, qt.Equals, cwstatement.OK, qt.Commentf("%s", a.Detail))
+}
+
+func reads(c *qt.C, a cwstatement.Answer, want string) {
+	c.Helper()
+	succeeds(c, a)
+	c.Assert(a.Rows, qt.DeepEquals, []string{want})
+}
+
+// promises asserts a refusal that promises that nothing is kept.
+func promises(c *qt.C, a cwstatement.Answer) {
+	c.Helper()
+	c.Assert(a.Code.Promises(), qt.IsTrue, qt.Commentf("%s %s", a.Code, a.Detail))
+}
+
+// A clerk reads a booking in a transaction and misses one that was acknowledged
+// a minute ago. An instance and the primary are cut off from the others
+// together; the others have promoted another member and gone on. The replaced
+// primary still takes transactions, and only reads by themselves had been
+// checked for who leads.
+func TestReplacedPrimaryServesNoReads(t *testing.T) {
+	for _, rule := range []cwcatalogue.ReadRule{cwcatalogue.ReadNewest, cwcatalogue.ReadAged, cwcatalogue.ReadOwnWrites} {
+		t.Run(string(rule), func(t *testing.T) {
+			w := newWorld(t, rule)
+			cut, whole := w.engine("x"), w.engine("y")
+			w.settled(cut)
+			w.settled(whole)
+			x, y := w.session(cut), w.session(whole)
+			succeeds(w.c, y.ask(cwstatement.Write, "WRITE i 1"))
+			reads(w.c, x.ask(cwstatement.Read, "READ i"), "1")
+
+			for _, side := range []string{"b", "c"} {
+				w.group.Cut("x", side, true)
+				w.group.Cut("a", side, true)
+			}
+			w.group.Cut("y", "a", true)
+			w.eventually("a write is acknowledged by the new primary", func() bool {
+				return y.ask(cwstatement.Write, "WRITE i 2").Code == cwstatement.OK
+			})
+			w.clock.Sleep(w.entry.Contract.MaxAge)
+
+			promises(w.c, x.ask(cwstatement.Read, "READ i"))
+			if a := x.ask(cwstatement.Begin, "BEGIN"); a.Code == cwstatement.OK {
+				promises(w.c, x.ask(cwstatement.Read, "READ i"))
+				x.ask(cwstatement.Rollback, "ROLLBACK")
+			}
+			succeeds(w.c, x.ask(cwstatement.BeginRead, "BEGIN READ"))
+			promises(w.c, x.ask(cwstatement.Read, "READ i"))
+		})
+	}
+}
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -111,7 +111,7 @@
 // alone makes one attempt at a statement outside a transaction. The second
 // result is true if it did not run, or only read, and may be tried again.
 func (t *try) alone(w work) (cwstatement.Answer, bool) {
-	place, c, a := t.borrow(!w.writes, true)
+	place, c, a := t.borrow(t.needOf(w.writes))
 	if c == nil {
 		return a, false
 	}
@@ -195,11 +195,34 @@
 	return a
 }
 
+// need says what a statement needs of the place where it runs.
+type need uint8
+
+const (
+	// needAged is a read that the entry allows to see older data.
+	needAged need = iota
+	// needNewest is a read, or a transaction with reads, at the primary.
+	needNewest
+	// needPrimary is a write.
+	needPrimary
+)
+
+// needOf returns what a statement by itself needs.
+func (t *try) needOf(writes bool) need {
+	switch {
+	case writes:
+		return needPrimary
+	case t.entry.Contract.Reads == cwcatalogue.ReadNewest:
+		return needNewest
+	}
+	return needAged
+}
+
 // borrow finds where a statement runs and borrows a connection there. If there
 // is none, the connection is nil and the answer says so; nothing has run.
-func (t *try) borrow(reads, confirm bool) (cwlead.Place, *cwtargets.Conn, cwstatement.Answer) {
+func (t *try) borrow(n need) (cwlead.Place, *cwtargets.Conn, cwstatement.Answer) {
 	for {
-		place, err := t.place(reads, confirm)
+		place, err := t.place(n)
 		if err != nil {
 			return place, nil, t.unplaced(err)
 		}
@@ -208,28 +231,24 @@
 			return place, c, cwstatement.Answer{}
 		}
 		t.tried = append(t.tried, place.ID)
-		if !reads || t.entry.Contract.Reads == cwcatalogue.ReadNewest || !t.another() {
+		if n != needAged || !t.another() {
 			return place, nil, t.unplaced(err)
 		}
 	}
 }
 
 // place finds where a statement runs.
-func (t *try) place(reads, confirm bool) (cwlead.Place, error) {
+func (t *try) place(n need) (cwlead.Place, error) {
 	ctx := context.Background()
-	switch {
-	case !reads:
+	switch n {
+	case needPrimary:
 		return t.group.Primary()
-	case t.entry.Contract.Reads == cwcatalogue.ReadNewest:
-		if !confirm {
-			return t.group.Primary()
-		}
+	case needNewest:
 		return t.group.Confirmed(ctx, t.began, t.limits.offer)
-	default:
-		rd := t.session.read(t.entry, t.began)
-		rd.Tried = t.tried
-		return t.group.Replica(ctx, rd, t.limits.offer)
 	}
+	rd := t.session.read(t.entry, t.began)
+	rd.Tried = t.tried
+	return t.group.Replica(ctx, rd, t.limits.offer)
 }
 
 // unplaced is the answer to a statement that found no target. Nothing has run.
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -147,7 +147,14 @@
 // open begins the transaction at a target. The second result is true if another
 // attempt may be made.
 func (tx *transaction) open(t *try) (cwstatement.Answer, bool) {
-	place, c, a := t.borrow(tx.reads, true)
+	// The failure: a primary that was replaced takes the transaction, and its
+	// reads miss what was acknowledged at the new one. A transaction that may
+	// write needs a confirmed primary as much as a read of the newest data.
+	n := needNewest
+	if tx.reads {
+		n = t.needOf(false)
+	}
+	place, c, a := t.borrow(n)
 	if c == nil {
 		return a, false
 	}
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -101,7 +101,6 @@
 	// confirmed is when a majority was last known to be in term, and usedAt
 	// when a statement last asked for the group.
 	confirmed, usedAt time.Time
-	confirming        bool
 	acking            bool
 	asked             map[cwgroup.MemberID]bool
 	row               cwfailover.Row
--- /dev/null
+++ b/internal/standin/cwreplica/conn.go
@@ -0,0 +1,221 @@
+package cwreplica
+
+import (
+	"strings"
+	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// conn is one session at a member. It implements cwport.Target.
+type conn struct {
+	group    *Group
+	member   *Member
+	instance string
+
+	queue    []cwstatement.Command
+	state    cwstatement.State
+	reads    bool
+	term     cwgroup.Term
+	writes   map[string]string
+	values   map[string]string
+	prepared map[string]string
+	closed   bool
+}
+
+// Send implements cwport.Target.
+func (c *conn) Send(cmd cwstatement.Command) error {
+	c.queue = append(c.queue, cmd)
+	return nil
+}
+
+// Flush implements cwport.Target.
+func (c *conn) Flush() error { return nil }
+
+// Receive implements cwport.Target.
+func (c *conn) Receive() (cwstatement.Answer, error) {
+	g := c.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := c.path(); err != nil || len(c.queue) == 0 {
+		return cwstatement.Answer{}, errLost
+	}
+	cmd := c.queue[0]
+	c.queue = c.queue[1:]
+	a := c.run(cmd)
+	if c.member.lose {
+		return cwstatement.Answer{}, errLost
+	}
+	a.State, a.Mark = c.state, c.member.mark()
+	return a, nil
+}
+
+func (c *conn) path() error {
+	if c.closed || c.group.cut[path{c.instance, string(c.member.id)}] {
+		return errLost
+	}
+	return nil
+}
+
+func (c *conn) run(cmd cwstatement.Command) cwstatement.Answer {
+	if cmd.ID != "" {
+		c.group.ran = append(c.group.ran, cmd.ID)
+	}
+	if c.state == cwstatement.Failed && cmd.Verb != cwstatement.Commit && cmd.Verb != cwstatement.Rollback {
+		return cwstatement.Failure(cwstatement.Malformed, "failed")
+	}
+	if !c.member.holds(cmd.Floor) {
+		return cwstatement.Failure(cwstatement.Behind, "")
+	}
+	a := c.execute(cmd)
+	if a.Code != cwstatement.OK && c.state == cwstatement.Open {
+		c.state = cwstatement.Failed
+	}
+	return a
+}
+
+func (c *conn) execute(cmd cwstatement.Command) cwstatement.Answer {
+	done := cwstatement.Answer{Proof: "proof-" + cmd.ID}
+	switch cmd.Verb {
+	case cwstatement.Begin, cwstatement.BeginRead:
+		if cmd.Verb == cwstatement.Begin && c.member.role != cwgroup.RolePrimary {
+			return cwstatement.Failure(cwstatement.NotPrimary, string(c.member.id))
+		}
+		c.state, c.reads, c.term = cwstatement.Open, cmd.Verb == cwstatement.BeginRead, c.member.term
+		c.writes = map[string]string{}
+		return cwstatement.Answer{}
+	case cwstatement.Rollback:
+		c.state, c.writes = cwstatement.Idle, nil
+		return cwstatement.Answer{}
+	case cwstatement.Commit:
+		return c.commit(done)
+	case cwstatement.Set:
+		c.values[cmd.Name] = cmd.Rest
+		return cwstatement.Answer{}
+	case cwstatement.Prepare:
+		c.prepared[cmd.Name] = verbWord(cmd.Writes)
+		return cwstatement.Answer{}
+	case cwstatement.Reset:
+		clear(c.values)
+		clear(c.prepared)
+		return cwstatement.Answer{}
+	case cwstatement.Execute:
+		word, ok := c.prepared[cmd.Name]
+		if !ok {
+			return cwstatement.Failure(cwstatement.NotPrepared, cmd.Name)
+		}
+		return c.statement(word+" "+cmd.Rest, done)
+	}
+	return c.statement(cmd.Text, done)
+}
+
+func verbWord(writes bool) string {
+	if writes {
+		return "WRITE"
+	}
+	return "READ"
+}
+
+func (c *conn) statement(text string, done cwstatement.Answer) cwstatement.Answer {
+	item, data := itemOf(text)
+	lost := c.state == cwstatement.Open && !c.reads && !c.leads()
+	if strings.HasPrefix(text, "READ") {
+		if lost {
+			return cwstatement.Failure(cwstatement.NotPrimary, string(c.member.id))
+		}
+		done.Rows = []string{c.seen(item)}
+		return done
+	}
+	if lost || !c.leads() && c.state == cwstatement.Idle || c.state == cwstatement.Open && c.reads {
+		return cwstatement.Failure(cwstatement.NotPrimary, string(c.member.id))
+	}
+	if c.state == cwstatement.Open {
+		c.writes[item] = data
+		return done
+	}
+	c.group.commit(c.member, map[string]string{item: data})
+	return done
+}
+
+// leads reports whether the member leads, and, inside a transaction, still the
+// term in which that began.
+func (c *conn) leads() bool {
+	return c.member.role == cwgroup.RolePrimary && (c.state == cwstatement.Idle || c.member.term == c.term)
+}
+
+func (c *conn) seen(item string) string {
+	if v, ok := c.writes[item]; ok {
+		return v
+	}
+	return c.member.value(item)
+}
+
+func (c *conn) commit(done cwstatement.Answer) cwstatement.Answer {
+	state := c.state
+	leads := c.leads()
+	c.state = cwstatement.Idle
+	switch {
+	case state != cwstatement.Open:
+		return cwstatement.Failure(cwstatement.Aborted, "")
+	case len(c.writes) > 0 && !leads:
+		return cwstatement.Failure(cwstatement.NotPrimary, string(c.member.id))
+	}
+	c.group.commit(c.member, c.writes)
+	c.writes = nil
+	return done
+}
+
+func (c *conn) order(f func(m *Member)) (cwstatement.Health, error) {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	if err := c.path(); err != nil {
+		return cwstatement.Health{}, err
+	}
+	f(c.member)
+	c.group.replicate()
+	return c.member.health(), nil
+}
+
+// Health implements cwport.Target.
+func (c *conn) Health() (cwstatement.Health, error) { return c.order(func(*Member) {}) }
+
+// Fence implements cwport.Target.
+func (c *conn) Fence(t cwgroup.Term) (cwstatement.Health, error) {
+	return c.order(func(m *Member) { m.fence = max(m.fence, t) })
+}
+
+// Unfence implements cwport.Target.
+func (c *conn) Unfence() error {
+	_, err := c.order(func(m *Member) { m.fence = 0 })
+	return err
+}
+
+// Demote implements cwport.Target.
+func (c *conn) Demote(t cwgroup.Term) (cwstatement.Health, error) {
+	return c.order(func(m *Member) {
+		if m.role == cwgroup.RolePrimary && m.term < t {
+			m.role, m.fence = cwgroup.RoleReplica, t
+		}
+	})
+}
+
+// SetTimeout implements cwport.Target.
+func (c *conn) SetTimeout(time.Duration) error { return nil }
+
+// Silent implements cwport.Target.
+func (c *conn) Silent() bool { return true }
+
+// Close implements cwport.Target.
+func (c *conn) Close() error {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		c.member.opened--
+	}
+	return nil
+}
+
+var _ cwport.Target = (*conn)(nil)
