lead: the traffic's own answers confirm the primary

Change: a record that was committed after the primary was last seen below it proves that whoever holds it followed the primary since; a second member is asked only where that is not enough. A lease of 1 s, counted for new terms from the record of the change. The nearest replica is asked first for a commit, after the record's travel. A full target is not a lost one.

--- a/internal/core/cwroute/age.go
+++ b/internal/core/cwroute/age.go
@@ -24,10 +24,20 @@
 // replica's data can be told from its mark alone. All times are those of this
 // proxy; a target's clock is never used. The zero History is empty.
 type History struct {
+	// Spacing is the time between samples that are kept; zero stands for a
+	// quarter of a second.
+	Spacing time.Duration
 	// samples ascend in time and in mark.
 	samples []sample
 }
 
+func (h *History) spacing() time.Duration {
+	if h.Spacing == 0 {
+		return sampleSpacing
+	}
+	return h.Spacing
+}
+
 // Observe records that the primary's log ended at m at some moment not before
 // at. Pass the time at which the question was sent, not the time at which the
 // answer came, so that ages are never underestimated.
@@ -36,7 +46,7 @@
 	if n > 0 && (!m.AtLeast(h.samples[n-1].mark) || at.Sub(h.samples[n-1].at) < 0) {
 		return
 	}
-	if n > 1 && h.samples[n-1].at.Sub(h.samples[n-2].at) < sampleSpacing {
+	if n > 1 && h.samples[n-1].at.Sub(h.samples[n-2].at) < h.spacing() {
 		h.samples[n-1] = sample{at: at, mark: m}
 		return
 	}
@@ -73,6 +83,18 @@
 	return h.samples[i].mark, true
 }
 
+// CommittedAfter returns the latest sampled time after which the record at m was
+// certainly committed: the primary's log ended below m then. Whoever holds the
+// record received it from the primary later than that. The second result is
+// false if no sample is old enough.
+func (h *History) CommittedAfter(m cwgroup.Mark) (time.Time, bool) {
+	i := sort.Search(len(h.samples), func(i int) bool { return h.samples[i].mark.AtLeast(m) })
+	if i == 0 {
+		return time.Time{}, false
+	}
+	return h.samples[i-1].at, true
+}
+
 // Sampled returns the time at which a primary's answer to a question that was
 // sent at asked may be taken as the newest there was: when a majority, the
 // primary among them, was last heard to be in its term. The second result is
--- a/internal/core/cwroute/route_test.go
+++ b/internal/core/cwroute/route_test.go
@@ -176,3 +176,30 @@
 	qt.Assert(t, l.CatchUp("b", cwgroup.Mark{Term: 1, Position: 20}, last.Add(10*time.Millisecond)), qt.Equals, 30*time.Millisecond)
 	qt.Assert(t, l.CatchUp("b", cwgroup.Mark{Term: 1, Position: 20}, last.Add(time.Second)), qt.Equals, time.Duration(0))
 }
+
+// A replica shows a record that was committed after the proxy saw the primary's
+// log end below it: the replica followed the primary later than that.
+func TestCommittedAfter(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+	h := History{Spacing: 10 * time.Millisecond}
+	for i, p := range []cwgroup.Position{5, 7, 9} {
+		h.Observe(cwgroup.Mark{Term: 1, Position: p}, at(100*i))
+	}
+	for _, tc := range []struct {
+		name     string
+		position cwgroup.Position
+		want     time.Time
+		ok       bool
+	}{
+		{"below the first sample", 5, time.Time{}, false},
+		{"between two samples", 6, at(0), true},
+		{"at a sample", 9, at(100), true},
+		{"beyond the last", 10, at(200), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, ok := h.CommittedAfter(cwgroup.Mark{Term: 1, Position: tc.position})
+			qt.Assert(t, ok, qt.Equals, tc.ok)
+			qt.Assert(t, got, qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -34,13 +35,13 @@
 
 // Times of a group.
 const (
-	// Lease is how long a confirmation of the primary counts. It adds to the
-	// first acknowledgement after a change of primary, and its inverse is the
-	// rate of questions.
-	Lease = 500 * time.Millisecond
+	// Lease is how long a confirmation of the primary counts. Its inverse is
+	// the rate of questions. Acknowledgements of a new term wait for it, which
+	// costs nothing as long as it is not above what a promotion takes.
+	Lease = time.Second
 	// refreshAt is the age at which a confirmation that is in use is renewed,
 	// so that no read waits for it.
-	refreshAt = 300 * time.Millisecond
+	refreshAt = 650 * time.Millisecond
 	// AckTimeout bounds the wait for a second member after a commit. A replica
 	// that receives at all does so within a few milliseconds.
 	AckTimeout = time.Second
@@ -55,9 +56,19 @@
 	// promotionPatience is how long a promoted member may take to lead before
 	// somebody else promotes again. Promotions take about a second.
 	promotionPatience = 4 * time.Second
+	// traceSpacing is how finely the primary's log is traced; a confirmation by
+	// traffic is older than it could be by as much.
+	traceSpacing = 20 * time.Millisecond
+	// confirmEvery is the least time between two questions for a confirmation:
+	// an answer that is there comes within a few milliseconds.
+	confirmEvery = 30 * time.Millisecond
+	// ackFirst is the wait before the first question for a commit. A record
+	// needs about as long to travel, and the traffic's own answers may show it.
+	ackFirst = 3 * time.Millisecond
 	// ackPollMin and ackPollMax bound the pause between two questions for one
-	// commit: from a path's round trip to a tenth of AckTimeout.
-	ackPollMin = 2 * time.Millisecond
+	// commit: from what a busy replica takes to answer one to some hundredths
+	// of AckTimeout.
+	ackPollMin = 8 * time.Millisecond
 	ackPollMax = 40 * time.Millisecond
 )
 
@@ -89,15 +100,20 @@
 	members map[cwgroup.MemberID]*Member
 	sup     *cwfailover.Supervisor
 	history cwroute.History
+	// trace is where the primary's log stood, whether it was confirmed or not.
+	trace   cwroute.History
 	tracker cwack.Tracker
 	streams map[cwgroup.MemberID]*stream
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
-	// term is the newest term whose primary this proxy knows, since learnt;
-	// start is where its log stood then.
+	// term is the newest term whose primary this proxy knows. At learnt the
+	// members had been fenced for it; start is where its log stood when its
+	// primary was first seen.
 	term   cwgroup.Term
 	learnt time.Time
 	start  cwgroup.Mark
+	// confirmAt is when a confirmation may be asked for again.
+	confirmAt time.Time
 	// confirmed is when a majority was last known to be in term, and usedAt
 	// when a statement last asked for the group.
 	confirmed, usedAt time.Time
@@ -217,20 +233,42 @@
 	defer g.mu.Unlock()
 	rep, known := g.sup.View().Report(id)
 	if led {
+		g.trace.Observe(m, asked)
 		g.report(cwgroup.Report{
 			Status: cwgroup.Status{Member: id, Role: cwgroup.RolePrimary, Adopted: max(m.Term, rep.Adopted), Last: m, Applied: m},
 			At:     asked, Reachable: true,
 		})
 		return
 	}
-	if !known || rep.Applied.AtLeast(m) {
+	if !known {
 		return
 	}
-	rep.Applied = m
-	if m.AtLeast(rep.Last) {
-		rep.Last = m
+	if rep.Role == cwgroup.RolePrimary {
+		g.trace.Observe(m, asked)
+	}
+	g.sawLog(rep, m)
+}
+
+// sawLog takes that a member's log holds the record at m. The caller holds mu.
+//
+// What the traffic shows saves most questions: a member that has a record of
+// the present term followed its primary after the record was committed, so it
+// was not fenced then, and the primary still led.
+func (g *Group) sawLog(rep cwgroup.Report, m cwgroup.Mark) {
+	changed := false
+	if m.AtLeast(rep.Applied) && m != rep.Applied {
+		rep.Applied, changed = m, true
+	}
+	if m.AtLeast(rep.Last) && m != rep.Last {
+		rep.Last, changed = m, true
+	}
+	at, ok := g.trace.CommittedAfter(m)
+	if ok && m.Term == g.term && rep.Adopted == g.term && at.After(rep.At) {
+		rep.At, changed = at, true
+	}
+	if changed {
+		g.report(rep)
 	}
-	g.report(rep)
 }
 
 // NotPrimary takes that a member refused to lead a transaction that was sent
@@ -300,7 +338,12 @@
 		g.confirmed = time.Time{}
 	}
 	g.history = cwroute.History{}
+	g.trace = cwroute.History{Spacing: traceSpacing}
 	g.term, g.learnt, g.start = p.Adopted, now, p.Last
+	if g.row.Done && g.row.Term >= p.Adopted {
+		// The members were fenced before the change was recorded.
+		g.learnt = g.rowSeen
+	}
 }
 
 // upstreamAge returns how long a replica has not received what its primary is
@@ -341,6 +384,17 @@
 	g.notify()
 }
 
+// refusedForNow reports whether a target that refused a connection is there all
+// the same.
+//
+// The failure: a target has as many connections as it takes, a fresh one to try
+// it is refused, and the target counts as lost. It shows as a primary that is
+// replaced, or reads that are refused, on the busiest days.
+func refusedForNow(err error) bool {
+	var refused *cwport.RefusedError
+	return errors.As(err, &refused) && refused.Code == cwstatement.TooManyConnections
+}
+
 // Suspect asks a member for a sign of life on a fresh connection, after one of
 // the older ones went silent. Idle connections older than a fresh one that
 // works are closed.
@@ -358,6 +412,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	t, err := g.cfg.Dialer.Dial(ctx, m.Pool.Endpoint())
+	if refusedForNow(err) {
+		return
+	}
 	if err != nil {
 		g.DialFailed(m.Pool.Endpoint(), err)
 		return
@@ -366,6 +423,9 @@
 	_ = t.SetTimeout(askTimeout)
 	asked := g.cfg.Clock.Now()
 	h, err := t.Health()
+	if refused := (*cwport.RefusedError)(nil); errors.As(err, &refused) {
+		return
+	}
 	if err != nil {
 		g.DialFailed(m.Pool.Endpoint(), err)
 		return
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -239,8 +239,13 @@
 	v := g.sup.View()
 	p, ok := v.Primary()
 	now := g.cfg.Clock.Now()
+	if now.Before(g.confirmAt) {
+		g.mu.Unlock()
+		return
+	}
+	g.confirmAt = now.Add(confirmEvery)
 	var ask []Member
-	if m := g.members[p.Member]; ok && m != nil && now.Sub(p.At) > refreshAt/2 {
+	if m := g.members[p.Member]; ok && m != nil && now.Sub(p.At) > refreshAt-confirmEvery {
 		ask = append(ask, *m)
 	}
 	need := cwgroup.Majority(len(g.members)) - 1
@@ -310,7 +315,8 @@
 // runAcks asks the replicas where their logs stand while commits wait.
 func (g *Group) runAcks() {
 	pause := ackPollMin
-	for {
+	g.cfg.Clock.Sleep(ackFirst)
+	for n := 1; ; n++ {
 		g.mu.Lock()
 		g.observeAcks(g.cfg.Clock.Now())
 		if g.tracker.Len() == 0 {
@@ -321,6 +327,8 @@
 		p, _ := g.sup.View().Primary()
 		ask := g.nearest(p.Member)
 		g.mu.Unlock()
+		// The nearest alone at first: it usually has the record.
+		ask = ask[:min(n, len(ask))]
 		for _, m := range ask {
 			g.ask(m)
 		}
--- a/internal/standin/cwreplica/conn.go
+++ b/internal/standin/cwreplica/conn.go
@@ -179,7 +179,9 @@
 }
 
 // Health implements cwport.Target.
-func (c *conn) Health() (cwstatement.Health, error) { return c.order(func(*Member) {}) }
+func (c *conn) Health() (cwstatement.Health, error) {
+	return c.order(func(*Member) { c.group.asked++ })
+}
 
 // Fence implements cwport.Target.
 func (c *conn) Fence(t cwgroup.Term) (cwstatement.Health, error) {
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -53,7 +53,10 @@
 	cut map[path]bool
 	// promotions are the orders that were taken, in order.
 	promotions []cwport.Promotion
-	ran        []string
+	// ran holds the ids of the callers' statements that were run, asked counts
+	// the questions about health.
+	ran   []string
+	asked int
 }
 
 type path struct{ a, b string }
@@ -125,6 +128,13 @@
 	return n
 }
 
+// Questions returns how often the members were asked about themselves.
+func (g *Group) Questions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.asked
+}
+
 // primary returns the member that leads the highest term.
 func (g *Group) primary() *Member {
 	var best *Member
