lead, targets: members that leave stop counting, floors by the finest trace, fewer resting connections

The logs showed a group of which two of four listed members (one leaving, one new) lay in a data centre that was cut off; replicas tried though they were known to lag; 23 connections of a database used up by ones that rested, so that after a loss of power nobody could connect until the databases had dropped the dead ones.

--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -203,20 +203,20 @@
 		return false
 	}
 	if s.detector.Decide(s.view, c.Listed, now) {
-		if s.due.IsZero() {
-			s.due = now.Add(time.Duration(c.Rank) * RankDelay)
-		}
-		if now.Before(s.due) {
+		if !s.ourTurn(now, c) {
 			return false
 		}
 		s.start(now, c, false)
 		return true
 	}
-	s.due = time.Time{}
-	if c.Rank == 0 && s.drained(now, c) {
+	if s.drained(now, c) {
+		if !s.ourTurn(now, c) {
+			return false
+		}
 		s.start(now, c, true)
 		return true
 	}
+	s.due = time.Time{}
 	if s.stranded(now, c) {
 		s.start(now, c, false)
 		return true
@@ -224,6 +224,15 @@
 	return false
 }
 
+// ourTurn reports whether the ranks above this proxy's have had the time to
+// begin.
+func (s *Supervisor) ourTurn(now time.Time, c Conditions) bool {
+	if s.due.IsZero() {
+		s.due = now.Add(time.Duration(c.Rank) * RankDelay)
+	}
+	return !now.Before(s.due)
+}
+
 func (s *Supervisor) start(now time.Time, c Conditions, planned bool) {
 	s.claims++
 	s.began, s.planned = now, planned
--- a/internal/core/cwroute/age.go
+++ b/internal/core/cwroute/age.go
@@ -73,14 +73,14 @@
 }
 
 // Since returns the lowest known mark of the primary that was seen at or after
-// t: whatever was acknowledged before t is at or below it. The second result is
-// false if the primary was not seen since.
-func (h *History) Since(t time.Time) (cwgroup.Mark, bool) {
+// t, and when: whatever was acknowledged before t is at or below it. The last
+// result is false if the primary was not seen since.
+func (h *History) Since(t time.Time) (cwgroup.Mark, time.Time, bool) {
 	i := sort.Search(len(h.samples), func(i int) bool { return !h.samples[i].at.Before(t) })
 	if i == len(h.samples) {
-		return cwgroup.Mark{}, false
+		return cwgroup.Mark{}, time.Time{}, false
 	}
-	return h.samples[i].mark, true
+	return h.samples[i].mark, h.samples[i].at, true
 }
 
 // CommittedAfter returns the latest sampled time after which the record at m was
--- a/internal/core/cwroute/spread.go
+++ b/internal/core/cwroute/spread.go
@@ -12,9 +12,9 @@
 	// beside the path's own delay: bytes between data centres cost money, and a
 	// path within one is cut less often. It is half of what a short read takes.
 	AwayPenalty = 8 * time.Millisecond
-	// BehindPenalty is added for a member that is not known to hold the floor:
-	// a wasted round trip and the wait for the next try.
-	BehindPenalty = 12 * time.Millisecond
+	// BehindPenalty is added for a member that is not expected to hold the
+	// floor: a wasted round trip, a place in its queue, and the next try.
+	BehindPenalty = 40 * time.Millisecond
 	// UntriedLatency is expected of a member that was not used lately. It is
 	// low, so that each is tried now and then.
 	UntriedLatency = 5 * time.Millisecond
@@ -25,8 +25,9 @@
 	Member cwgroup.MemberID
 	// Away is true if it is in another data centre.
 	Away bool
-	// Holds is true if its log is known to hold the floor.
-	Holds bool
+	// CatchUp is the expected time until its data holds the floor, zero if it
+	// does.
+	CatchUp time.Duration
 	// Wait is the expected wait for a connection, Latency what a statement took
 	// there lately, zero if not known.
 	Wait, Latency time.Duration
@@ -42,8 +43,8 @@
 	if o.Away {
 		d += AwayPenalty
 	}
-	if !o.Holds {
-		d += BehindPenalty
+	if o.CatchUp > 0 {
+		d += BehindPenalty + o.CatchUp
 	}
 	return d
 }
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -45,6 +45,9 @@
 	// AckTimeout bounds the wait for a second member after a commit. A replica
 	// that receives at all does so within a few milliseconds.
 	AckTimeout = time.Second
+	// LeavingCounts is how long a member that leaves counts towards a majority:
+	// the longest that an instance in touch takes to learn of it, with a margin.
+	LeavingCounts = 4 * time.Second
 	// askTimeout bounds a question to a target on an open connection.
 	askTimeout = 300 * time.Millisecond
 	// tick is how often time is let pass while something is under way, calmTick
@@ -90,6 +93,8 @@
 type Member struct {
 	cwport.Listing
 	Pool *cwtargets.Pool
+	// leavingSince is when this proxy learnt that it leaves; zero if it stays.
+	leavingSince time.Time
 }
 
 // Group is what one proxy knows and does about one group.
@@ -99,9 +104,11 @@
 	mu      sync.Mutex
 	members map[cwgroup.MemberID]*Member
 	sup     *cwfailover.Supervisor
-	history cwroute.History
-	// trace is where the primary's log stood, whether it was confirmed or not.
+	// trace is where the primary's log stood. What it shows up to confirmed is
+	// what the group's primary had; later samples may come from one that was
+	// replaced.
 	trace   cwroute.History
+	lag     cwroute.LagMeter
 	tracker cwack.Tracker
 	streams map[cwgroup.MemberID]*stream
 	// changed is closed and replaced whenever the view changes.
@@ -122,6 +129,8 @@
 	row               cwfailover.Row
 	rowSeen           time.Time
 	synchronous       bool
+	// rank is this proxy's place among those that may replace the primary.
+	rank int
 	// fence is the version of the table row that holds this proxy's claim.
 	fence uint64
 }
@@ -143,6 +152,7 @@
 		asked:   make(map[cwgroup.MemberID]bool),
 		changed: make(chan struct{}),
 		row:     cwfailover.Row{Done: true},
+		rank:    rankOf(cfg.Self, cfg.Service),
 	}
 }
 
@@ -153,16 +163,10 @@
 func (g *Group) SetMembers(list []cwport.Listing, ceiling int, synchronous bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.cfg.Clock.Now()
 	g.synchronous = synchronous
 	seen := make(map[cwgroup.MemberID]bool, len(list))
-	var ids, stopping []cwgroup.MemberID
 	for _, l := range list {
 		seen[l.ID] = true
-		ids = append(ids, l.ID)
-		if l.Leaving {
-			stopping = append(stopping, l.ID)
-		}
 		g.setMember(l, ceiling)
 	}
 	for id, m := range g.members {
@@ -172,27 +176,55 @@
 			delete(g.streams, id)
 		}
 	}
+	g.recount(g.cfg.Clock.Now())
+	g.notify()
+}
+
+// recount settles which members count towards a majority: all but those that
+// have been leaving for a while and do not lead.
+//
+// The failure: a member is replaced by a new one and both are listed until the
+// old one ends. Both lie in one data centre, that is cut off, and the two others
+// are no majority of four. It shows as a group that serves nothing though most
+// of it is there. A member that leaves counts for LeavingCounts yet, so that
+// every proxy has heard of the change before any stops counting it. The caller
+// holds mu.
+func (g *Group) recount(now time.Time) {
+	p, _ := g.sup.View().Primary()
+	var ids, stopping []cwgroup.MemberID
+	for id, m := range g.members {
+		if m.Leaving {
+			stopping = append(stopping, id)
+		}
+		if !m.Leaving || id == p.Member || now.Sub(m.leavingSince) < LeavingCounts {
+			ids = append(ids, id)
+		}
+	}
 	slices.Sort(ids)
-	g.sup.SetMembers(ids)
+	if !slices.Equal(ids, g.sup.View().Members()) {
+		g.cfg.Log.Info("membersCounted", "group", g.cfg.Service, "members", ids)
+		g.sup.SetMembers(ids)
+	}
 	g.sup.SetStopping(stopping, now)
-	g.notify()
 }
 
 func (g *Group) setMember(l cwport.Listing, ceiling int) {
-	if m, ok := g.members[l.ID]; ok && m.Address == l.Address {
-		m.Listing = l
-		m.Pool.SetCeiling(ceiling)
-		return
-	}
-	if m, ok := g.members[l.ID]; ok {
+	m, ok := g.members[l.ID]
+	if ok && m.Address != l.Address {
 		m.Pool.Close()
+		ok = false
 	}
-	to := cwport.Endpoint{ID: l.ID, Service: l.Service, Address: l.Address}
-	g.members[l.ID] = &Member{
-		Listing: l,
-		Pool:    cwtargets.NewPool(to, ceiling, g.cfg.Dialer, g.cfg.Clock, g),
+	if !ok {
+		to := cwport.Endpoint{ID: l.ID, Service: l.Service, Address: l.Address}
+		m = &Member{Pool: cwtargets.NewPool(to, ceiling, g.cfg.Dialer, g.cfg.Clock, g)}
+		g.members[l.ID] = m
+		g.streams[l.ID] = &stream{}
+	}
+	if l.Leaving && !m.Leaving {
+		m.leavingSince = g.cfg.Clock.Now()
 	}
-	g.streams[l.ID] = &stream{}
+	m.Listing = l
+	m.Pool.SetCeiling(ceiling)
 }
 
 // Close closes the connections of the group.
@@ -234,6 +266,7 @@
 	rep, known := g.sup.View().Report(id)
 	if led {
 		g.trace.Observe(m, asked)
+		g.lag.Primary(m, g.cfg.Clock.Now())
 		g.report(cwgroup.Report{
 			Status: cwgroup.Status{Member: id, Role: cwgroup.RolePrimary, Adopted: max(m.Term, rep.Adopted), Last: m, Applied: m},
 			At:     asked, Reachable: true,
@@ -246,9 +279,20 @@
 	if rep.Role == cwgroup.RolePrimary {
 		g.trace.Observe(m, asked)
 	}
+	g.measureLag(rep, m)
 	g.sawLog(rep, m)
 }
 
+// measureLag takes what a member has applied, to tell how long it takes to. The
+// caller holds mu.
+func (g *Group) measureLag(rep cwgroup.Report, m cwgroup.Mark) {
+	if rep.Role == cwgroup.RolePrimary {
+		g.lag.Primary(m, g.cfg.Clock.Now())
+		return
+	}
+	g.lag.Replica(rep.Member, m, g.cfg.Clock.Now())
+}
+
 // sawLog takes that a member's log holds the record at m. The caller holds mu.
 //
 // What the traffic shows saves most questions: a member that has a record of
@@ -299,6 +343,13 @@
 	}
 	if role == cwgroup.RolePrimary {
 		applied = h.Received
+		g.lag.Primary(applied, now)
+		if h.Term == g.term {
+			g.trace.Observe(applied, asked)
+		}
+	}
+	if m, ok := g.members[id]; ok {
+		m.Pool.Crowded(h.Connections)
 	}
 	g.report(cwgroup.Report{
 		Status: cwgroup.Status{
@@ -320,7 +371,6 @@
 			if at.After(g.confirmed) {
 				g.confirmed = at
 			}
-			g.history.Observe(p.Last, at)
 		}
 	}
 	g.observeAcks(now)
@@ -337,8 +387,8 @@
 		// What was confirmed of an earlier term says nothing of this one.
 		g.confirmed = time.Time{}
 	}
-	g.history = cwroute.History{}
 	g.trace = cwroute.History{Spacing: traceSpacing}
+	g.trace.Observe(p.Last, p.At)
 	g.term, g.learnt, g.start = p.Adopted, now, p.Last
 	if g.row.Done && g.row.Term >= p.Adopted {
 		// The members were fenced before the change was recorded.
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"strconv"
 	"time"
 
@@ -72,8 +73,9 @@
 	for _, m := range g.members {
 		m.Pool.Trim()
 	}
+	g.recount(now)
 	g.observeAcks(now)
-	c := cwfailover.Conditions{Listed: watchers, Pending: g.pending(now) || g.changing(now) && !g.sup.Keeping()}
+	c := cwfailover.Conditions{Listed: watchers, Rank: g.rank, Pending: g.pending(now) || g.changing(now) && !g.sup.Keeping()}
 	orders := g.sup.Tick(now, c)
 	result, ended := g.sup.Ended(now, c)
 	ask := g.due(now)
@@ -87,6 +89,18 @@
 	g.dispatch(ctx, eg, orders)
 }
 
+// ranks is the number of places in the order in which proxies begin a change of
+// primary. They do not know each other, so a place is drawn by name: among eight
+// proxies two have the first place, and few run into each other's claims.
+const ranks = 4
+
+// rankOf draws a proxy's place for a group.
+func rankOf(self cwfailover.InstanceID, service string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(string(self) + "/" + service))
+	return int(h.Sum32() % ranks)
+}
+
 // watchers is the number of proxies that a suspicion is weighed against. The
 // others are not heard, so this proxy alone is never a majority of them: the
 // replicas' word must agree with its suspicion.
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -187,8 +187,8 @@
 // log would ever hold it. Everything of that term that was kept is below the
 // place where the present term was first seen.
 func (g *Group) floor(rd Read) (cwgroup.Mark, bool) {
-	aged, ok := g.history.Since(rd.Came.Add(-rd.MaxAge))
-	if !ok {
+	aged, at, ok := g.trace.Since(rd.Came.Add(-rd.MaxAge))
+	if !ok || at.After(g.confirmed) {
 		return cwgroup.Mark{}, false
 	}
 	seen := rd.Seen
@@ -213,7 +213,7 @@
 		}
 		load := m.Pool.Load()
 		options = append(options, cwroute.Option{
-			Member: id, Away: m.DataCentre != g.cfg.DataCentre, Holds: known && rep.Applied.AtLeast(floor),
+			Member: id, Away: m.DataCentre != g.cfg.DataCentre, CatchUp: g.catchUp(rep, known, floor, now),
 			Wait: load.Expect, Latency: load.Latency, Busy: load.Busy + load.Waiting, Slots: m.Slots,
 		})
 	}
@@ -224,6 +224,15 @@
 	return Place{Member: *g.members[o.Member], Term: primary.Adopted, Primary: o.Member == primary.Member, Floor: floor}, true
 }
 
+// catchUp returns how long a member is expected to take until its data holds the
+// floor. The caller holds mu.
+func (g *Group) catchUp(rep cwgroup.Report, known bool, floor cwgroup.Mark, now time.Time) time.Duration {
+	if known && rep.Applied.AtLeast(floor) || rep.Role == cwgroup.RolePrimary {
+		return 0
+	}
+	return g.lag.CatchUp(rep.Member, floor, now)
+}
+
 func contains(ids []cwgroup.MemberID, id cwgroup.MemberID) bool {
 	for _, x := range ids {
 		if x == id {
@@ -248,7 +257,7 @@
 	if m := g.members[p.Member]; ok && m != nil && now.Sub(p.At) > refreshAt-confirmEvery {
 		ask = append(ask, *m)
 	}
-	need := cwgroup.Majority(len(g.members)) - 1
+	need := cwgroup.Majority(len(v.Members())) - 1
 	for _, m := range g.nearest(p.Member) {
 		if need == 0 {
 			break
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -31,9 +31,14 @@
 	growAfter = time.Second
 	// restFor is how long a connection may rest before it is closed, so that
 	// proxies with more callers can have it.
-	restFor = 4 * time.Second
-	// restScarce is the same while the target has refused a connection lately.
-	restScarce = 300 * time.Millisecond
+	restFor = time.Second
+	// restScarce is the same while the target is crowded: a few round trips
+	// with its queue.
+	restScarce = 200 * time.Millisecond
+	// crowdedShare is the part of a target's connections, in percent, beyond
+	// which it counts as crowded, and crowdedFor how long that counts.
+	crowdedShare = 70
+	crowdedFor   = 2 * time.Second
 	// smoothing is the weight of the newest time in an average, as a divisor.
 	smoothing = 8
 	// firstHold is how long a connection is taken to be held before any was:
@@ -105,6 +110,8 @@
 	// open counts the connections, those being opened included; 0 <= open.
 	open, dialing int
 	refusedAt     time.Time
+	// crowdedAt is when the target was last known to have few connections left.
+	crowdedAt time.Time
 	// idle is used as a stack, so that connections not needed stay idle.
 	idle    []*Conn
 	waiting []*waiter
@@ -323,7 +330,7 @@
 	p.open--
 	var refused *cwport.RefusedError
 	if errors.As(err, &refused) && refused.Code == cwstatement.TooManyConnections {
-		p.limit, p.refusedAt = max(1, p.open), now
+		p.limit, p.refusedAt, p.crowdedAt = max(1, p.open), now, now
 		if p.open > 0 {
 			return
 		}
@@ -407,7 +414,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rest := restFor
-	if !p.refusedAt.IsZero() && now.Sub(p.refusedAt) < growAfter {
+	if !p.crowdedAt.IsZero() && now.Sub(p.crowdedAt) < crowdedFor {
 		rest = restScarce
 	}
 	for len(p.idle) > 1 && now.Sub(p.idle[0].used) > rest {
@@ -415,6 +422,15 @@
 	}
 }
 
+// Crowded takes how many connections the target has from everybody.
+func (p *Pool) Crowded(connections int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if connections*100 >= p.ceiling*crowdedShare {
+		p.crowdedAt = p.clock.Now()
+	}
+}
+
 // dropIdle closes an idle connection. The caller holds mu.
 func (p *Pool) dropIdle(i int) {
 	_ = p.idle[i].Close()
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -112,7 +112,10 @@
 func (g *Group) Value(item string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.primary().value(item)
+	if p := g.primary(); p != nil {
+		return p.value(item)
+	}
+	return ""
 }
 
 // Runs returns how often a member ran a statement with the caller's id.
@@ -170,6 +173,9 @@
 // replicate lets every replica receive what it can.
 func (g *Group) replicate() {
 	p := g.primary()
+	if p == nil {
+		return
+	}
 	for _, id := range g.order {
 		m := g.members[id]
 		if m == p || m.deaf || g.cut[path{string(p.id), string(id)}] || m.fence > p.term {
