engine: an instance that is cut off sends its callers away

Change: an instance that reaches the majority of no group in use reports itself not ready after 300 ms, and closes resting sessions once the balancer knows. Ruled out: sending away at once (callers come back to the same instance for two probes), and for one lost group (every instance sees the same).

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -68,6 +68,8 @@
 
 	listed   atomic.Bool
 	draining atomic.Bool
+	// isolated is true while this instance reaches no group's majority.
+	isolated atomic.Bool
 	eg       *errgroup.Group
 	run      context.Context
 }
@@ -95,7 +97,7 @@
 func (e *Engine) Ready() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.revision > 0 && e.listed.Load() && !e.draining.Load()
+	return e.revision > 0 && e.listed.Load() && !e.draining.Load() && !e.isolated.Load()
 }
 
 // Revision returns the revision that is in force.
@@ -209,7 +211,10 @@
 }
 
 // Start lets the engine run under ctx. Call it once, before anything else.
-func (e *Engine) Start(ctx context.Context, eg *errgroup.Group) { e.run, e.eg = ctx, eg }
+func (e *Engine) Start(ctx context.Context, eg *errgroup.Group) {
+	e.run, e.eg = ctx, eg
+	eg.Go(func() error { return e.loopIsolation(ctx) })
+}
 
 // Serve takes callers from a listener until it is closed.
 func (e *Engine) Serve(ln net.Listener, codec func(net.Conn) cwport.Caller) error {
--- /dev/null
+++ b/internal/proxy/cwengine/isolation.go
@@ -0,0 +1,82 @@
+package cwengine
+
+import (
+	"context"
+	"time"
+)
+
+// Times of isolation.
+const (
+	// isolationStep is how often an instance asks itself whether it is cut off.
+	isolationStep = 100 * time.Millisecond
+	// isolatedAfter is how long it must look cut off before it says so; a lost
+	// primary or a few refused connections are over sooner, or leave other
+	// groups in reach.
+	isolatedAfter = 300 * time.Millisecond
+	// moveAfter is how long after it said so callers that rest are sent away:
+	// the balancer takes an instance out after two probes, a second apart, and
+	// whoever is sent away earlier comes back here.
+	moveAfter = 2100 * time.Millisecond
+)
+
+// loopIsolation tells the balancer when this instance is cut off from the
+// targets while others may not be.
+//
+// The failure: a data centre is cut off from the others, and its callers, who
+// still reach it, are refused for as long as the cut lasts though the rest of
+// the system is well. An instance that reaches the majority of no group that it
+// is asked for reports itself not ready and sends resting callers away; they
+// come back through instances that serve. Where all of a group's members are
+// lost to everybody, other groups are still in reach, and the instance stays.
+func (e *Engine) loopIsolation(ctx context.Context) error {
+	var since time.Time
+	for ctx.Err() == nil {
+		select {
+		case <-e.cfg.Clock.After(isolationStep):
+		case <-ctx.Done():
+			return nil
+		}
+		now := e.cfg.Clock.Now()
+		if !e.cutOff() {
+			since = time.Time{}
+		} else if since.IsZero() {
+			since = now
+		}
+		e.setIsolated(!since.IsZero() && now.Sub(since) >= isolatedAfter)
+		if e.isolated.Load() && now.Sub(since) >= isolatedAfter+moveAfter {
+			e.sendAway(false)
+		}
+	}
+	return nil
+}
+
+// cutOff reports whether every group that is in use is cut off. Once isolated,
+// all groups are looked at, since callers have gone and none may be in use.
+func (e *Engine) cutOff() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	isolated := e.isolated.Load()
+	seen := false
+	for _, g := range e.groups {
+		cut, used := g.CutOff()
+		if !used && !isolated {
+			continue
+		}
+		if !cut {
+			return false
+		}
+		seen = true
+	}
+	return seen
+}
+
+func (e *Engine) setIsolated(isolated bool) {
+	if e.isolated.Swap(isolated) == isolated {
+		return
+	}
+	if isolated {
+		e.cfg.Log.Warn("isolated", "sessions", e.Sessions())
+		return
+	}
+	e.cfg.Log.Info("reconnected", "sessions", e.Sessions())
+}
--- a/internal/proxy/cwengine/promise_test.go
+++ b/internal/proxy/cwengine/promise_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -68,3 +69,40 @@
 		})
 	}
 }
+
+// Callers of one data centre are refused for as long as it is cut off from the
+// others, though they could be served elsewhere: their instance said it was
+// ready, and their connections stayed with it.
+func TestIsolatedInstanceSendsCallersAway(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	e := w.engine("x")
+	w.settled(e)
+	s := w.session(e)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	w.c.Assert(e.Ready(), qt.IsTrue)
+
+	w.group.Cut("x", "b", true)
+	w.group.Cut("x", "c", true)
+	w.eventually("the instance reports itself not ready", func() bool {
+		s.ask(cwstatement.Read, "READ i")
+		return !e.Ready()
+	})
+	w.eventually("resting callers are sent away", func() bool { return e.Sessions() == 0 })
+
+	w.group.Cut("x", "b", false)
+	w.eventually("the instance is ready again", e.Ready)
+}
+
+// One replica of three is lost. The group's majority is still in reach, and an
+// instance that sent its callers away would help nobody.
+func TestLostReplicaIsNotIsolation(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	e := w.engine("x")
+	w.settled(e)
+	s := w.session(e)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	w.group.Cut("x", "b", true)
+	w.clock.Sleep(2 * time.Second)
+	s.ask(cwstatement.Read, "READ i")
+	w.c.Assert(e.Ready(), qt.IsTrue)
+}
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -43,6 +43,8 @@
 }
 
 const (
+	// usedFor is how long after a statement a group counts as in use.
+	usedFor = 5 * time.Second
 	// promotionTypical is how long a change of primary usually takes from claim
 	// to lead.
 	promotionTypical = time.Second
@@ -84,6 +86,22 @@
 	return g.row.Done && g.row.Term > g.term && now.Sub(g.rowSeen) < promotionPatience
 }
 
+// CutOff reports whether statements come for the group but most of its members
+// cannot be reached from here. Used is false if none came lately.
+func (g *Group) CutOff() (cut, used bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.sup.View()
+	n := len(v.Members())
+	for _, r := range v.Reports() {
+		if !r.Reachable {
+			n--
+		}
+	}
+	used = g.cfg.Clock.Now().Sub(g.usedAt) < usedFor
+	return n < cwgroup.Majority(len(v.Members())), used
+}
+
 // Primary returns where writes go.
 func (g *Group) Primary() (Place, error) {
 	g.mu.Lock()
