engine, limit: the queue forms at the proxy, urgent statements first

Change: a pace for each target bounds this proxy's statements in progress by the average time of a statement against the lowest seen; whoever waits, waits here, before borrowing a connection, by priority and then by when it is due; what is under way in a transaction is not given up for missing its aim. The gate of the PostgreSQL side orders by deadline, which is arrival where all are equal.

--- a/internal/core/cwlimit/gate.go
+++ b/internal/core/cwlimit/gate.go
@@ -11,6 +11,10 @@
 type Ticket struct {
 	// Deadline is when the statement must have started at the latest.
 	Deadline time.Time
+	// Priority orders those that wait; lower goes first.
+	Priority int
+	// Due orders those of one priority. Zero stands for Deadline.
+	Due time.Time
 	// Ready is called once the statement may start, or with a refusal. It is
 	// called while the gate's owner holds its lock, and must not block.
 	Ready func(*cwrefusal.Refusal)
@@ -19,9 +23,10 @@
 }
 
 // Gate admits statements to one target. Limit statements are in progress at
-// once; QueueLimit more wait in order of arrival. A statement that is not
-// expected to start by its deadline is refused at once, with the time after
-// which to come back, instead of being held until it is too late.
+// once; QueueLimit more wait in the order of their priorities, then of when they
+// are due, then of arrival. A statement that is not expected to start by its
+// deadline is refused at once, with the time after which to come back, instead
+// of being held until it is too late.
 //
 // A Gate is not safe for concurrent use; its owner's lock guards it.
 type Gate struct {
@@ -49,12 +54,48 @@
 // Queued returns the number of statements that wait.
 func (g *Gate) Queued() int { return g.queue.Len() }
 
-// expectedWait is how long a statement that joins the queue now would wait.
-func (g *Gate) expectedWait() time.Duration {
+// expectedWait is how long a statement would wait behind ahead others.
+func (g *Gate) expectedWait(ahead int) time.Duration {
 	if g.Limit <= 0 {
 		return 0
 	}
-	return g.service * time.Duration(g.queue.Len()+1) / time.Duration(g.Limit)
+	return g.service * time.Duration(ahead+1) / time.Duration(g.Limit)
+}
+
+// Expect returns how long a statement without haste would wait now.
+func (g *Gate) Expect() time.Duration {
+	if g.busy < g.Limit && g.queue.Len() == 0 {
+		return 0
+	}
+	return g.expectedWait(g.queue.Len())
+}
+
+// before reports whether t goes before o, which came earlier.
+func (t *Ticket) before(o *Ticket) bool {
+	if t.Priority != o.Priority {
+		return t.Priority < o.Priority
+	}
+	return t.due().Before(o.due())
+}
+
+func (t *Ticket) due() time.Time {
+	if t.Due.IsZero() {
+		return t.Deadline
+	}
+	return t.Due
+}
+
+// place returns the waiting ticket behind which t belongs, nil for the front,
+// and how many are ahead of it.
+func (g *Gate) place(t *Ticket) (after *list.Element, ahead int) {
+	ahead = g.queue.Len()
+	for e := g.queue.Back(); e != nil; e = e.Prev() {
+		if !t.before(e.Value.(*Ticket)) {
+			return e, ahead
+		}
+		ahead--
+	}
+	return nil, 0
 }
 
 // Enter asks for a place. It calls Ready at once if there is one or if the
@@ -65,15 +106,23 @@
 		t.Ready(nil)
 		return
 	}
-	wait := g.expectedWait()
+	after, ahead := g.place(t)
+	wait := g.expectedWait(ahead)
 	switch {
 	case g.queue.Len() >= g.QueueLimit:
 		t.Ready(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(wait, minRetryAfter), "the queue for this database is full"))
 	case now.Add(wait).After(t.Deadline):
 		t.Ready(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(wait, minRetryAfter), "the database is too busy to start this in time"))
 	default:
-		t.elem = g.queue.PushBack(t)
+		t.elem = g.insert(t, after)
+	}
+}
+
+func (g *Gate) insert(t *Ticket, after *list.Element) *list.Element {
+	if after == nil {
+		return g.queue.PushFront(t)
 	}
+	return g.queue.InsertAfter(t, after)
 }
 
 // Abandon takes a waiting ticket out of the queue, if it is still there. Ready
@@ -108,7 +157,7 @@
 		if t := e.Value.(*Ticket); now.After(t.Deadline) {
 			g.queue.Remove(e)
 			t.elem = nil
-			t.Ready(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(g.expectedWait(), minRetryAfter), "the database stayed too busy to start this in time"))
+			t.Ready(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(g.expectedWait(g.queue.Len()), minRetryAfter), "the database stayed too busy to start this in time"))
 		}
 		e = next
 	}
--- a/internal/core/cwlimit/limit_test.go
+++ b/internal/core/cwlimit/limit_test.go
@@ -115,6 +115,32 @@
 		qt.Assert(t, late.refused, qt.Not(qt.IsNil))
 		qt.Assert(t, late.refused.RetryAfter, qt.Equals, time.Second)
 	})
+	t.Run("who has least time goes first", func(t *testing.T) {
+		g := Gate{Limit: 1, QueueLimit: 100}
+		g.Enter(&wait(time.Hour).Ticket, now)
+		patient, urgent, second := wait(time.Hour), wait(time.Second), wait(time.Second)
+		for _, w := range []*waiter{patient, urgent, second} {
+			g.Enter(&w.Ticket, now)
+		}
+		g.Leave(time.Millisecond, now)
+		qt.Assert(t, urgent.started && !second.started && !patient.started, qt.IsTrue)
+		g.Leave(time.Millisecond, now)
+		qt.Assert(t, second.started && !patient.started, qt.IsTrue)
+	})
+	t.Run("priority goes before haste, haste before patience", func(t *testing.T) {
+		g := Gate{Limit: 1, QueueLimit: 100}
+		g.Enter(&wait(time.Hour).Ticket, now)
+		low, high, due := wait(time.Second), wait(time.Hour), wait(time.Hour)
+		high.Priority, due.Priority = -1, -1
+		due.Due = now
+		for _, w := range []*waiter{low, high, due} {
+			g.Enter(&w.Ticket, now)
+		}
+		g.Leave(time.Millisecond, now)
+		qt.Assert(t, due.started && !high.started, qt.IsTrue)
+		g.Leave(time.Millisecond, now)
+		qt.Assert(t, high.started && !low.started, qt.IsTrue)
+	})
 	t.Run("who waited too long is refused when that is sure", func(t *testing.T) {
 		g := Gate{Limit: 1, QueueLimit: 100}
 		g.Enter(&wait(time.Hour).Ticket, now)
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -45,6 +45,13 @@
 type limits struct {
 	// offer is when a target must have taken it, end when it must be over.
 	offer, end time.Time
+	// due is when the caller wants the whole operation done.
+	due      time.Time
+	priority int
+}
+
+func (l limits) claim() cwtargets.Claim {
+	return cwtargets.Claim{Deadline: l.offer, Priority: l.priority, Due: l.due}
 }
 
 func limitsOf(c cwcatalogue.Contract, began time.Time) limits {
@@ -55,7 +62,10 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	return limits{offer: began.Add(min(aim, timeout)), end: began.Add(timeout)}
+	return limits{
+		offer: began.Add(min(aim, timeout)), end: began.Add(timeout),
+		due: began.Add(aim), priority: c.Priority,
+	}
 }
 
 // sent is what became of a command that was given to a target.
@@ -111,24 +121,24 @@
 // alone makes one attempt at a statement outside a transaction. The second
 // result is true if it did not run, or only read, and may be tried again.
 func (t *try) alone(w work) (cwstatement.Answer, bool) {
-	place, c, a := t.borrow(t.needOf(w.writes))
-	if c == nil {
+	l, a := t.borrow(t.needOf(w.writes))
+	if l == nil {
 		return a, false
 	}
-	w.command.Floor = place.Floor
-	r := t.session.exchange(place, c, w, t.limits)
+	w.command.Floor = l.place.Floor
+	r := t.session.exchange(l, w, t.limits)
 	if r.err != nil {
-		t.lost(place, c, r)
+		t.lost(l, r)
 		if r.notSent || !w.writes {
-			t.tried = append(t.tried, place.ID)
+			t.tried = append(t.tried, l.place.ID)
 			return t.broken(r, w.writes && !r.notSent), true
 		}
 		return t.broken(r, true), false
 	}
-	t.note(place, r, w.writes && r.answer.Code == cwstatement.OK)
-	place.Pool.Release(c)
+	t.note(l.place, r, w.writes && r.answer.Code == cwstatement.OK)
+	l.release()
 	if r.answer.Code != cwstatement.OK {
-		return t.refused(place, r, w)
+		return t.refused(l.place, r, w)
 	}
 	if !w.writes {
 		return r.answer, false
@@ -164,10 +174,10 @@
 }
 
 // lost closes a connection on which an answer did not come.
-func (t *try) lost(place cwlead.Place, c *cwtargets.Conn, r sent) {
-	place.Pool.Discard(c)
-	t.group.Suspect(place.ID)
-	t.session.engine.cfg.Log.Info("answerLost", "group", t.group.Name(), "target", place.ID, "notSent", r.notSent,
+func (t *try) lost(l *loan, r sent) {
+	l.discard()
+	t.group.Suspect(l.place.ID)
+	t.session.engine.cfg.Log.Info("answerLost", "group", t.group.Name(), "target", l.place.ID, "notSent", r.notSent,
 		"waitedMs", t.session.engine.cfg.Clock.Since(r.at).Milliseconds(), "cause", r.err)
 }
 
@@ -218,25 +228,39 @@
 	return needAged
 }
 
-// borrow finds where a statement runs and borrows a connection there. If there
-// is none, the connection is nil and the answer says so; nothing has run.
-func (t *try) borrow(n need) (cwlead.Place, *cwtargets.Conn, cwstatement.Answer) {
+// borrow finds where a statement runs, waits for its turn and borrows a
+// connection there. The turn comes first: whoever waits holds no connection. If
+// there is none, the loan is nil and the answer says so; nothing has run.
+func (t *try) borrow(n need) (*loan, cwstatement.Answer) {
 	for {
 		place, err := t.place(n)
 		if err != nil {
-			return place, nil, t.unplaced(err)
+			return nil, t.unplaced(err)
 		}
-		c, err := place.Pool.Acquire(context.Background(), t.limits.offer, t.session.values)
+		l, err := t.lend(place)
 		if err == nil {
-			return place, c, cwstatement.Answer{}
+			return l, cwstatement.Answer{}
 		}
 		t.tried = append(t.tried, place.ID)
 		if n != needAged || !t.another() {
-			return place, nil, t.unplaced(err)
+			return nil, t.unplaced(err)
 		}
 	}
 }
 
+func (t *try) lend(place cwlead.Place) (*loan, error) {
+	turn, err := place.Pool.Enter(t.limits.claim())
+	if err != nil {
+		return nil, err
+	}
+	c, err := place.Pool.Acquire(context.Background(), t.limits.offer, t.session.values)
+	if err != nil {
+		turn.Drop()
+		return nil, err
+	}
+	return &loan{place: place, conn: c, turn: &turn}, nil
+}
+
 // place finds where a statement runs.
 func (t *try) place(n need) (cwlead.Place, error) {
 	ctx := context.Background()
@@ -267,8 +291,17 @@
 	return cwstatement.RetryLater(cwstatement.Aborted, err.Error(), unreachableRetry)
 }
 
-// exchange runs work on a connection and reads its answer.
-func (s *session) exchange(place cwlead.Place, c *cwtargets.Conn, w work, l limits) sent {
+// exchange runs work on a loan and reads its answer.
+func (s *session) exchange(l *loan, w work, lim limits) sent {
+	r := s.send(l.conn, w, lim)
+	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
+		l.endTurn(r)
+	}
+	return r
+}
+
+// send runs work on a connection and reads its answer.
+func (s *session) send(c *cwtargets.Conn, w work, l limits) sent {
 	clock := s.engine.cfg.Clock
 	r := sent{at: clock.Now()}
 	if r.err = c.SetTimeout(max(time.Millisecond, l.end.Sub(r.at))); r.err != nil {
@@ -307,7 +340,6 @@
 	if r.answer.Code == cwstatement.NotPrepared && w.prepare != nil {
 		delete(c.Prepared, w.prepare.target)
 	}
-	place.Pool.Took(clock.Since(r.at))
 	return r
 }
 
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -110,7 +110,7 @@
 func (s *session) next() (cwstatement.Statement, error) {
 	for {
 		idle := time.Duration(0)
-		if s.tx != nil && s.tx.conn != nil {
+		if s.tx != nil && s.tx.loan != nil {
 			idle = s.tx.entry.Contract.IdleTransaction
 		}
 		if !s.rest(idle) {
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -6,7 +6,6 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwlead"
-	"cicadawalk.example/cicadawalk/internal/proxy/cwtargets"
 )
 
 // transaction is a caller's open transaction. It has no connection before its
@@ -17,8 +16,10 @@
 	group   *cwlead.Group
 	reads   bool
 
-	place cwlead.Place
-	conn  *cwtargets.Conn
+	// loan is nil before the first statement and after the end at the target.
+	loan *loan
+	// spent is how long its statements took so far, without the pauses.
+	spent time.Duration
 	// ran is true once a statement may have run in it, wrote once a write may.
 	ran, wrote bool
 	failed     bool
@@ -69,6 +70,7 @@
 		a = s.keep(st)
 	case cwstatement.Read, cwstatement.Write, cwstatement.Execute:
 		a = tx.statement(st, began)
+		tx.spent += s.engine.cfg.Clock.Since(began)
 	default:
 		a = cwstatement.Failure(cwstatement.Malformed, "the statement has no place in a transaction")
 	}
@@ -97,26 +99,34 @@
 
 // rollback drops the transaction at its target and gives the connection back.
 func (tx *transaction) rollback() {
-	c := tx.conn
-	if c == nil {
+	l := tx.loan
+	if l == nil {
 		return
 	}
-	tx.conn = nil
-	_ = c.SetTimeout(rollbackTimeout)
-	_ = c.Send(cwstatement.Command{Verb: cwstatement.Rollback})
-	if err := finish(c, 1); err != nil {
+	tx.loan = nil
+	_ = l.conn.SetTimeout(rollbackTimeout)
+	_ = l.conn.Send(cwstatement.Command{Verb: cwstatement.Rollback})
+	if err := finish(l.conn, 1); err != nil {
 		// A connection that is closed rolls back by itself.
-		tx.place.Pool.Discard(c)
+		l.discard()
 		return
 	}
-	tx.place.Pool.Release(c)
+	l.release()
 }
 
 // rollbackTimeout bounds a rollback, for which nobody but the connection waits.
 const rollbackTimeout = 300 * time.Millisecond
 
+// try returns the attempts of a statement of the transaction. What the
+// statements before it took makes it more urgent; and once something has run, it
+// is not given up for missing the aim, since all of it would run again.
 func (tx *transaction) try(began time.Time) *try {
-	return &try{session: tx.session, entry: tx.entry, group: tx.group, limits: limitsOf(tx.entry.Contract, began), began: began}
+	l := limitsOf(tx.entry.Contract, began)
+	l.due = l.due.Add(-tx.spent)
+	if tx.ran {
+		l.offer = l.end
+	}
+	return &try{session: tx.session, entry: tx.entry, group: tx.group, limits: l, began: began}
 }
 
 // statement runs a read or write in the transaction.
@@ -126,7 +136,7 @@
 		return bad
 	}
 	t := tx.try(began)
-	if tx.conn != nil {
+	if tx.loan != nil {
 		a, _ := tx.run(t, w)
 		return a
 	}
@@ -150,51 +160,51 @@
 	// The failure: a primary that was replaced takes the transaction, and its
 	// reads miss what was acknowledged at the new one. A transaction that may
 	// write needs a confirmed primary as much as a read of the newest data.
-	n := needNewest
+	n, verb := needNewest, cwstatement.Begin
 	if tx.reads {
-		n = t.needOf(false)
+		n, verb = t.needOf(false), cwstatement.BeginRead
 	}
-	place, c, a := t.borrow(n)
-	if c == nil {
+	l, a := t.borrow(n)
+	if l == nil {
 		return a, false
 	}
-	verb := cwstatement.Begin
-	if tx.reads {
-		verb = cwstatement.BeginRead
-	}
-	r := tx.session.exchange(place, c, work{command: cwstatement.Command{Verb: verb, Floor: place.Floor}}, t.limits)
+	r := tx.session.exchange(l, work{command: cwstatement.Command{Verb: verb, Floor: l.place.Floor}}, t.limits)
 	if r.err != nil {
-		t.lost(place, c, r)
-		t.tried = append(t.tried, place.ID)
+		t.lost(l, r)
+		t.tried = append(t.tried, l.place.ID)
 		return t.broken(r, false), true
 	}
-	t.note(place, r, !tx.reads && r.answer.Code == cwstatement.OK)
+	t.note(l.place, r, !tx.reads && r.answer.Code == cwstatement.OK)
 	if r.answer.Code != cwstatement.OK {
-		place.Pool.Release(c)
-		return t.refused(place, r, work{})
+		l.release()
+		return t.refused(l.place, r, work{})
 	}
-	tx.place, tx.conn = place, c
+	tx.loan = l
 	return r.answer, false
 }
 
 // run sends one statement. The second result is true if nothing ran and the
 // transaction may begin elsewhere.
 func (tx *transaction) run(t *try, w work) (cwstatement.Answer, bool) {
+	l := tx.loan
+	if err := l.takeTurn(t.limits.claim()); err != nil {
+		return t.unplaced(err), false
+	}
 	first := !tx.ran
 	tx.ran, tx.wrote = true, tx.wrote || w.writes
-	r := tx.session.exchange(tx.place, tx.conn, w, t.limits)
+	r := tx.session.exchange(l, w, t.limits)
 	if r.err != nil {
-		t.lost(tx.place, tx.conn, r)
-		tx.conn = nil
-		t.tried = append(t.tried, tx.place.ID)
+		t.lost(l, r)
+		tx.loan = nil
+		t.tried = append(t.tried, l.place.ID)
 		// The transaction is rolled back with its connection.
 		return t.broken(r, false), false
 	}
-	t.note(tx.place, r, w.writes && r.answer.Code == cwstatement.OK)
+	t.note(l.place, r, w.writes && r.answer.Code == cwstatement.OK)
 	if r.answer.Code == cwstatement.OK {
 		return r.answer, false
 	}
-	a, again := t.refused(tx.place, r, w)
+	a, again := t.refused(l.place, r, w)
 	if r.answer.Code.NotRun() {
 		return a, again && first
 	}
@@ -205,26 +215,28 @@
 // commit ends the transaction.
 func (tx *transaction) commit(st cwstatement.Statement, began time.Time) cwstatement.Answer {
 	t := tx.try(began)
-	for tx.conn == nil {
+	for tx.loan == nil {
 		a, again := tx.open(t)
 		if a.Code != cwstatement.OK && (!again || !t.another()) {
 			return a.WithState(cwstatement.Idle)
 		}
 	}
-	place, c := tx.place, tx.conn
-	tx.conn = nil
+	l := tx.loan
+	tx.loan = nil
+	// A commit waits for no turn: others may wait for what its transaction
+	// holds.
 	w := work{command: cwstatement.Command{ID: st.ID, Verb: cwstatement.Commit, Text: st.Text}}
-	r := tx.session.exchange(place, c, w, t.limits)
+	r := tx.session.exchange(l, w, t.limits)
 	if r.err != nil {
-		t.lost(place, c, r)
+		t.lost(l, r)
 		return t.broken(r, tx.wrote && !r.notSent).WithState(cwstatement.Idle)
 	}
-	t.note(place, r, tx.wrote && r.answer.Code == cwstatement.OK)
+	t.note(l.place, r, tx.wrote && r.answer.Code == cwstatement.OK)
 	if r.answer.State != cwstatement.Idle {
-		tx.conn = c
+		tx.loan = l
 		tx.rollback()
 	} else {
-		place.Pool.Release(c)
+		l.release()
 	}
 	if r.answer.Code != cwstatement.OK {
 		return commitRefused(r.answer)
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -225,6 +225,7 @@
 	}
 	m.Listing = l
 	m.Pool.SetCeiling(ceiling)
+	m.Pool.SetSlots(l.Slots)
 }
 
 // Close closes the connections of the group.
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -18,6 +18,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -46,6 +47,9 @@
 	firstHold = 30 * time.Millisecond
 	// maxPrepared is the number of statements kept prepared on a connection.
 	maxPrepared = 256
+	// queueLimit is the number of statements that may wait here for their turn.
+	// Their deadlines bound the queue long before; this bounds its memory.
+	queueLimit = 1000
 	// minRetryAfter is the least time that a refused caller is told to wait.
 	minRetryAfter = 20 * time.Millisecond
 )
@@ -115,11 +119,13 @@
 	// idle is used as a stack, so that connections not needed stay idle.
 	idle    []*Conn
 	waiting []*waiter
-	// hold and latency are averages: how long a connection is lent, and how
-	// long the target takes for one statement.
-	hold, latency time.Duration
-	busy          int
-	closed        bool
+	// hold is how long a connection is lent on average.
+	hold   time.Duration
+	busy   int
+	closed bool
+	// gate admits statements at pace.
+	gate cwlimit.Gate
+	pace cwlimit.Pace
 }
 
 // waiter is somebody who waits for a connection. Its channel takes one result.
@@ -137,6 +143,7 @@
 // connections from all proxies together.
 func NewPool(to cwport.Endpoint, ceiling int, d cwport.Dialer, clock clockwork.Clock, ev Events) *Pool {
 	p := &Pool{to: to, dialer: d, clock: clock, events: ev}
+	p.gate.QueueLimit = queueLimit
 	p.SetCeiling(ceiling)
 	return p
 }
@@ -150,16 +157,26 @@
 	defer p.mu.Unlock()
 	if n = max(1, n); n != p.ceiling {
 		p.ceiling, p.limit = n, n
+		p.pace.Max = n
 	}
 }
 
+// SetSlots tells how many statements the target runs at once.
+func (p *Pool) SetSlots(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pace.Start = n
+	p.gate.SetLimit(p.pace.Limit(), p.clock.Now())
+}
+
 // Load describes a pool to whoever places statements.
 type Load struct {
-	// Busy is the number of connections that are lent, Waiting how many wait.
+	// Busy is the number of statements in progress, Waiting how many wait for
+	// their turn or a connection, Open the number of connections.
 	Busy, Waiting, Open int
 	// Latency is how long the target took for a statement lately.
 	Latency time.Duration
-	// Expect is how long whoever comes now would wait for a connection.
+	// Expect is how long whoever comes now would wait.
 	Expect time.Duration
 }
 
@@ -167,7 +184,10 @@
 func (p *Pool) Load() Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Load{Busy: p.busy, Waiting: len(p.waiting), Open: p.open, Latency: p.latency, Expect: p.expect()}
+	return Load{
+		Busy: p.gate.Busy(), Waiting: p.gate.Queued() + len(p.waiting), Open: p.open,
+		Latency: p.pace.Latency(), Expect: max(p.expect(), p.gate.Expect()),
+	}
 }
 
 // expect returns how long a newcomer would wait. The caller holds mu.
@@ -393,13 +413,6 @@
 	p.grow(now)
 }
 
-// Took records how long the target took for one statement.
-func (p *Pool) Took(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.latency = average(p.latency, d)
-}
-
 func average(old, d time.Duration) time.Duration {
 	if old == 0 {
 		return d
