--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -88,24 +88,27 @@
 	if bad.Code != cwstatement.OK {
 		return bad
 	}
-	t := try{session: s, entry: entry, group: group, limits: limitsOf(entry.Contract, began), began: began}
+	t := try{session: s, id: st.ID, entry: entry, group: group, limits: limitsOf(entry.Contract, began), began: began}
 	for {
 		a, again := t.alone(w)
 		if !again || !t.another() {
 			return a.WithState(cwstatement.Idle)
 		}
+		t.logRetry(a)
 	}
 }
 
 // try is the attempts of one statement.
 type try struct {
 	session *session
-	entry   cwcatalogue.Entry
-	group   *cwlead.Group
-	limits  limits
-	began   time.Time
-	tried   []cwgroup.MemberID
-	n       int
+	// id is the caller's name for the statement, for logs.
+	id     string
+	entry  cwcatalogue.Entry
+	group  *cwlead.Group
+	limits limits
+	began  time.Time
+	tried  []cwgroup.MemberID
+	n      int
 }
 
 // another reports whether one more attempt may be made.
@@ -118,6 +121,12 @@
 	return true
 }
 
+// logRetry says why a statement is tried once more.
+func (t *try) logRetry(a cwstatement.Answer) {
+	t.session.engine.cfg.Log.Info("statementRetried", "id", t.id, "group", t.group.Name(), "attempt", t.n,
+		"code", a.Code, "why", a.Detail, "tried", t.tried)
+}
+
 // alone makes one attempt at a statement outside a transaction. The second
 // result is true if it did not run, or only read, and may be tried again.
 func (t *try) alone(w work) (cwstatement.Answer, bool) {
@@ -177,7 +186,7 @@
 func (t *try) lost(l *loan, r sent) {
 	l.discard()
 	t.group.Suspect(l.place.ID)
-	t.session.engine.cfg.Log.Info("answerLost", "group", t.group.Name(), "target", l.place.ID, "notSent", r.notSent,
+	t.session.engine.cfg.Log.Info("answerLost", "id", t.id, "group", t.group.Name(), "target", l.place.ID, "notSent", r.notSent,
 		"waitedMs", t.session.engine.cfg.Clock.Since(r.at).Milliseconds(), "cause", r.err)
 }
 
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -120,13 +120,13 @@
 // try returns the attempts of a statement of the transaction. What the
 // statements before it took makes it more urgent; and once something has run, it
 // is not given up for missing the aim, since all of it would run again.
-func (tx *transaction) try(began time.Time) *try {
+func (tx *transaction) try(id string, began time.Time) *try {
 	l := limitsOf(tx.entry.Contract, began)
 	l.due = l.due.Add(-tx.spent)
 	if tx.ran {
 		l.offer = l.end
 	}
-	return &try{session: tx.session, entry: tx.entry, group: tx.group, limits: l, began: began}
+	return &try{session: tx.session, id: id, entry: tx.entry, group: tx.group, limits: l, began: began}
 }
 
 // statement runs a read or write in the transaction.
@@ -135,7 +135,7 @@
 	if bad.Code != cwstatement.OK {
 		return bad
 	}
-	t := tx.try(began)
+	t := tx.try(st.ID, began)
 	if tx.loan != nil {
 		a, _ := tx.run(t, w)
 		return a
@@ -148,6 +148,7 @@
 		if !again || !t.another() {
 			return a
 		}
+		t.logRetry(a)
 		// Nothing has run in the transaction yet, so it may begin elsewhere.
 		tx.rollback()
 		tx.ran, tx.wrote = false, false
@@ -214,7 +215,7 @@
 
 // commit ends the transaction.
 func (tx *transaction) commit(st cwstatement.Statement, began time.Time) cwstatement.Answer {
-	t := tx.try(began)
+	t := tx.try(st.ID, began)
 	for tx.loan == nil {
 		a, again := tx.open(t)
 		if a.Code != cwstatement.OK && (!again || !t.another()) {
--- /dev/null
+++ b/internal/proxy/cwlog/writer_test.go
@@ -0,0 +1,55 @@
+package cwlog
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+)
+
+// Requests stand still because whoever reads the log has stopped. Logging must
+// cost lines, not requests.
+func TestStoppedReaderCostsLinesOnly(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r, out := io.Pipe()
+	t.Cleanup(func() { _ = r.Close() })
+	w := NewWriter(out, clock)
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() { w.Run(stop); close(ended) }()
+	for range 2 * buffered / perKind {
+		for range perKind {
+			n, err := w.Write([]byte("level=info msg=statementFailed id=1\n"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, n, qt.Equals, 36)
+		}
+		clock.Advance(time.Second)
+	}
+	qt.Assert(t, r.Close(), qt.IsNil)
+	close(stop)
+	<-ended
+}
+
+// A flood of one kind leaves the others readable, and says what is missing.
+func TestBudgetOfEachKind(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var out bytes.Buffer
+	w := NewWriter(&out, clock)
+	for range perKind + 60 {
+		_, _ = w.Write([]byte("msg=statementFailed id=1\n"))
+	}
+	_, _ = w.Write([]byte("msg=primaryKnown term=2\n"))
+	clock.Advance(time.Second)
+	_, _ = w.Write([]byte("msg=statementFailed id=2\n"))
+	stop := make(chan struct{})
+	close(stop)
+	w.Run(stop)
+	qt.Assert(t, strings.Count(out.String(), "id=1"), qt.Equals, perKind)
+	qt.Assert(t, out.String(), qt.Contains, "msg=primaryKnown term=2")
+	qt.Assert(t, out.String(), qt.Contains, "msg=linesLeftOut kind=statementFailed lines=60")
+	qt.Assert(t, out.String(), qt.Contains, "id=2")
+}
--- a/internal/standin/cwreplica/conn.go
+++ b/internal/standin/cwreplica/conn.go
@@ -1,6 +1,7 @@
 package cwreplica
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -61,7 +62,7 @@
 
 func (c *conn) run(cmd cwstatement.Command) cwstatement.Answer {
 	if cmd.ID != "" {
-		c.group.ran = append(c.group.ran, cmd.ID)
+		c.group.ran = append(c.group.ran, Context{ID: cmd.ID, Values: maps.Clone(c.values)})
 	}
 	if c.state == cwstatement.Failed && cmd.Verb != cwstatement.Commit && cmd.Verb != cwstatement.Rollback {
 		return cwstatement.Failure(cwstatement.Malformed, "failed")
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -56,15 +57,28 @@
 	cut map[path]bool
 	// promotions are the orders that were taken, in order.
 	promotions []cwport.Promotion
-	// ran holds the ids of the callers' statements that were run, asked counts
+	// ran holds the callers' statements that were run, asked counts
 	// the questions about health.
-	ran   []string
+	ran   []Context
 	asked int
 	// takes is how long a promotion takes by clock.
 	takes time.Duration
 	clock clockwork.Clock
 }
 
+// Context is under which settings a statement of a caller ran.
+type Context struct {
+	ID     string
+	Values map[string]string
+}
+
+// Contexts returns the callers' statements that were run, in order.
+func (g *Group) Contexts() []Context {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.ran)
+}
+
 type path struct{ a, b string }
 
 // NewGroup returns a group whose first member leads term 1.
@@ -118,7 +132,7 @@
 func (g *Group) Promotions() []cwport.Promotion {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return append([]cwport.Promotion(nil), g.promotions...)
+	return slices.Clone(g.promotions)
 }
 
 // Value returns an item as the newest primary's log has it.
@@ -137,7 +151,7 @@
 	defer g.mu.Unlock()
 	n := 0
 	for _, r := range g.ran {
-		if r == id {
+		if r.ID == id {
 			n++
 		}
 	}
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -1,12 +1,12 @@
 package cwcommand
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -15,6 +15,7 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwclock"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwdirectory"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwinstance"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwlog"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/platform"
 )
@@ -60,8 +61,19 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+	clock := cwclock.NewBoot()
+	lines := cwlog.NewWriter(cmd.OutOrStdout(), clock)
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		lines.Run(stop)
+		close(ended)
+	}()
+	defer func() {
+		close(stop)
+		<-ended
+	}()
+	logger := platformLogger(lines, level)
+	reload := &reloader{path: path, now: s, clock: clock, log: logger}
 	client := platformClient()
 	store := &platform.Store{Address: s.Store, HTTP: client}
 	cfg := cwinstance.Config{
@@ -79,8 +91,8 @@
 		Source:     store,
 		Table:      store,
 		Promoter:   &platform.Duties{Address: s.Duties, HTTP: client},
-		Clock:      cwclock.NewBoot(),
-		Log:        platformLogger(cmd, level),
+		Clock:      clock,
+		Log:        logger,
 		Seed:       fmt.Sprintf("%x-%d", time.Now().UnixNano(), os.Getpid()),
 	}
 	if metricsPort != "" {
@@ -90,7 +102,10 @@
 		}
 		cfg.Metrics = net.JoinHostPort(host, metricsPort)
 	}
-	return cwinstance.New(cfg).Run(cmd.Context())
+	ctx, cancel := context.WithCancel(cmd.Context())
+	defer cancel()
+	go reload.run(ctx)
+	return cwinstance.New(cfg).Run(ctx)
 }
 
 // waits returns how long the store may hold questions, so that a lost answer is
@@ -121,8 +136,8 @@
 }
 
 // platformLogger writes to standard output, where the platform collects logs.
-func platformLogger(cmd *cobra.Command, level log.Level) *log.Logger {
-	return log.NewWithOptions(cmd.OutOrStdout(), log.Options{
+func platformLogger(w io.Writer, level log.Level) *log.Logger {
+	return log.NewWithOptions(w, log.Options{
 		Formatter:       log.LogfmtFormatter,
 		ReportTimestamp: true,
 		TimeFormat:      time.RFC3339Nano,
