targets, platform: a full target is neither lost nor stormed

In five seconds databases reset 302,608 connections, eight living primaries were replaced, nearly everything was refused: a database over its bound closes new connections without a word, which counted as a crash; every request tried anew; and whoever came first kept a resting connection for good.

--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -137,7 +137,10 @@
 		}
 		return ask
 	}
-	if m := g.members[p.Member]; m != nil && now.Sub(p.At) > calmAsk {
+	// One of a few instances watches a group that nobody asks for; all would
+	// use up the target's connections.
+	watched := g.rank == 0 || now.Sub(g.usedAt) < usedFor
+	if m := g.members[p.Member]; m != nil && watched && now.Sub(p.At) > calmAsk {
 		ask = append(ask, *m)
 	}
 	for id, m := range g.members {
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -30,6 +30,11 @@
 	dialTimeout = 1500 * time.Millisecond
 	// growAfter is how long after a refusal a pool tries one more connection.
 	growAfter = time.Second
+	// redialMin and redialMax bound the pause after a connection that could not
+	// be opened, while none is open: callers come by the thousand, and each
+	// would try anew. The pause doubles with each failure.
+	redialMin = 20 * time.Millisecond
+	redialMax = 500 * time.Millisecond
 	// restFor is how long a connection may rest before it is closed, so that
 	// proxies with more callers can have it.
 	restFor = time.Second
@@ -114,6 +119,11 @@
 	// open counts the connections, those being opened included; 0 <= open.
 	open, dialing int
 	refusedAt     time.Time
+	// redialAt is when a connection may be tried again, redial the next pause,
+	// and dialErr why the last one failed.
+	redialAt time.Time
+	redial   time.Duration
+	dialErr  error
 	// crowdedAt is when the target was last known to have few connections left.
 	crowdedAt time.Time
 	// idle is used as a stack, so that connections not needed stay idle.
@@ -221,6 +231,11 @@
 		p.mu.Unlock()
 		return nil, &FullError{RetryAfter: max(wait, minRetryAfter)}
 	}
+	if p.open == 0 && now.Before(p.redialAt) {
+		err := p.dialErr
+		p.mu.Unlock()
+		return nil, &UnreachableError{Cause: err}
+	}
 	w := &waiter{deadline: deadline, result: make(chan lent, 1)}
 	p.enqueue(w)
 	p.grow(now)
@@ -339,6 +354,7 @@
 		}
 		return
 	}
+	p.redial = 0
 	c := &Conn{Target: t, Values: map[string]string{}, Prepared: map[string]bool{}, born: now, used: now}
 	p.giveBack(c, now)
 	p.mu.Unlock()
@@ -348,6 +364,8 @@
 // mu.
 func (p *Pool) dialFailed(err error, now time.Time) {
 	p.open--
+	p.redial = min(max(2*p.redial, redialMin), redialMax)
+	p.redialAt, p.dialErr = now.Add(p.redial), err
 	var refused *cwport.RefusedError
 	if errors.As(err, &refused) && refused.Code == cwstatement.TooManyConnections {
 		p.limit, p.refusedAt, p.crowdedAt = max(1, p.open), now, now
@@ -421,16 +439,18 @@
 }
 
 // Trim closes connections that have rested for long. One is kept, so that the
-// target can be asked about itself at once.
+// target can be asked about itself at once, unless the target is crowded: with
+// more proxies than it takes connections, those that keep one would shut the
+// others out.
 func (p *Pool) Trim() {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rest := restFor
+	rest, keep := restFor, 1
 	if !p.crowdedAt.IsZero() && now.Sub(p.crowdedAt) < crowdedFor {
-		rest = restScarce
+		rest, keep = restScarce, 0
 	}
-	for len(p.idle) > 1 && now.Sub(p.idle[0].used) > rest {
+	for len(p.idle) > keep && now.Sub(p.idle[0].used) > rest {
 		p.dropIdle(0)
 	}
 }
