--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -110,6 +110,9 @@
 		case errors.As(err, &history):
 			d.Log.Warn("historyLost", "topic", t, "after", after)
 			fresh = true
+			// A store that drops its history again and again is not asked in a
+			// busy loop.
+			d.sleep(ctx, retryMin)
 			continue
 		case err != nil:
 			if !away {
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -210,6 +210,17 @@
 	return entry, g.Group, true
 }
 
+// groupName returns the group that serves what a caller names, for logs; empty if
+// there is none.
+func (e *Engine) groupName(database string) string {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	if entry, ok := e.entries[database]; ok {
+		return entry.Groups[0].Name
+	}
+	return ""
+}
+
 // Start lets the engine run under ctx. Call it once, before anything else.
 func (e *Engine) Start(ctx context.Context, eg *errgroup.Group) {
 	e.run, e.eg = ctx, eg
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -74,6 +74,7 @@
 		s.engine.cfg.Metrics.Statement.Update(took.Seconds())
 		if a.Code != cwstatement.OK {
 			s.engine.cfg.Log.Info("statementFailed", "id", st.ID, "verb", st.Verb, "database", s.database,
+				"group", s.engine.groupName(s.database), "revision", s.engine.Revision(),
 				"code", a.Code, "why", a.Detail, "tookMs", took.Milliseconds())
 		}
 		if err := s.caller.Reply(a); err != nil {
--- /dev/null
+++ b/internal/tool/cwcommand/explain_test.go
@@ -0,0 +1,55 @@
+package cwcommand
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const logOfX = `time=2026-01-02T03:04:05.1Z level=warn msg=targetLost group=s target=i-1 cause="connection refused"
+time=2026-01-02T03:04:05.2Z level=info msg=statementFailed id=5c verb=write database=d group=s code=aborted why="it does not answer" tookMs=2
+time=2026-01-02T03:04:05.2Z level=info msg=statementFailed id=77 verb=write database=e group=other code=busy tookMs=2
+time=2026-01-02T03:04:05.3Z level=info msg=claimSeen group=other term=2
+not a log line
+time=never msg=broken id=5c
+`
+
+const logOfY = `time=2026-01-02T03:04:05.15Z level=info msg=claimSeen group=s term=2 claim=y-1 done=false
+time=2026-01-02T03:04:06.9Z level=info msg=primaryKnown group=s primary=i-2 term=2
+time=2026-01-02T03:05:00Z level=info msg=primaryKnown group=s primary=i-3 term=3
+time=2026-01-02T03:04:05.2Z level=warn msg=storeLost topic=own
+`
+
+func logsOf(t *testing.T) []logLine {
+	x, err := parseLog("x.log", strings.NewReader(logOfX))
+	qt.Assert(t, err, qt.IsNil)
+	y, err := parseLog("y.log", strings.NewReader(logOfY))
+	qt.Assert(t, err, qt.IsNil)
+	return append(x, y...)
+}
+
+// A complaint brings one id. Its story is spread over the logs of two instances:
+// the target was lost here, replaced from there.
+func TestExplain(t *testing.T) {
+	var out bytes.Buffer
+	qt.Assert(t, explain(&out, "5c", logsOf(t)), qt.IsNil)
+	var got []string
+	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		file, rest, _ := strings.Cut(line, " ")
+		_, msg, _ := strings.Cut(rest, "msg=")
+		msg, _, _ = strings.Cut(msg, " ")
+		got = append(got, file+" "+msg)
+	}
+	qt.Assert(t, got, qt.DeepEquals, []string{
+		"x.log targetLost", "y.log claimSeen", "x.log statementFailed", "y.log primaryKnown",
+	})
+}
+
+func TestExplainUnknownRequest(t *testing.T) {
+	err := explain(&bytes.Buffer{}, "none", logsOf(t))
+	var unknown *UnknownRequestError
+	qt.Assert(t, errors.As(err, &unknown), qt.IsTrue)
+}
