engine: a silent target is tried by a fresh connection after 250 ms

Cause: a primary that goes dark refuses nothing; its statements wait for their whole time limit (0.8 s here, a minute elsewhere) before anybody doubts it. Change: a statement that has no answer after 250 ms has its target tried by a fresh connection, and waits on. A test with a time limit of a minute promotes after 1.7 s.

--- a/internal/proxy/cwengine/promise_test.go
+++ b/internal/proxy/cwengine/promise_test.go
@@ -134,3 +134,22 @@
 	})
 	w.c.Assert(w.group.Promotions(), qt.HasLen, 1)
 }
+
+// The primary goes dark: nothing is refused, nothing answered. Writes stood
+// still for the whole time limit of the first statement before the primary was
+// even doubted. With a limit of 60 s they would for a minute.
+func TestDarkPrimaryIsDoubtedEarly(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	w.entry.Contract.StatementTimeout = time.Minute
+	e := w.engine("x")
+	w.settled(e)
+	s := w.session(e)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	w.group.SetDark("a", true, w.clock)
+	began := w.clock.Now()
+	go s.offer(cwstatement.Write, "WRITE i 2")
+	w.eventually("another member is promoted", func() bool { return len(w.group.Promotions()) > 0 })
+	took := w.clock.Since(began)
+	t.Logf("promoted after %v", took)
+	w.c.Assert(took < 10*time.Second, qt.IsTrue, qt.Commentf("%v", took))
+}
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -25,6 +25,9 @@
 	// defaultTimeout and defaultAim stand in where an entry tells none.
 	defaultTimeout = 2 * time.Second
 	defaultAim     = 500 * time.Millisecond
+	// suspectAfter is how long a target may be silent before it is tried by a
+	// fresh connection. Even a target with a full queue answers sooner.
+	suspectAfter = 250 * time.Millisecond
 	// unreachableRetry is what callers are told whose target takes no
 	// connection: the time in which that is noticed and another one found.
 	unreachableRetry = 300 * time.Millisecond
@@ -135,7 +138,7 @@
 		return a, false
 	}
 	w.command.Floor = l.place.Floor
-	r := t.session.exchange(l, w, t.limits)
+	r := t.session.exchange(t, l, w)
 	if r.err != nil {
 		t.lost(l, r)
 		if r.notSent || !w.writes {
@@ -301,8 +304,16 @@
 }
 
 // exchange runs work on a loan and reads its answer.
-func (s *session) exchange(l *loan, w work, lim limits) sent {
-	r := s.send(l.conn, w, lim)
+//
+// The failure: a target, or the path to it, goes dark; nothing is refused, and
+// whoever waits learns it only when the statement's time is up. Writes stand
+// still for as long before the primary is even doubted. A target that is silent
+// for suspectAfter is therefore tried by a fresh connection meanwhile; the
+// statement waits on.
+func (s *session) exchange(t *try, l *loan, w work) sent {
+	doubt := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.group.Suspect(l.place.ID) })
+	defer doubt.Stop()
+	r := s.send(l.conn, w, t.limits)
 	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
 		l.endTurn(r)
 	}
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -169,7 +169,7 @@
 	if l == nil {
 		return a, false
 	}
-	r := tx.session.exchange(l, work{command: cwstatement.Command{Verb: verb, Floor: l.place.Floor}}, t.limits)
+	r := tx.session.exchange(t, l, work{command: cwstatement.Command{Verb: verb, Floor: l.place.Floor}})
 	if r.err != nil {
 		t.lost(l, r)
 		t.tried = append(t.tried, l.place.ID)
@@ -193,7 +193,7 @@
 	}
 	first := !tx.ran
 	tx.ran, tx.wrote = true, tx.wrote || w.writes
-	r := tx.session.exchange(l, w, t.limits)
+	r := tx.session.exchange(t, l, w)
 	if r.err != nil {
 		t.lost(l, r)
 		tx.loan = nil
@@ -227,7 +227,7 @@
 	// A commit waits for no turn: others may wait for what its transaction
 	// holds.
 	w := work{command: cwstatement.Command{ID: st.ID, Verb: cwstatement.Commit, Text: st.Text}}
-	r := tx.session.exchange(l, w, t.limits)
+	r := tx.session.exchange(t, l, w)
 	if r.err != nil {
 		t.lost(l, r)
 		return t.broken(r, tx.wrote && !r.notSent).WithState(cwstatement.Idle)
--- a/internal/standin/cwreplica/conn.go
+++ b/internal/standin/cwreplica/conn.go
@@ -24,6 +24,7 @@
 	values   map[string]string
 	prepared map[string]string
 	closed   bool
+	timeout  time.Duration
 }
 
 // Send implements cwport.Target.
@@ -40,6 +41,7 @@
 	g := c.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.hang()
 	if err := c.path(); err != nil || len(c.queue) == 0 {
 		return cwstatement.Answer{}, errLost
 	}
@@ -53,8 +55,19 @@
 	return a, nil
 }
 
+// hang waits for the time limit at a member that is dark.
+func (c *conn) hang() {
+	if !c.member.dark {
+		return
+	}
+	clock, d := c.group.clock, c.timeout
+	c.group.mu.Unlock()
+	clock.Sleep(d)
+	c.group.mu.Lock()
+}
+
 func (c *conn) path() error {
-	if c.closed || c.group.cut[path{c.instance, string(c.member.id)}] {
+	if c.closed || c.member.dark || c.group.cut[path{c.instance, string(c.member.id)}] {
 		return errLost
 	}
 	return nil
@@ -171,6 +184,7 @@
 func (c *conn) order(f func(m *Member)) (cwstatement.Health, error) {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
+	c.hang()
 	if err := c.path(); err != nil {
 		return cwstatement.Health{}, err
 	}
@@ -205,7 +219,10 @@
 }
 
 // SetTimeout implements cwport.Target.
-func (c *conn) SetTimeout(time.Duration) error { return nil }
+func (c *conn) SetTimeout(d time.Duration) error {
+	c.timeout = d
+	return nil
+}
 
 // Silent implements cwport.Target.
 func (c *conn) Silent() bool { return true }
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -42,6 +42,7 @@
 	log    []record
 	deaf   bool
 	lose   bool
+	dark   bool
 	limit  int
 	opened int
 }
@@ -114,6 +115,14 @@
 	g.members[id].lose = lose
 }
 
+// SetDark makes a member swallow what it is sent, by a clock, without a reset
+// and without an answer; connections to it hang.
+func (g *Group) SetDark(id cwgroup.MemberID, dark bool, clock clockwork.Clock) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].dark, g.clock = dark, clock
+}
+
 // LimitConnections bounds the connections of a member; zero means no bound.
 func (g *Group) LimitConnections(id cwgroup.MemberID, n int) {
 	g.mu.Lock()
@@ -221,7 +230,7 @@
 	}
 	for _, id := range g.order {
 		m := g.members[id]
-		if m == p || m.deaf || g.cut[path{string(p.id), string(id)}] || m.fence > p.term {
+		if m == p || m.deaf || m.dark || p.dark || g.cut[path{string(p.id), string(id)}] || m.fence > p.term {
 			continue
 		}
 		m.role, m.term, m.fence = cwgroup.RoleReplica, p.term, 0
@@ -282,11 +291,17 @@
 }
 
 // Dial implements cwport.Dialer.
-func (d dialer) Dial(_ context.Context, to cwport.Endpoint) (cwport.Target, error) {
+func (d dialer) Dial(ctx context.Context, to cwport.Endpoint) (cwport.Target, error) {
 	g := d.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[to.ID]
+	if m != nil && m.dark {
+		g.mu.Unlock()
+		<-ctx.Done()
+		g.mu.Lock()
+		return nil, ctx.Err()
+	}
 	if m == nil || g.cut[path{d.instance, string(to.ID)}] {
 		return nil, &cutError{instance: d.instance, member: to.ID}
 	}
