--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -36,8 +36,11 @@
 	redialMin = 20 * time.Millisecond
 	redialMax = 500 * time.Millisecond
 	// restFor is how long a connection may rest before it is closed, so that
-	// proxies with more callers can have it.
-	restFor = time.Second
+	// proxies with more callers can have it, and so that a target has some left
+	// when all instances lose power: it keeps those of the dead for seconds.
+	// With 400 ms in place of a second the two seconds after such a loss serve
+	// 0.69 to 0.85 of what is asked, before 0.39 to 0.72 (four and eight runs).
+	restFor = 400 * time.Millisecond
 	// restScarce is the same while the target is crowded: a few round trips
 	// with its queue.
 	restScarce = 200 * time.Millisecond
