failover: a leaving primary is fenced first

All members were fenced at once; the leaving primary took two more records before its own order came, was the most advanced, and was promoted again. Change: the leaving one is ordered first, the others after its answer; if every other member was fenced, the most advanced of those is promoted, since what only the leaving one has cannot have been acknowledged.

--- a/internal/core/cwfailover/keeper.go
+++ b/internal/core/cwfailover/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -76,6 +77,8 @@
 	tableClaim bool
 	// waiting holds orders that are sent once the claim was read back.
 	waiting []Order
+	// later holds the orders to adopt that follow the leaving primary's answer.
+	later   []Order
 	rowDone bool
 	follows int
 }
@@ -260,13 +263,23 @@
 	return []Order{k.order(ReadRow, "")}
 }
 
+// fence orders the members to adopt the term. A primary that is to leave goes
+// first: what it still takes while the others are fenced already would make it
+// the only one that has everything, and it would be promoted once more.
 func (k *Keeper) fence() []Order {
 	k.phase = Fencing
 	orders := make([]Order, 0, len(k.plan.Members))
 	for _, m := range k.plan.Members {
+		if m == k.plan.Avoid {
+			continue
+		}
 		orders = append(orders, k.order(Adopt, m))
 	}
-	return k.guarded(orders)
+	if !slices.Contains(k.plan.Members, k.plan.Avoid) {
+		return k.guarded(orders)
+	}
+	k.later = orders
+	return k.guarded([]Order{k.order(Adopt, k.plan.Avoid)})
 }
 
 func (k *Keeper) adopted(ev Event, now time.Time) []Order {
@@ -290,6 +303,11 @@
 	if len(k.fenced) >= majority && k.majorityAt.IsZero() {
 		k.majorityAt = now
 	}
+	if ev.Member == k.plan.Avoid && len(k.later) > 0 {
+		orders := k.later
+		k.later = nil
+		return k.guarded(orders)
+	}
 	if k.fenceOver(now) {
 		return k.promote()
 	}
@@ -333,7 +351,21 @@
 	return k.guarded([]Order{k.order(Promote, k.primary)})
 }
 
+// othersFenced reports whether every member but the leaving one was fenced. Then
+// one of them has whatever was acknowledged, since the leaving one alone cannot
+// acknowledge anything, and it need not be promoted for what only it has.
+func (k *Keeper) othersFenced() bool {
+	n := len(k.fenced)
+	if _, ok := k.fenced[k.plan.Avoid]; ok {
+		n--
+	}
+	return n == len(k.plan.Members)-1
+}
+
 func (k *Keeper) better(a, b cwgroup.Status) bool {
+	if k.othersFenced() && (a.Member == k.plan.Avoid) != (b.Member == k.plan.Avoid) {
+		return b.Member == k.plan.Avoid
+	}
 	if c := a.Last.Compare(b.Last); c != 0 {
 		return c > 0
 	}
