--- a/internal/core/cwfailover/order.go
+++ b/internal/core/cwfailover/order.go
@@ -62,6 +62,11 @@
 	RowUnavailable
 )
 
+// String names the outcome for logs.
+func (o RowOutcome) String() string {
+	return [...]string{"done", "conflict", "unknown", "unavailable"}[o]
+}
+
 // Event is an answer to an order.
 type Event struct {
 	// Kind, Member and Claim repeat the order's.
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -104,9 +104,12 @@
 		return
 	}
 	tx.loan = nil
-	_ = l.conn.SetTimeout(rollbackTimeout)
-	_ = l.conn.Send(cwstatement.Command{Verb: cwstatement.Rollback})
-	if err := finish(l.conn, 1); err != nil {
+	err := l.conn.SetTimeout(rollbackTimeout)
+	if err == nil {
+		l.conn.Send(cwstatement.Command{Verb: cwstatement.Rollback})
+		err = finish(l.conn, 1)
+	}
+	if err != nil {
 		// A connection that is closed rolls back by itself.
 		l.discard()
 		return
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -192,7 +192,7 @@
 	switch o.Kind {
 	case cwfailover.ClaimRow, cwfailover.ReadRow, cwfailover.RecordRow:
 		ev.Row = g.sendRow(ctx, o)
-		g.cfg.Log.Info("order", "group", g.cfg.Service, "order", o.Kind, "term", o.Term, "claim", o.Claim, "row", int(ev.Row))
+		g.cfg.Log.Info("order", "group", g.cfg.Service, "order", o.Kind, "term", o.Term, "claim", o.Claim, "row", ev.Row)
 		return ev
 	case cwfailover.Adopt:
 		ev.Status, err = g.adopt(o)
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -43,8 +43,8 @@
 
 // Target is a connection to a target. It is used by one goroutine at a time.
 type Target interface {
-	// Send queues a command.
-	Send(cwstatement.Command) error
+	// Send queues a command. Flush tells whether it could be sent.
+	Send(cwstatement.Command)
 	// Flush sends what was queued.
 	Flush() error
 	// Receive reads the answer to the oldest command without one.
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -19,7 +18,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
-	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -327,90 +325,6 @@
 	c.taken = now
 }
 
-// grow opens connections for the waiting. The caller holds mu.
-func (p *Pool) grow(now time.Time) {
-	if p.limit < p.ceiling && now.Sub(p.refusedAt) >= growAfter {
-		p.limit = p.open + 1
-		p.refusedAt = now
-	}
-	for p.dialing < len(p.waiting) && p.open < p.limit && !p.closed {
-		p.open++
-		p.dialing++
-		go p.runDial()
-	}
-}
-
-// runDial opens one connection and gives it to whoever waits.
-func (p *Pool) runDial() {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	t, err := p.dialer.Dial(ctx, p.to)
-	now := p.clock.Now()
-	p.mu.Lock()
-	p.dialing--
-	if err != nil {
-		p.dialFailed(err, now)
-		p.mu.Unlock()
-		var refused *cwport.RefusedError
-		if !errors.As(err, &refused) || refused.Code != cwstatement.TooManyConnections {
-			p.events.DialFailed(p.to, err)
-		}
-		return
-	}
-	p.redial = 0
-	c := &Conn{Target: t, Values: map[string]string{}, Prepared: map[string]bool{}, born: now, used: now}
-	p.giveBack(c, now)
-	p.mu.Unlock()
-}
-
-// dialFailed takes that one connection could not be opened. The caller holds
-// mu.
-func (p *Pool) dialFailed(err error, now time.Time) {
-	p.open--
-	p.redial = min(max(2*p.redial, redialMin), redialMax)
-	p.redialAt, p.dialErr = now.Add(p.redial), err
-	var refused *cwport.RefusedError
-	if errors.As(err, &refused) && refused.Code == cwstatement.TooManyConnections {
-		p.limit, p.refusedAt, p.crowdedAt = max(1, p.open), now, now
-		if p.open > 0 {
-			return
-		}
-	}
-	// Whoever waits may go elsewhere; those whom an open connection can still
-	// serve stay.
-	keep := 0
-	if p.open > 0 {
-		keep = len(p.waiting) - 1
-	}
-	for len(p.waiting) > max(0, keep) {
-		w := p.waiting[len(p.waiting)-1]
-		p.waiting = p.waiting[:len(p.waiting)-1]
-		w.result <- lent{err: &UnreachableError{Cause: err}}
-	}
-}
-
-// giveBack hands a usable connection to the first who waits. The caller holds
-// mu.
-func (p *Pool) giveBack(c *Conn, now time.Time) {
-	if p.closed || p.open > p.ceiling {
-		p.open--
-		_ = c.Close()
-		return
-	}
-	for len(p.waiting) > 0 {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if w.deadline.Before(now) {
-			w.result <- lent{err: &FullError{RetryAfter: max(p.expect(), minRetryAfter)}}
-			continue
-		}
-		p.lend(c, now)
-		w.result <- lent{conn: c}
-		return
-	}
-	p.idle = append(p.idle, c)
-}
-
 // Release gives a connection back for others. Call it only once every answer
 // was read and no transaction is open on it.
 func (p *Pool) Release(c *Conn) {
@@ -440,67 +354,3 @@
 	}
 	return old + (d-old)/smoothing
 }
-
-// Trim closes connections that have rested for long. One is kept, so that the
-// target can be asked about itself at once, unless the target is crowded: with
-// more proxies than it takes connections, those that keep one would shut the
-// others out.
-func (p *Pool) Trim() {
-	now := p.clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	rest, keep := restFor, 1
-	if !p.crowdedAt.IsZero() && now.Sub(p.crowdedAt) < crowdedFor {
-		rest, keep = restScarce, 0
-	}
-	for len(p.idle) > keep && now.Sub(p.idle[0].used) > rest {
-		p.dropIdle(0)
-	}
-}
-
-// Crowded takes how many connections the target has from everybody.
-func (p *Pool) Crowded(connections int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if connections*100 >= p.ceiling*crowdedShare {
-		p.crowdedAt = p.clock.Now()
-	}
-}
-
-// dropIdle closes an idle connection. The caller holds mu.
-func (p *Pool) dropIdle(i int) {
-	_ = p.idle[i].Close()
-	p.idle = slices.Delete(p.idle, i, i+1)
-	p.open--
-}
-
-// Cull closes the idle connections that are older than at.
-//
-// The failure: something between the two ends has lost track of the open
-// connections; whatever is sent on them gets no answer, while new ones work. It
-// shows as time-outs in series. Once a fresh connection has worked, the older
-// ones are not lent again.
-func (p *Pool) Cull(at time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.idle[i].born.Before(at) {
-			p.dropIdle(i)
-		}
-	}
-}
-
-// Close closes the pool. Connections that are lent are closed when they come
-// back.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for len(p.idle) > 0 {
-		p.dropIdle(len(p.idle) - 1)
-	}
-	for _, w := range p.waiting {
-		w.result <- lent{err: &ClosedError{}}
-	}
-	p.waiting = nil
-}
--- a/internal/standin/cwreplica/conn.go
+++ b/internal/standin/cwreplica/conn.go
@@ -28,10 +28,7 @@
 }
 
 // Send implements cwport.Target.
-func (c *conn) Send(cmd cwstatement.Command) error {
-	c.queue = append(c.queue, cmd)
-	return nil
-}
+func (c *conn) Send(cmd cwstatement.Command) { c.queue = append(c.queue, cmd) }
 
 // Flush implements cwport.Target.
 func (c *conn) Flush() error { return nil }
