--- a/cmd/cicadawalk/process_test.go
+++ b/cmd/cicadawalk/process_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -48,12 +49,23 @@
 	https     []string
 }
 
-// freeAddr returns an address on a loopback host that nothing listens on.
+// given holds the addresses that were given out. The kernel may hand out a port
+// again before the program that it was meant for listens on it; of two programs
+// with one address the second one ends at once.
+var given sync.Map
+
+// freeAddr returns an address on a loopback host that nothing listens on, and
+// that no other test was given.
 func freeAddr(c *qt.C, host string) string {
-	ln, err := net.Listen("tcp", host+":0")
-	c.Assert(err, qt.IsNil)
-	defer ln.Close()
-	return ln.Addr().String()
+	for {
+		ln, err := net.Listen("tcp", host+":0")
+		c.Assert(err, qt.IsNil)
+		addr := ln.Addr().String()
+		c.Assert(ln.Close(), qt.IsNil)
+		if _, taken := given.LoadOrStore(addr, true); !taken {
+			return addr
+		}
+	}
 }
 
 func (tr *trial) start(program string, args ...string) *exec.Cmd {
