command: a reload during a shutdown cuts nothing

Ruled out: a second SIGTERM (taken until the end), the drain (it had just begun). Change: SIGHUP is taken until the process has ended.

--- a/internal/tool/cwcommand/reload.go
+++ b/internal/tool/cwcommand/reload.go
@@ -28,16 +28,20 @@
 	log   *log.Logger
 	// fault is the last fault that was logged, so that each is logged once.
 	fault string
+	hup   chan os.Signal
 }
 
-// run reloads until ctx ends.
+// listen takes SIGHUP from now on; without it the signal ends the process.
+func (r *reloader) listen() {
+	r.hup = make(chan os.Signal, 1)
+	signal.Notify(r.hup, syscall.SIGHUP)
+}
+
+// run reloads until ctx ends. SIGHUP is still taken after that.
 func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	for {
 		select {
-		case <-hup:
+		case <-r.hup:
 			r.log.Info("reload", "path", r.path)
 		case <-r.clock.After(reloadEvery):
 		case <-ctx.Done():
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -102,10 +102,14 @@
 		}
 		cfg.Metrics = net.JoinHostPort(host, metricsPort)
 	}
-	ctx, cancel := context.WithCancel(cmd.Context())
-	defer cancel()
-	go reload.run(ctx)
-	return cwinstance.New(cfg).Run(ctx)
+	// The failure: SIGHUP arrives during a shutdown, nobody listens for it any
+	// more, and the process ends at once with its sessions. Signals to reload are
+	// therefore taken until the instance has ended.
+	reloading, stopReloading := context.WithCancel(context.Background())
+	defer stopReloading()
+	reload.listen()
+	go reload.run(reloading)
+	return cwinstance.New(cfg).Run(cmd.Context())
 }
 
 // waits returns how long the store may hold questions, so that a lost answer is
