--- a/cmd/cicadawalk/serve_test.go
+++ b/cmd/cicadawalk/serve_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -16,15 +17,14 @@
 // SIGTERM, nobody listened for it any more, and the process ended at once.
 func TestReloadDuringAShutdownCutsNothing(t *testing.T) {
 	c := qt.New(t)
-	const text = `{"node_name":"front-1","zone":"z","zones":{"z":"r"},"listen":{"front":%q,"ready":%q},
-"limits":{"memory_mb":284},"bounds":{"grace_s":2,"drain_ms":7000,"config_ms":3000,"stability_window_ms":4000},
-"platform":{"address":%q},"cloud_api":{"address":%q}}`
-	var addrs []any
-	for range 4 {
-		addrs = append(addrs, freeAddr(c, "127.0.0.1"))
+	text, err := os.ReadFile("../../platform/testdata/node.json")
+	c.Assert(err, qt.IsNil)
+	settings := string(text)
+	for i := range 4 {
+		settings = strings.ReplaceAll(settings, fmt.Sprintf("ADDRESS%d", i+1), freeAddr(c, "127.0.0.1"))
 	}
 	path := filepath.Join(c.TempDir(), "node.json")
-	c.Assert(os.WriteFile(path, fmt.Appendf(nil, text, addrs...), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
 	cmd := exec.Command(filepath.Join(bin, "cicadawalk"), "serve", "--settings", path)
 	c.Assert(cmd.Start(), qt.IsNil)
 	c.Cleanup(func() { _ = cmd.Process.Kill() })
