--- a/internal/proxy/cwengine/once_test.go
+++ b/internal/proxy/cwengine/once_test.go
@@ -10,13 +10,18 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 )
 
-// A round is recorded once, but the database's answer is lost. Sent again it
-// would be paid twice; called "not run" the clerk would send it again himself.
-func TestLostAnswerOfAWriteIsUnresolved(t *testing.T) {
+// newSession returns a session at an engine that knows its primary.
+func newSession(t *testing.T) (*world, *testCaller) {
 	w := newWorld(t, cwcatalogue.ReadNewest)
 	e := w.engine("x")
 	w.settled(e)
-	s := w.session(e)
+	return w, w.session(e)
+}
+
+// A round is recorded once, but the database's answer is lost. Sent again it
+// would be paid twice; called "not run" the clerk would send it again himself.
+func TestLostAnswerOfAWriteIsUnresolved(t *testing.T) {
+	w, s := newSession(t)
 	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
 	w.group.LoseAnswers("a", true)
 	a := s.ask(cwstatement.Write, "WRITE i 2")
@@ -26,10 +31,7 @@
 
 // The same with the commit of a transaction.
 func TestLostAnswerOfACommitIsUnresolved(t *testing.T) {
-	w := newWorld(t, cwcatalogue.ReadNewest)
-	e := w.engine("x")
-	w.settled(e)
-	s := w.session(e)
+	w, s := newSession(t)
 	succeeds(w.c, s.ask(cwstatement.Begin, "BEGIN"))
 	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 2"))
 	w.group.LoseAnswers("a", true)
@@ -42,10 +44,7 @@
 // A statement inside a transaction gets no answer. Nothing was committed, and
 // the connection is closed, so the caller may be told that nothing is kept.
 func TestLostAnswerInsideATransactionIsAborted(t *testing.T) {
-	w := newWorld(t, cwcatalogue.ReadNewest)
-	e := w.engine("x")
-	w.settled(e)
-	s := w.session(e)
+	w, s := newSession(t)
 	succeeds(w.c, s.ask(cwstatement.Begin, "BEGIN"))
 	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 2"))
 	w.group.LoseAnswers("a", true)
@@ -61,10 +60,7 @@
 // The primary is lost with a record that no other member has. Had it been
 // acknowledged at the primary alone, the clerk could not prove his round.
 func TestCommitOfOneMemberIsNotAcknowledged(t *testing.T) {
-	w := newWorld(t, cwcatalogue.ReadNewest)
-	e := w.engine("x")
-	w.settled(e)
-	s := w.session(e)
+	w, s := newSession(t)
 	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
 	w.group.SetDeaf("b", true)
 	w.group.SetDeaf("c", true)
@@ -104,10 +100,7 @@
 // is ended quietly, since a message that answers nothing would end the session,
 // and the caller learns it with its next statement.
 func TestRestingTransactionIsEnded(t *testing.T) {
-	w := newWorld(t, cwcatalogue.ReadNewest)
-	e := w.engine("x")
-	w.settled(e)
-	s := w.session(e)
+	w, s := newSession(t)
 	succeeds(w.c, s.ask(cwstatement.Begin, "BEGIN"))
 	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 2"))
 	w.clock.Sleep(100 * time.Millisecond)
