engine, peers: holders of a group run other instances' statements

Cause: with 77 instances before 36 connections a database each instance has less than half a connection.

Change: instances list themselves in the table; a group has holders by rendezvous hashing, two a data centre or more where connections allow it. The others hand them single statements and transactions over JSON-RPC, with the entry and the session's state by value. What has not run goes to another holder or runs here; a write without an answer is in doubt and never sent again. Only holders watch a group that they have no statements for.

Ruled out: waiting for a connection to a holder (a statement runs here until there is one); sending the name of the entry (a holder with an older catalogue would serve it the old way).

Small deployments hold everything and hand nothing over.

--- a/cmd/cicadawalk/serve_test.go
+++ b/cmd/cicadawalk/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,6 +24,9 @@
 	for i := range 4 {
 		settings = strings.ReplaceAll(settings, fmt.Sprintf("ADDRESS%d", i+1), freeAddr(c, "127.0.0.1"))
 	}
+	_, port, err := net.SplitHostPort(freeAddr(c, "127.0.0.1"))
+	c.Assert(err, qt.IsNil)
+	settings = strings.ReplaceAll(settings, "PORT5", port)
 	path := filepath.Join(c.TempDir(), "node.json")
 	c.Assert(os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
 	cmd := exec.Command(filepath.Join(bin, "cicadawalk"), "serve", "--settings", path)
--- /dev/null
+++ b/internal/core/cwholder/holder_test.go
@@ -0,0 +1,91 @@
+package cwholder
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// instances returns n instances in each of some data centres.
+func instances(n int, centres ...string) []Instance {
+	var all []Instance
+	for _, c := range centres {
+		for i := range n {
+			all = append(all, Instance{ID: fmt.Sprintf("%s-%d", c, i), DataCentre: c})
+		}
+	}
+	return all
+}
+
+func inCentre(list []Instance, centre string) int {
+	n := 0
+	for _, i := range list {
+		if i.DataCentre == centre {
+			n++
+		}
+	}
+	return n
+}
+
+func TestHolders(t *testing.T) {
+	scarce := Demand{Connections: 36, Slots: 3}
+	t.Run("a few instances hold everything", func(t *testing.T) {
+		all := instances(2, "a", "b", "c", "d")
+		qt.Assert(t, Holders("g", all, scarce), qt.HasLen, len(all))
+	})
+	t.Run("many instances before few connections", func(t *testing.T) {
+		all := instances(20, "a", "b", "c", "d")
+		holders := Holders("g", all, scarce)
+		qt.Assert(t, holders, qt.HasLen, 4*minPerDataCentre)
+		qt.Assert(t, inCentre(holders, "a"), qt.Equals, minPerDataCentre)
+	})
+	t.Run("more connections, more holders", func(t *testing.T) {
+		all := instances(20, "a", "b", "c", "d")
+		holders := Holders("g", all, Demand{Connections: 216, Slots: 5})
+		qt.Assert(t, holders, qt.HasLen, 4*5)
+	})
+	t.Run("nothing is known of the targets", func(t *testing.T) {
+		qt.Assert(t, Holders("g", instances(3, "a"), Demand{}), qt.HasLen, minPerDataCentre)
+	})
+}
+
+// An instance is replaced. Whoever had nothing to do with it goes on with the
+// same holder, or all connections would be opened anew at once.
+func TestLossMovesOnlyItsOwnWork(t *testing.T) {
+	all := instances(20, "a", "b")
+	before := Holders("g", all, Demand{Connections: 36, Slots: 3})
+	lost := before[0]
+	var rest []Instance
+	for _, i := range all {
+		if i != lost {
+			rest = append(rest, i)
+		}
+	}
+	after := Holders("g", rest, Demand{Connections: 36, Slots: 3})
+	for _, self := range rest {
+		was, is := Order(self, "g", before)[0], Order(self, "g", after)[0]
+		if was != lost && is != was && is != self {
+			// Only the one that took the lost holder's place may attract others.
+			qt.Assert(t, before, qt.Not(qt.Contains), is)
+		}
+	}
+}
+
+func TestOrder(t *testing.T) {
+	all := instances(20, "a", "b", "c")
+	holders := Holders("g", all, Demand{Connections: 36, Slots: 3})
+	count := map[string]int{}
+	for _, self := range all {
+		order := Order(self, "g", holders)
+		qt.Assert(t, order[0].DataCentre, qt.Equals, self.DataCentre)
+		qt.Assert(t, order, qt.HasLen, len(holders))
+		if order[0] == self {
+			continue
+		}
+		count[order[0].ID]++
+	}
+	for id, n := range count {
+		qt.Assert(t, n < 17, qt.IsTrue, qt.Commentf("%s has %d of 18 of its data centre", id, n))
+	}
+}
--- a/internal/core/cwstatement/statement.go
+++ b/internal/core/cwstatement/statement.go
@@ -8,6 +8,7 @@
 package cwstatement
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,14 +47,17 @@
 	Reset
 )
 
-// String names the verb for logs.
-func (v Verb) String() string {
-	return [...]string{
-		"unknown", "begin", "beginRead", "commit", "rollback", "read", "write",
-		"set", "prepare", "execute", "deallocate", "reset",
-	}[v]
+var verbNames = [...]string{
+	"unknown", "begin", "beginRead", "commit", "rollback", "read", "write",
+	"set", "prepare", "execute", "deallocate", "reset",
 }
 
+// String names the verb for logs and messages.
+func (v Verb) String() string { return verbNames[v] }
+
+// VerbNamed returns the verb with the name, or Unknown.
+func VerbNamed(name string) Verb { return Verb(max(0, slices.Index(verbNames[:], name))) }
+
 // Statement is what a caller asks.
 type Statement struct {
 	// ID is the caller's name for this statement; it goes to the target
@@ -101,6 +105,17 @@
 	Failed
 )
 
+var stateNames = [...]string{"idle", "open", "failed"}
+
+// String names the state for messages.
+func (s State) String() string { return stateNames[s] }
+
+// StateNamed returns the state with the name, or false.
+func StateNamed(name string) (State, bool) {
+	i := slices.Index(stateNames[:], name)
+	return State(max(0, i)), i >= 0
+}
+
 // Code says how a statement failed. The zero Code is success.
 type Code uint8
 
@@ -148,6 +163,14 @@
 	return "code" + strconv.Itoa(int(c))
 }
 
+// CodeNamed returns the code with the name, or OtherCode.
+func CodeNamed(name string) Code {
+	if i := slices.Index(codeNames[:], name); i >= 0 {
+		return Code(i)
+	}
+	return OtherCode
+}
+
 // NotRun reports whether the code, from a target, means that the statement did
 // not run.
 func (c Code) NotRun() bool {
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -52,7 +52,8 @@
 	SetCatalogue(c cwcatalogue.Catalogue)
 	SetListings(all []cwport.Listing)
 	ChangeListings(listed []cwport.Listing, removed []cwgroup.MemberID)
-	Rows(rows []cwport.Row)
+	// Rows takes rows of the product's own; whole is true if these are all.
+	Rows(rows []cwport.Row, whole bool)
 }
 
 // Waits is how long the store may hold a question about a topic.
@@ -184,8 +185,8 @@
 	case cwport.Targets:
 		d.takeTargets(b, fresh)
 	default:
-		if len(b.Rows) > 0 {
-			d.Sink.Rows(b.Rows)
+		if fresh || len(b.Rows) > 0 {
+			d.Sink.Rows(b.Rows, fresh)
 		}
 	}
 }
--- a/internal/proxy/cwdirectory/directory_test.go
+++ b/internal/proxy/cwdirectory/directory_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-func (s *sink) Rows([]cwport.Row) {}
+func (s *sink) Rows([]cwport.Row, bool) {}
 
 func (s *sink) has(id cwgroup.MemberID) bool {
 	s.mu.Lock()
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -27,6 +27,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwlead"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -52,6 +53,10 @@
 	Grace time.Duration
 	// Metrics may be nil.
 	Metrics *Metrics
+	// Name is this instance's, unique among all of them.
+	Name string
+	// Holders tells who holds groups; nil if this instance holds all.
+	Holders cwport.Holders
 }
 
 // Engine serves sessions. Make one with New.
@@ -65,13 +70,21 @@
 	listings map[cwgroup.MemberID]cwport.Listing
 	groups   map[string]*runningGroup
 	sessions map[*session]struct{}
+	// demands is what the targets of each group take.
+	demands map[string]cwholder.Demand
+	// held are the transactions that other instances have handed over.
+	held map[string]*held
 
 	listed   atomic.Bool
 	draining atomic.Bool
 	// isolated is true while this instance reaches no group's majority.
 	isolated atomic.Bool
-	eg       *errgroup.Group
-	run      context.Context
+	// named counts the transactions that were named, handing the statements of
+	// other instances that are under way.
+	named   atomic.Uint64
+	handing atomic.Int64
+	eg      *errgroup.Group
+	run     context.Context
 }
 
 type runningGroup struct {
@@ -90,6 +103,8 @@
 		listings: make(map[cwgroup.MemberID]cwport.Listing),
 		groups:   make(map[string]*runningGroup),
 		sessions: make(map[*session]struct{}),
+		demands:  make(map[string]cwholder.Demand),
+		held:     make(map[string]*held),
 	}
 }
 
@@ -165,16 +180,32 @@
 			g = e.startGroup(service)
 		}
 		g.SetMembers(members[service], c.Connections, c.Synchronous)
+		e.setDemand(service, c, members[service])
 	}
 	for service, g := range e.groups {
 		if _, ok := contracts[service]; !ok {
 			g.cancel()
 			g.Close()
 			delete(e.groups, service)
+			delete(e.demands, service)
 		}
 	}
 }
 
+// setDemand notes what a group's targets take, and whether this instance holds
+// the group. The caller holds mu.
+func (e *Engine) setDemand(service string, c cwcatalogue.Contract, members []cwport.Listing) {
+	d := cwholder.Demand{Connections: c.Connections}
+	for _, l := range members {
+		d.Slots = max(d.Slots, l.Slots)
+	}
+	e.demands[service] = d
+	if e.cfg.Holders != nil {
+		place, ok := e.cfg.Holders.Holds(service, d)
+		e.groups[service].SetHeld(place, ok)
+	}
+}
+
 // startGroup makes a group and lets it run. The caller holds mu.
 func (e *Engine) startGroup(service string) *runningGroup {
 	ctx, cancel := context.WithCancel(e.run)
@@ -225,6 +256,7 @@
 func (e *Engine) Start(ctx context.Context, eg *errgroup.Group) {
 	e.run, e.eg = ctx, eg
 	eg.Go(func() error { return e.loopIsolation(ctx) })
+	eg.Go(func() error { return e.loopHeld(ctx) })
 }
 
 // Serve takes callers from a listener until it is closed.
@@ -254,11 +286,12 @@
 	delete(e.sessions, s)
 }
 
-// Sessions returns the number of open sessions.
+// Sessions returns the number of open sessions, those of other instances that
+// run something here included.
 func (e *Engine) Sessions() int {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return len(e.sessions)
+	return len(e.sessions) + len(e.held) + int(e.handing.Load())
 }
 
 // Drain lets sessions end: no new callers come, resting sessions are closed
@@ -284,8 +317,11 @@
 // inside one.
 func (e *Engine) sendAway(transactions bool) {
 	e.mu.RLock()
-	defer e.mu.RUnlock()
 	for s := range e.sessions {
 		s.sendAway(transactions)
 	}
+	e.mu.RUnlock()
+	if transactions {
+		e.endHeld("the instance ends", func(*held) bool { return true })
+	}
 }
--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -70,10 +70,13 @@
 }
 
 // engine starts an engine that is called name on the paths of the group.
-func (w *world) engine(name string) *Engine {
+func (w *world) engine(name string) *Engine { return w.engineWith(name, nil) }
+
+// engineWith starts an engine that hands statements to holders.
+func (w *world) engineWith(name string, h cwport.Holders) *Engine {
 	logger := log.New(io.Discard)
 	e := New(Config{
-		Clock: w.clock, Log: logger, Grace: 6 * time.Second,
+		Clock: w.clock, Log: logger, Grace: 6 * time.Second, Name: name, Holders: h,
 		NewGroup: func(service string) *cwlead.Group {
 			return cwlead.New(cwlead.Config{
 				Self: cwfailover.InstanceID(name), DataCentre: "dc-a", Service: service, Clock: w.clock,
--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -51,15 +51,19 @@
 }
 
 // cutOff reports whether every group that is in use is cut off. Once isolated,
-// all groups are looked at, since callers have gone and none may be in use.
+// callers have gone and nothing would be in use; the groups that are cut off are
+// watched on.
 func (e *Engine) cutOff() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	isolated := e.isolated.Load()
 	seen := false
 	for _, g := range e.groups {
-		cut, used := g.CutOff()
-		if !used && !isolated {
+		cut := g.CutOff()
+		if isolated && cut {
+			g.KeepWatching()
+		}
+		if !g.Used() {
 			continue
 		}
 		if !cut {
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -14,6 +14,8 @@
 	// Attempts counts commands sent to targets for callers, Retries those after
 	// the first for a statement.
 	Attempts, Retries *metrics.Counter
+	// HandedOver counts statements given to holders.
+	HandedOver *metrics.Counter
 	// AckWait is how long commits waited for a second member, in seconds.
 	AckWait *metrics.Histogram
 	// Statement is how long statements took, in seconds.
@@ -24,11 +26,12 @@
 func NewMetrics() *Metrics {
 	set := metrics.NewSet()
 	return &Metrics{
-		set:       set,
-		Attempts:  set.NewCounter("cicadawalk_attempts_total"),
-		Retries:   set.NewCounter("cicadawalk_retries_total"),
-		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
-		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
+		set:        set,
+		Attempts:   set.NewCounter("cicadawalk_attempts_total"),
+		Retries:    set.NewCounter("cicadawalk_retries_total"),
+		HandedOver: set.NewCounter("cicadawalk_handed_over_total"),
+		AckWait:    set.NewHistogram("cicadawalk_ack_wait_seconds"),
+		Statement:  set.NewHistogram("cicadawalk_statement_seconds"),
 	}
 }
 
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -59,7 +59,7 @@
 
 // runAlone runs a statement outside a transaction.
 func (s *session) runAlone(st cwstatement.Statement, began time.Time) cwstatement.Answer {
-	entry, group, ok := s.engine.entry(s.database)
+	entry, group, ok := s.lookup()
 	if !ok {
 		return noDatabase(s.database)
 	}
@@ -67,6 +67,11 @@
 	if bad.Code != cwstatement.OK {
 		return bad
 	}
+	if s.given == nil {
+		if a, done := s.runAway(entry, st, w.writes, began); done {
+			return a
+		}
+	}
 	t := try{session: s, id: st.ID, entry: entry, group: group, limits: limitsOf(entry.Contract, began), began: began}
 	for {
 		a, again := t.alone(w)
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -40,12 +40,16 @@
 	caller cwport.Caller
 
 	database string
+	// given is set for a session that another instance has handed over.
+	given *given
 	// values is replaced, not changed, when the caller sets one.
 	values   map[string]string
 	prepared map[string]prepared
 	// wrote is the last mark that the session wrote, by group.
 	wrote map[string]cwgroup.Mark
 	tx    *transaction
+	// away is the open transaction if a holder runs it; then tx is nil.
+	away *away
 
 	// mu guards where the session rests; a shutdown looks at it.
 	mu      sync.Mutex
@@ -111,8 +115,11 @@
 func (s *session) next() (cwstatement.Statement, error) {
 	for {
 		idle := time.Duration(0)
-		if s.tx != nil && s.tx.loan != nil {
+		switch {
+		case s.tx != nil && s.tx.loan != nil:
 			idle = s.tx.entry.Contract.IdleTransaction
+		case s.away != nil && s.away.holder != nil:
+			idle = s.away.entry.Contract.IdleTransaction
 		}
 		if !s.rest(idle) {
 			return cwstatement.Statement{}, io.EOF
@@ -122,8 +129,8 @@
 		s.resting = false
 		leaving := s.leaving
 		s.mu.Unlock()
-		if errors.Is(err, os.ErrDeadlineExceeded) && !leaving && s.tx != nil {
-			s.tx.fail("the transaction rested for too long")
+		if errors.Is(err, os.ErrDeadlineExceeded) && !leaving && s.inTransaction() {
+			s.failOpen("the transaction rested for too long")
 			continue
 		}
 		return st, err
@@ -138,7 +145,7 @@
 	if s.leaving {
 		return false
 	}
-	s.resting, s.inTx = true, s.tx != nil
+	s.resting, s.inTx = true, s.inTransaction()
 	return s.caller.SetReadTimeout(idle) == nil
 }
 
@@ -156,19 +163,42 @@
 }
 
 func (s *session) ended(err error) {
-	if s.tx != nil {
-		s.tx.fail("the caller is gone")
-	}
+	s.failOpen("the caller is gone")
 	if !errors.Is(err, io.EOF) {
 		s.engine.cfg.Log.Debug("sessionEnded", "database", s.database, "cause", err)
 	}
 }
 
+// inTransaction reports whether a transaction is open, here or at a holder.
+func (s *session) inTransaction() bool { return s.tx != nil || s.away != nil }
+
+// failOpen ends the open transaction, if there is one; the caller has yet to
+// end it.
+func (s *session) failOpen(why string) {
+	switch {
+	case s.tx != nil:
+		s.tx.fail(why)
+	case s.away != nil:
+		s.failAway(why)
+	}
+}
+
+// lookup returns the entry that the session uses, and its group.
+func (s *session) lookup() (cwcatalogue.Entry, *cwlead.Group, bool) {
+	if s.given != nil {
+		return s.given.entry, s.given.group, true
+	}
+	return s.engine.entry(s.database)
+}
+
 // handle serves one statement that came at began.
 func (s *session) handle(st cwstatement.Statement, began time.Time) cwstatement.Answer {
 	if s.tx != nil {
 		return s.handleInTransaction(st, began)
 	}
+	if s.away != nil {
+		return s.handleAway(st, began)
+	}
 	switch st.Verb {
 	case cwstatement.Begin, cwstatement.BeginRead:
 		return s.begin(st)
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -30,10 +30,16 @@
 // so that a caller that thinks in between holds no connection; but what is
 // known not to work is refused now.
 func (s *session) begin(st cwstatement.Statement) cwstatement.Answer {
-	entry, group, ok := s.engine.entry(s.database)
+	entry, group, ok := s.lookup()
 	if !ok {
 		return noDatabase(s.database)
 	}
+	if s.given == nil {
+		if _, ok := s.engine.holder(entry, nil); ok {
+			s.away = &away{entry: entry, begin: st.Verb, name: s.engine.nextName()}
+			return cwstatement.Answer{State: cwstatement.Open}
+		}
+	}
 	tx := &transaction{session: s, entry: entry, group: group, reads: st.Verb == cwstatement.BeginRead}
 	if !tx.reads || entry.Contract.Reads == cwcatalogue.ReadNewest {
 		if _, err := group.Primary(); err != nil {
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -17,11 +17,14 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwdirectory"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwengine"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwlead"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwpeers"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/wire/cwhandover"
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
@@ -55,24 +58,36 @@
 	Log      *log.Logger
 	// Seed makes claim ids unique between runs.
 	Seed string
+	// Peers is where other instances hand statements over, IP:port.
+	Peers string
 }
 
 // Instance is one running proxy. Make one with New.
 type Instance struct {
 	cfg     Config
 	engine  *cwengine.Engine
+	peers   *cwpeers.Peers
 	metrics *cwengine.Metrics
 }
 
 // New returns an instance that is not running.
 func New(cfg Config) *Instance {
 	in := &Instance{cfg: cfg, metrics: cwengine.NewMetrics()}
+	in.peers = &cwpeers.Peers{
+		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.Peers},
+		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log,
+	}
 	in.engine = cwengine.New(cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
+		Name: cfg.Name, Holders: in.peers,
 	})
 	return in
 }
 
+func dialPeer(ctx context.Context, name, address string) (cwpeers.Conn, error) {
+	return cwhandover.Dial(ctx, name, address)
+}
+
 func (in *Instance) newGroup(service string) *cwlead.Group {
 	return cwlead.New(cwlead.Config{
 		Self: cwfailover.InstanceID(in.cfg.Name), DataCentre: in.cfg.DataCentre, Service: service,
@@ -87,6 +102,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	others, err := net.Listen("tcp4", in.cfg.Peers)
+	if err != nil {
+		_ = callers.Close()
+		return Error.Wrap(err)
+	}
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	eg, run := errgroup.WithContext(run)
@@ -100,6 +120,8 @@
 	}
 	dir := &cwdirectory.Directory{Waits: in.cfg.Waits, GoneAfter: in.cfg.GoneAfter, Source: in.cfg.Source, Sink: in, Clock: in.cfg.Clock, Log: in.cfg.Log}
 	eg.Go(func() error { return dir.Run(run) })
+	eg.Go(func() error { return in.peers.Run(run) })
+	eg.Go(func() error { return (&cwhandover.Server{Handler: in.engine}).Run(run, others) })
 	eg.Go(func() error { return in.engine.Serve(callers, in.cfg.Codec) })
 	in.cfg.Log.Info("started", "instance", in.cfg.Name, "dataCentre", in.cfg.DataCentre, "listen", in.cfg.Callers)
 	select {
@@ -151,10 +173,12 @@
 }
 
 // Rows implements cwdirectory.Sink.
-func (in *Instance) Rows(rows []cwport.Row) {
+func (in *Instance) Rows(rows []cwport.Row, whole bool) {
+	in.peers.Rows(rows, whole)
+	in.engine.Rehold()
 	for _, r := range rows {
 		service, ok := cwclaim.Service(r.Key)
-		if !ok {
+		if !ok || r.Removed {
 			continue
 		}
 		row, err := cwclaim.Decode(r.Value)
--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -21,6 +21,7 @@
 		g.cfg.Log.Warn("targetLost", "group", g.cfg.Service, "target", to.ID, "cause", err)
 	}
 	g.sup.Unreachable(to.ID, g.cfg.Clock.Now())
+	g.noteCutOff()
 	g.notify()
 }
 
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -15,6 +15,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -125,6 +126,11 @@
 	synchronous bool
 	// rank is this proxy's place among those that may replace the primary.
 	rank int
+	// unheld is true if other proxies hold the group; then this one watches it
+	// only while it is used here.
+	unheld bool
+	// cutOff is true while most members cannot be reached from here.
+	cutOff atomic.Bool
 	// fence is the version of the table row that holds this proxy's claim.
 	fence uint64
 }
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -59,7 +59,8 @@
 func (g *Group) pause() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.unsettled(g.cfg.Clock.Now()) {
+	now := g.cfg.Clock.Now()
+	if g.watched(now) && g.unsettled(now) {
 		return tick
 	}
 	return calmTick
@@ -79,6 +80,11 @@
 		m.Pool.Trim()
 	}
 	g.recount(now)
+	g.noteCutOff()
+	if !g.watched(now) {
+		g.mu.Unlock()
+		return
+	}
 	g.observeAcks(now)
 	c := cwfailover.Conditions{
 		Listed: watchers, Rank: g.rank, RowTerm: g.row.Term,
@@ -139,8 +145,8 @@
 	}
 	// One of a few instances watches a group that nobody asks for; all would
 	// use up the target's connections.
-	watched := g.rank == 0 || now.Sub(g.usedAt) < usedFor
-	if m := g.members[p.Member]; m != nil && watched && now.Sub(p.At) > calmAsk {
+	first := g.rank == 0 || g.used(now)
+	if m := g.members[p.Member]; m != nil && first && now.Sub(p.At) > calmAsk {
 		ask = append(ask, *m)
 	}
 	for id, m := range g.members {
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -86,11 +86,12 @@
 	return g.row.Done && g.row.Term > g.term && now.Sub(g.rowSeen) < promotionPatience
 }
 
-// CutOff reports whether statements come for the group but most of its members
-// cannot be reached from here. Used is false if none came lately.
-func (g *Group) CutOff() (cut, used bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// CutOff reports whether most members cannot be reached from here.
+func (g *Group) CutOff() bool { return g.cutOff.Load() }
+
+// noteCutOff works out anew whether most members cannot be reached. The caller
+// holds mu.
+func (g *Group) noteCutOff() {
 	v := g.sup.View()
 	n := len(v.Members())
 	for _, r := range v.Reports() {
@@ -98,8 +99,43 @@
 			n--
 		}
 	}
-	used = g.cfg.Clock.Now().Sub(g.usedAt) < usedFor
-	return n < cwgroup.Majority(len(v.Members())), used
+	g.cutOff.Store(n < cwgroup.Majority(len(v.Members())))
+}
+
+// Used reports whether statements came for the group lately.
+func (g *Group) Used() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.used(g.cfg.Clock.Now())
+}
+
+func (g *Group) used(now time.Time) bool { return now.Sub(g.usedAt) < usedFor }
+
+// KeepWatching has the group watched for a while as if statements came for it.
+func (g *Group) KeepWatching() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.usedAt = g.cfg.Clock.Now()
+}
+
+// SetHeld tells whether this proxy holds the group, and its place among those
+// that do, negative if it is not known.
+//
+// The failure: with many proxies each of them asks every group's members about
+// themselves, and more of a target's time goes into questions than into
+// statements. Only holders watch a group that this proxy has no statements for.
+func (g *Group) SetHeld(place int, held bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unheld = !held
+	if place >= 0 {
+		g.rank = place % ranks
+	}
+}
+
+// watched reports whether this proxy looks after the group. The caller holds mu.
+func (g *Group) watched(now time.Time) bool {
+	return !g.unheld || g.used(now) || g.sup.Keeping()
 }
 
 // Primary returns where writes go.
--- /dev/null
+++ b/internal/proxy/cwpeers/peers.go
@@ -0,0 +1,258 @@
+// Package cwpeers knows the other instances and hands statements to those that
+// hold a group.
+//
+// Each instance has a row in the platform's table, with its data centre and the
+// address for the others. Peers follows these rows, writes its own, and keeps a
+// connection to each holder that it uses. A statement never waits for a
+// connection: a holder without one is connected in the background, and
+// meanwhile the next one takes the statement, or the instance itself.
+package cwpeers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+// KeyPrefix is where the rows of the instances are in the table.
+const KeyPrefix = "instance/"
+
+// Times of the rows.
+const (
+	// registerEvery is how often the own row is looked at, and the pause after
+	// it could not be written.
+	registerEvery = time.Second
+	// registerTimeout bounds one write of it.
+	registerTimeout = 2 * time.Second
+)
+
+// Dial connects to an instance.
+type Dial func(ctx context.Context, name, address string) (Conn, error)
+
+// Conn is a connection to another instance.
+type Conn interface {
+	Hand(ctx context.Context, h cwport.Handover) (cwport.Handed, error)
+	// Ping asks for a sign of life.
+	Ping(ctx context.Context) error
+	// Done is closed once the connection has ended.
+	Done() <-chan struct{}
+	Close() error
+}
+
+// Peers implements cwport.Holders. Set the fields before Run.
+type Peers struct {
+	Self  cwholder.Instance
+	Table cwplatform.Table
+	Dial  Dial
+	Clock clockwork.Clock
+	Log   *log.Logger
+
+	mu sync.Mutex
+	// listed is true once the rows were read.
+	listed    bool
+	instances map[string]cwholder.Instance
+	// version is that of the own row.
+	version string
+	// orders are the holders of each group, as long as neither the rows nor the
+	// group's demand change.
+	orders map[string]order
+	links  map[string]*link
+	closed bool
+}
+
+type order struct {
+	demand  cwholder.Demand
+	holders []cwholder.Instance
+	// route is how this instance hands statements over; place its own among
+	// the holders, -1 if it is none.
+	route []cwholder.Instance
+	place int
+}
+
+type instanceBody struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+}
+
+// Rows takes rows of the table; whole is true if these are all.
+func (p *Peers) Rows(rows []cwport.Row, whole bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.instances == nil || whole {
+		p.instances, p.version = make(map[string]cwholder.Instance), ""
+	}
+	p.listed = p.listed || whole
+	for _, r := range rows {
+		if name, ok := strings.CutPrefix(r.Key, KeyPrefix); ok {
+			p.row(name, r)
+		}
+	}
+	clear(p.orders)
+	p.unlink()
+}
+
+// row takes one instance's row. The caller holds mu.
+func (p *Peers) row(name string, r cwport.Row) {
+	if name == p.Self.ID {
+		p.version = r.Tag()
+	}
+	if r.Removed {
+		delete(p.instances, name)
+		return
+	}
+	var b instanceBody
+	if err := json.Unmarshal(r.Value, &b); err != nil {
+		p.Log.Error("instanceUnreadable", "key", r.Key, "cause", err)
+		return
+	}
+	i := cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}
+	if p.instances[name] != i {
+		p.Log.Info("instanceListed", "instance", name, "dataCentre", i.DataCentre, "address", i.Address)
+	}
+	p.instances[name] = i
+}
+
+// unlink closes the connections to instances that are gone or have moved. The
+// caller holds mu.
+func (p *Peers) unlink() {
+	for name, l := range p.links {
+		if p.instances[name] != l.to {
+			l.close()
+			delete(p.links, name)
+		}
+	}
+}
+
+// Run keeps the own row until ctx ends, and closes the connections then.
+func (p *Peers) Run(ctx context.Context) error {
+	defer p.close()
+	for ctx.Err() == nil {
+		select {
+		case <-p.Clock.After(registerEvery):
+		case <-ctx.Done():
+			return nil
+		}
+		if p.unregistered() {
+			p.register(ctx)
+		}
+	}
+	return nil
+}
+
+func (p *Peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, l := range p.links {
+		l.close()
+	}
+	clear(p.links)
+}
+
+// unregistered reports whether the table is known to lack the own row.
+func (p *Peers) unregistered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed && p.instances[p.Self.ID] != p.Self
+}
+
+// register writes the own row. An answer that was lost is made up for by the
+// next look, since the row comes back with the others.
+func (p *Peers) register(ctx context.Context) {
+	value, err := json.Marshal(instanceBody{Address: p.Self.Address, DataCentre: p.Self.DataCentre})
+	if err != nil {
+		p.Log.Error("notRegistered", "cause", err)
+		return
+	}
+	p.mu.Lock()
+	version := p.version
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	key := KeyPrefix + p.Self.ID
+	err = p.Table.Commit(ctx, cwplatform.Change{
+		Expect: []cwplatform.Expect{{Key: key, ETag: version}},
+		Put:    []cwplatform.Put{{Key: key, Value: value}},
+	})
+	if err != nil {
+		p.Log.Warn("notRegistered", "cause", err)
+	}
+}
+
+// Holder implements cwport.Holders.
+func (p *Peers) Holder(group string, d cwholder.Demand, tried []string) (cwport.Holder, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	for _, i := range p.order(group, d).route {
+		if i == p.Self {
+			return nil, false
+		}
+		if slices.Contains(tried, i.ID) {
+			continue
+		}
+		if l := p.link(i); l.usable(now) {
+			return l, true
+		}
+	}
+	return nil, false
+}
+
+// Holds implements cwport.Holders. Before the rows were read an instance holds
+// everything.
+func (p *Peers) Holds(group string, d cwholder.Demand) (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	place := p.order(group, d).place
+	return place, place >= 0 || !p.listed
+}
+
+// order returns the holders of a group. The caller holds mu.
+func (p *Peers) order(group string, d cwholder.Demand) order {
+	if o, ok := p.orders[group]; ok && o.demand == d {
+		return o
+	}
+	all := make([]cwholder.Instance, 0, len(p.instances))
+	for _, i := range p.instances {
+		all = append(all, i)
+	}
+	o := order{demand: d, holders: cwholder.Holders(group, all, d)}
+	o.place = slices.Index(o.holders, p.Self)
+	if p.listed {
+		o.route = cwholder.Order(p.Self, group, o.holders)
+	}
+	if p.orders == nil {
+		p.orders = make(map[string]order)
+	}
+	p.orders[group] = o
+	return o
+}
+
+// link returns the link to an instance. The caller holds mu.
+func (p *Peers) link(to cwholder.Instance) *link {
+	l := p.links[to.ID]
+	if l == nil {
+		l = &link{to: to, dial: p.Dial, clock: p.Clock, log: p.Log}
+		if p.links == nil {
+			p.links = make(map[string]*link)
+		}
+		p.links[to.ID] = l
+	}
+	return l
+}
+
+var _ cwport.Holders = (*Peers)(nil)
+
+// errSilent is why a connection on which nothing comes is closed.
+var errSilent = errors.New("no sign of life")
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -147,7 +147,7 @@
 	Listed []Listing
 	// Removed are targets that the list no longer has.
 	Removed []cwgroup.MemberID
-	// Rows are rows of the product's own that are new or changed.
+	// Rows are rows of the product's own that are new, changed or removed.
 	Rows []Row
 	// Faults are parts of the batch that could not be read. They are left out;
 	// what was known before stays.
@@ -159,6 +159,17 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	// Removed is true if the table no longer has it.
+	Removed bool
+}
+
+// Tag returns the row's tag for a condition of a change; empty if the row is not
+// there.
+func (r Row) Tag() string {
+	if r.Removed {
+		return ""
+	}
+	return strconv.FormatUint(r.Version, 10)
 }
 
 // Source tells about topics.
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -81,6 +81,7 @@
 		DataCentre: s.DataCentre,
 		Callers:    s.Callers,
 		Ready:      s.Ready,
+		Peers:      s.Peers,
 		ReadyPath:  platform.ReadyPath,
 		Grace:      s.Grace,
 		Waits:      waits(s),
--- a/internal/wire/cwpeer/peer.go
+++ b/internal/wire/cwpeer/peer.go
@@ -13,7 +13,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -152,7 +151,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	limited := &limitedConn{Conn: conn}
+	limited := &cwlisten.Bounded{Conn: conn, MaxMessage: maxMessage, Idle: idleTimeout}
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(limited, jsonrpc2.VSCodeObjectCodec{}),
 		jsonrpc2.HandlerWithError(s.handle))
 	defer rpc.Close()
@@ -162,40 +161,9 @@
 	}
 }
 
-// limitedConn ends a connection that is idle for long, or that brings more than
-// one message may have before it is answered: every request has an answer, so a
-// partner never needs to send more.
-type limitedConn struct {
-	net.Conn
-	// unanswered counts the bytes read since the last answer.
-	unanswered atomic.Int64
-}
-
 // idleTimeout is how long a partner may send nothing.
 const idleTimeout = 20 * Interval
 
-// TooLongError reports a partner that sends more than a message may have.
-type TooLongError struct{}
-
-func (*TooLongError) Error() string { return "a partner's message is too long" }
-
-func (c *limitedConn) Read(b []byte) (int, error) {
-	if c.unanswered.Load() > maxMessage {
-		return 0, &TooLongError{}
-	}
-	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Read(b)
-	c.unanswered.Add(int64(n))
-	return n, err
-}
-
-func (c *limitedConn) Write(b []byte) (int, error) {
-	c.unanswered.Store(0)
-	return c.Conn.Write(b)
-}
-
 func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 	if req.Params == nil || len(*req.Params) > maxMessage {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "parameters are missing or too long"}
