targets, lead: orders and questions go before statements that wait

Orders waited in the order of deadlines behind statements.

Change: they are first in line for a connection.

Ruled out: a connection of their own (a full database refuses it).

--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -120,7 +120,7 @@
 // with lends a connection to f. A connection on which f failed for another
 // reason than a refusal is closed, and the member is tried anew.
 func (g *Group) with(m Member, d time.Duration, f func(t cwport.Target, asked time.Time) error) error {
-	c, err := m.Pool.Acquire(context.Background(), g.cfg.Clock.Now().Add(d), nil)
+	c, err := m.Pool.AcquireFirst(context.Background(), g.cfg.Clock.Now().Add(d))
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -252,8 +252,7 @@
 	return g.sup.MayClaim(row, t, now)
 }
 
-// order gives an order to a member on a connection of its own, since those of
-// the pool may all be lent.
+// order gives an order to a member on the pool's next free connection.
 func (g *Group) order(id cwgroup.MemberID, f func(cwport.Target) (cwstatement.Health, error)) (cwstatement.Health, error) {
 	m, ok := g.Member(id)
 	if !ok {
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -142,6 +142,8 @@
 // waiter is somebody who waits for a connection. Its channel takes one result.
 type waiter struct {
 	deadline time.Time
+	// first is true for orders and questions, which go before all others.
+	first  bool
 	result   chan lent
 }
 
@@ -217,6 +219,21 @@
 // all if it expects to wait for longer. The connection whose settings are like
 // values is preferred.
 func (p *Pool) Acquire(ctx context.Context, deadline time.Time, values map[string]string) (*Conn, error) {
+	return p.acquire(ctx, &waiter{deadline: deadline, result: make(chan lent, 1)}, values)
+}
+
+// AcquireFirst lends a connection before everybody who waits.
+//
+// The failure: a primary is lost while callers press, the order that fences a
+// replica waits behind their statements, and the attempt to replace the primary
+// fails; the next one may begin only once the claim's life is over. It shows as
+// changes of primary that take seconds on busy days. Orders and questions take a
+// target half a millisecond, and all statements wait for what they tell.
+func (p *Pool) AcquireFirst(ctx context.Context, deadline time.Time) (*Conn, error) {
+	return p.acquire(ctx, &waiter{deadline: deadline, first: true, result: make(chan lent, 1)}, nil)
+}
+
+func (p *Pool) acquire(ctx context.Context, w *waiter, values map[string]string) (*Conn, error) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	if p.closed {
@@ -228,7 +245,7 @@
 		p.mu.Unlock()
 		return c, nil
 	}
-	if wait := p.expect(); now.Add(wait).After(deadline) {
+	if wait := p.expect(); !w.first && now.Add(wait).After(w.deadline) {
 		p.mu.Unlock()
 		return nil, &FullError{RetryAfter: max(wait, minRetryAfter)}
 	}
@@ -237,7 +254,6 @@
 		p.mu.Unlock()
 		return nil, &UnreachableError{Cause: err}
 	}
-	w := &waiter{deadline: deadline, result: make(chan lent, 1)}
 	p.enqueue(w)
 	p.grow(now)
 	p.mu.Unlock()
@@ -264,11 +280,15 @@
 	return l.conn, l.err
 }
 
-// enqueue keeps the waiting in the order of their deadlines. The caller holds
-// mu.
+// enqueue keeps the waiting in the order of their deadlines, orders and
+// questions before them. The caller holds mu.
 func (p *Pool) enqueue(w *waiter) {
+	if w.first {
+		p.waiting = slices.Insert(p.waiting, 0, w)
+		return
+	}
 	i, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
-		if a.deadline.After(b.deadline) {
+		if !a.first && a.deadline.After(b.deadline) {
 			return 1
 		}
 		return -1
--- a/internal/proxy/cwtargets/pool_test.go
+++ b/internal/proxy/cwtargets/pool_test.go
@@ -94,6 +94,49 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
+// A primary is lost on a busy day. The order that fences a replica waited behind
+// hundreds of statements, came too late, and so did the next ones: the group had
+// no primary for seconds.
+func TestOrdersGoBeforeStatements(t *testing.T) {
+	p, _, _, clock := newPool(t)
+	p.SetCeiling(1)
+	c, err := acquire(p, clock)
+	qt.Assert(t, err, qt.IsNil)
+	p.Release(c)
+	c, err = acquire(p, clock)
+	qt.Assert(t, err, qt.IsNil)
+	statements, orders := make(chan *Conn, 3), make(chan *Conn, 1)
+	for range 3 {
+		go func() {
+			c, _ := p.Acquire(context.Background(), clock.Now().Add(time.Minute), nil)
+			statements <- c
+		}()
+	}
+	waiting(t, p, 3)
+	go func() {
+		c, _ := p.AcquireFirst(context.Background(), clock.Now().Add(time.Hour))
+		orders <- c
+	}()
+	waiting(t, p, 4)
+	p.Release(c)
+	qt.Assert(t, <-orders, qt.Equals, c)
+	qt.Assert(t, statements, qt.HasLen, 0)
+	for range 3 {
+		p.Release(c)
+		qt.Assert(t, <-statements, qt.Equals, c)
+	}
+}
+
+// waiting waits until n wait for a connection.
+func waiting(t *testing.T, p *Pool, n int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); p.Load().Waiting != n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d wait, not %d", p.Load().Waiting, n)
+		}
+	}
+}
+
 // A connection that the target has closed is noticed before it is lent.
 func TestClosedConnectionIsNotLent(t *testing.T) {
 	p, _, d, clock := newPool(t)
