lead, engine: isolation is known behind holders and ends by answers only

Members that they had never heard of did not count as lost, the third member of a group whose primary answers was never asked, and an instance that met an untried group took itself for reconnected. One instance of 20 said isolated; the balancer used the whole data centre, and 22% of all requests were refused.

Tests: TestIsolationBehindHolders and TestIsolationWithThePrimary fail without it.

--- a/internal/proxy/cwengine/handover_test.go
+++ b/internal/proxy/cwengine/handover_test.go
@@ -229,3 +229,41 @@
 	promises(w.c, s.ask(cwstatement.Commit, "COMMIT"))
 	w.c.Assert(w.group.Value("i"), qt.Equals, "")
 }
+
+// A data centre is cut off. Its instances hand statements to holders there, who
+// are cut off, too, and had never heard of any member themselves, so that none
+// counted as lost: they said they were ready, and callers were refused for as
+// long as the cut lasted.
+func TestIsolationBehindHolders(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	h := &holder{name: "holder", engine: w.engine("holder")}
+	w.settled(h.engine)
+	front := w.engineWith("front", &holders{list: []*holder{h}})
+	s := w.session(front)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	for _, instance := range []string{"holder", "front"} {
+		for _, id := range []string{"a", "b", "c"} {
+			w.group.Cut(instance, id, true)
+		}
+	}
+	w.eventually("the instance reports itself not ready", func() bool {
+		s.offer(cwstatement.Read, "READ i")
+		return !front.Ready()
+	})
+}
+
+// The same where the primary is in the data centre that is cut off. It answers,
+// so nobody asked the third member, which alone was missing for the majority
+// that cannot be reached.
+func TestIsolationWithThePrimary(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	front := w.engine("front")
+	for _, id := range []string{"b", "c"} {
+		w.group.Cut("front", id, true)
+	}
+	s := w.session(front)
+	w.eventually("the instance reports itself not ready", func() bool {
+		s.offer(cwstatement.Read, "READ i")
+		return !front.Ready()
+	})
+}
--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -50,23 +50,19 @@
 	return nil
 }
 
-// cutOff reports whether every group that is in use is cut off. Once isolated,
-// callers have gone and nothing would be in use; the groups that are cut off are
-// watched on.
+// cutOff reports whether every group that is in use is cut off.
 func (e *Engine) cutOff() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	isolated := e.isolated.Load()
+	if e.isolated.Load() {
+		return !e.reachesAny()
+	}
 	seen := false
 	for _, g := range e.groups {
-		cut := g.CutOff()
-		if isolated && cut {
-			g.KeepWatching()
-		}
 		if !g.Used() {
 			continue
 		}
-		if !cut {
+		if !g.CutOff() {
 			return false
 		}
 		seen = true
@@ -74,6 +70,23 @@
 	return seen
 }
 
+// reachesAny reports whether any group's majority answers. Callers have gone and
+// would use none; those that were cut off are watched on.
+//
+// The failure: an instance that is cut off meets a group that it has not tried
+// yet, takes it for one in reach, and reports itself ready; then the balancer
+// uses the whole data centre again. Only answers end an isolation.
+func (e *Engine) reachesAny() bool {
+	reached := false
+	for _, g := range e.groups {
+		if g.CutOff() {
+			g.KeepWatching()
+		}
+		reached = reached || g.Reached()
+	}
+	return reached
+}
+
 func (e *Engine) setIsolated(isolated bool) {
 	if e.isolated.Swap(isolated) == isolated {
 		return
--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -8,6 +8,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwtargets"
 )
 
 // DialFailed implements cwtargets.Events.
@@ -20,8 +21,10 @@
 	if rep, ok := g.sup.View().Report(to.ID); ok && rep.Reachable {
 		g.cfg.Log.Warn("targetLost", "group", g.cfg.Service, "target", to.ID, "cause", err)
 	}
-	g.sup.Unreachable(to.ID, g.cfg.Clock.Now())
-	g.noteCutOff()
+	now := g.cfg.Clock.Now()
+	g.lost[to.ID] = true
+	g.sup.Unreachable(to.ID, now)
+	g.noteCutOff(now)
 	g.notify()
 }
 
@@ -104,7 +107,6 @@
 }
 
 func (g *Group) runAsk(m Member) {
-	defer g.stopAsking(m.ID)
 	err := g.with(m, askTimeout, func(t cwport.Target, asked time.Time) error {
 		h, err := t.Health()
 		if err == nil {
@@ -112,9 +114,18 @@
 		}
 		return err
 	})
-	if err != nil {
-		g.cfg.Log.Debug("noHealth", "group", g.cfg.Service, "target", m.ID, "cause", err)
+	if err == nil {
+		g.stopAsking(m.ID)
+		return
+	}
+	g.cfg.Log.Debug("noHealth", "group", g.cfg.Service, "target", m.ID, "cause", err)
+	var unreachable *cwtargets.UnreachableError
+	if errors.As(err, &unreachable) {
+		// Its pool gives a connection far more time.
+		g.runProbe(m)
+		return
 	}
+	g.stopAsking(m.ID)
 }
 
 // with lends a connection to f. A connection on which f failed for another
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -114,6 +114,8 @@
 	// confirmed is when a majority was last known to be in term, and usedAt
 	// when a statement last asked for the group.
 	confirmed, usedAt time.Time
+	// usedSince is when the present time of use began.
+	usedSince time.Time
 	// acking is true while replicas are asked for commits that wait, and asked
 	// holds the members to which a question is on its way.
 	acking bool
@@ -129,8 +131,13 @@
 	// unheld is true if other proxies hold the group; then this one watches it
 	// only while it is used here.
 	unheld bool
+	// lost are the members that took no connection lately. One that was never
+	// heard of can be among them.
+	lost map[cwgroup.MemberID]bool
 	// cutOff is true while most members cannot be reached from here.
 	cutOff atomic.Bool
+	// reached is true while a majority of them has answered lately.
+	reached atomic.Bool
 	// fence is the version of the table row that holds this proxy's claim.
 	fence uint64
 }
@@ -143,6 +150,7 @@
 		sup:     cwfailover.NewSupervisor(cfg.Self, cfg.Seed, cfg.Service, nil),
 		streams: make(map[cwgroup.MemberID]*stream),
 		asked:   make(map[cwgroup.MemberID]bool),
+		lost:    make(map[cwgroup.MemberID]bool),
 		changed: make(chan struct{}),
 		row:     cwfailover.Row{Done: true},
 		rank:    rankOf(cfg.Self, cfg.Service),
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -80,7 +80,7 @@
 		m.Pool.Trim()
 	}
 	g.recount(now)
-	g.noteCutOff()
+	g.noteCutOff(now)
 	if !g.watched(now) {
 		g.mu.Unlock()
 		return
@@ -123,9 +123,9 @@
 // tickAsk asks a member in the way that its state calls for.
 func (g *Group) tickAsk(m Member) {
 	g.mu.Lock()
-	rep, known := g.sup.View().Report(m.ID)
+	lost := g.lost[m.ID]
 	g.mu.Unlock()
-	if known && !rep.Reachable {
+	if lost {
 		g.Suspect(m.ID)
 		return
 	}
@@ -150,7 +150,7 @@
 		ask = append(ask, *m)
 	}
 	for id, m := range g.members {
-		if rep, known := v.Report(id); known && !rep.Reachable && id != p.Member {
+		if g.lost[id] && id != p.Member {
 			ask = append(ask, *m)
 		}
 	}
--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -123,6 +123,7 @@
 // report takes a report and draws what follows from it. The caller holds mu.
 func (g *Group) report(r cwgroup.Report) {
 	now := g.cfg.Clock.Now()
+	delete(g.lost, r.Member)
 	g.sup.ReportLatest(r, now)
 	v := g.sup.View()
 	if p, ok := v.Primary(); ok {
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -45,6 +45,9 @@
 const (
 	// usedFor is how long after a statement a group counts as in use.
 	usedFor = 5 * time.Second
+	// knownAfter is how long a group must be in use until every member of it was
+	// asked, or found not to answer.
+	knownAfter = askTimeout + 2*tick
 	// promotionTypical is how long a change of primary usually takes from claim
 	// to lead.
 	promotionTypical = time.Second
@@ -54,7 +57,7 @@
 
 // leader returns the member that takes writes. The caller holds mu.
 func (g *Group) leader(now time.Time) (*Member, cwgroup.Report, error) {
-	g.usedAt = now
+	g.use(now)
 	refuse := func(why string) (*Member, cwgroup.Report, error) {
 		return nil, cwgroup.Report{}, &NoPrimaryError{Group: g.cfg.Service, Why: why, RetryAfter: g.retryAfter(now)}
 	}
@@ -89,24 +92,43 @@
 // CutOff reports whether most members cannot be reached from here.
 func (g *Group) CutOff() bool { return g.cutOff.Load() }
 
-// noteCutOff works out anew whether most members cannot be reached. The caller
-// holds mu.
-func (g *Group) noteCutOff() {
+// Reached reports whether a majority of the members has answered lately.
+func (g *Group) Reached() bool { return g.reached.Load() }
+
+// noteCutOff works out anew how many members can be reached. The caller holds
+// mu.
+func (g *Group) noteCutOff(now time.Time) {
 	v := g.sup.View()
-	n := len(v.Members())
-	for _, r := range v.Reports() {
-		if !r.Reachable {
-			n--
+	left, heard := len(v.Members()), 0
+	for _, id := range v.Members() {
+		rep, known := v.Report(id)
+		switch {
+		case g.lost[id]:
+			left--
+		case known && now.Sub(rep.At) < Lease:
+			heard++
 		}
 	}
-	g.cutOff.Store(n < cwgroup.Majority(len(v.Members())))
+	majority := cwgroup.Majority(len(v.Members()))
+	g.cutOff.Store(left < majority)
+	g.reached.Store(heard >= majority)
 }
 
-// Used reports whether statements came for the group lately.
+// Used reports whether statements came for the group lately, and for long
+// enough to know which members can be reached.
 func (g *Group) Used() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.used(g.cfg.Clock.Now())
+	now := g.cfg.Clock.Now()
+	return g.used(now) && now.Sub(g.usedSince) >= knownAfter
+}
+
+// use notes that a statement came. The caller holds mu.
+func (g *Group) use(now time.Time) {
+	if !g.used(now) {
+		g.usedSince = now
+	}
+	g.usedAt = now
 }
 
 func (g *Group) used(now time.Time) bool { return now.Sub(g.usedAt) < usedFor }
@@ -115,7 +137,7 @@
 func (g *Group) KeepWatching() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.usedAt = g.cfg.Clock.Now()
+	g.use(g.cfg.Clock.Now())
 }
 
 // SetHeld tells whether this proxy holds the group, and its place among those
@@ -210,7 +232,7 @@
 	for {
 		g.mu.Lock()
 		now := g.cfg.Clock.Now()
-		g.usedAt = now
+		g.use(now)
 		floor, ok := g.floor(rd)
 		stale := rd.Came.Sub(g.confirmed) > min(refreshAt, rd.MaxAge/2)
 		changed := g.changed
@@ -330,10 +352,9 @@
 func (g *Group) nearest(except cwgroup.MemberID) []Member {
 	var near, far, lost []Member
 	for id, m := range g.members {
-		rep, known := g.sup.View().Report(id)
 		switch {
 		case id == except:
-		case known && !rep.Reachable || m.Leaving:
+		case g.lost[id] || m.Leaving:
 			lost = append(lost, *m)
 		case m.DataCentre == g.cfg.DataCentre:
 			near = append(near, *m)
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -144,7 +144,7 @@
 	deadline time.Time
 	// first is true for orders and questions, which go before all others.
 	first  bool
-	result   chan lent
+	result chan lent
 }
 
 type lent struct {
@@ -273,6 +273,9 @@
 	defer p.mu.Unlock()
 	if i := slices.Index(p.waiting, w); i >= 0 {
 		p.waiting = slices.Delete(p.waiting, i, i+1)
+		if p.open == p.dialing {
+			return nil, &UnreachableError{Cause: context.DeadlineExceeded}
+		}
 		return nil, &FullError{RetryAfter: max(p.expect(), minRetryAfter)}
 	}
 	// The result was sent while this goroutine gave up.
