--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -201,8 +201,7 @@
 	}
 	e.demands[service] = d
 	if e.cfg.Holders != nil {
-		place, ok := e.cfg.Holders.Holds(service, d)
-		e.groups[service].SetHeld(place, ok)
+		e.rehold(service, e.groups[service])
 	}
 }
 
--- a/internal/proxy/cwengine/handover_test.go
+++ b/internal/proxy/cwengine/handover_test.go
@@ -28,6 +28,8 @@
 	return nil, false
 }
 
+func (h *holders) Connect(string, cwholder.Demand) {}
+
 func (h *holders) Holds(string, cwholder.Demand) (int, bool) { return -1, false }
 
 // holder is an engine behind a path that can lose answers.
--- a/internal/proxy/cwengine/held.go
+++ b/internal/proxy/cwengine/held.go
@@ -208,6 +208,15 @@
 	return nil
 }
 
+// rehold tells a group whether this instance holds it, and gets ready to hand
+// over its statements. The caller holds mu.
+func (e *Engine) rehold(name string, g *runningGroup) {
+	d := e.demands[name]
+	place, ok := e.cfg.Holders.Holds(name, d)
+	g.SetHeld(place, ok)
+	e.cfg.Holders.Connect(name, d)
+}
+
 // Rehold tells the groups anew whether this instance holds them.
 func (e *Engine) Rehold() {
 	e.mu.RLock()
@@ -216,8 +225,7 @@
 		return
 	}
 	for name, g := range e.groups {
-		place, ok := e.cfg.Holders.Holds(name, e.demands[name])
-		g.SetHeld(place, ok)
+		e.rehold(name, g)
 	}
 }
 
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -33,6 +33,9 @@
 	// registerEvery is how often the own row is looked at, and the pause after
 	// it could not be written.
 	registerEvery = time.Second
+	// connectAhead is the number of holders of a group that are connected before
+	// they are needed: the first choice and the one that takes its place.
+	connectAhead = 2
 	// registerTimeout bounds one write of it.
 	registerTimeout = 2 * time.Second
 )
@@ -209,6 +212,26 @@
 	return nil, false
 }
 
+// Connect opens connections to the holders that this instance hands a group's
+// statements to.
+//
+// The failure: all instances start at once, their callers come back, and each
+// runs the first statements itself for want of a connection to a holder: the
+// targets' few connections are used up by instances that need them no more a
+// moment later.
+func (p *Peers) Connect(group string, d cwholder.Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	route := p.order(group, d).route
+	if len(route) == 0 || route[0] == p.Self {
+		return
+	}
+	for _, i := range route[:min(connectAhead, len(route))] {
+		p.link(i).usable(now)
+	}
+}
+
 // Holds implements cwport.Holders. Before the rows were read an instance holds
 // everything.
 func (p *Peers) Holds(group string, d cwholder.Demand) (int, bool) {
--- a/internal/proxy/cwport/handover.go
+++ b/internal/proxy/cwport/handover.go
@@ -62,6 +62,8 @@
 	// Holder returns who runs a group's statements, except those tried; false
 	// if this instance does.
 	Holder(group string, d cwholder.Demand, tried []string) (Holder, bool)
+	// Connect gets ready to hand over a group's statements.
+	Connect(group string, d cwholder.Demand)
 	// Holds reports whether this instance holds the group, and its place among
 	// the holders.
 	Holds(group string, d cwholder.Demand) (place int, ok bool)
