soak, platform: a fault soak with the real programs as processes

Change: cicadasoak starts proxies as processes before stand-ins that speak the users' protocols (in platform/, names and formats; databases in cwreplica), lets paths, store, targets and processes misbehave by a seed, and holds what callers and targets see against a ledger: lost, doubled, stale, mixed, false not run, two holders, reverted, cut by a planned stop, not recovered. A link that has dropped something brings nothing more, and can drop one way.

--- a/internal/standin/cwlink/link.go
+++ b/internal/standin/cwlink/link.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -21,6 +22,8 @@
 	// Cut drops everything: open connections bring nothing, and new ones are
 	// accepted but bring nothing either, as over a path that loses packets.
 	Cut bool
+	// CutBack drops what comes back from the target.
+	CutBack bool
 	// Refuse closes open connections and refuses new ones.
 	Refuse bool
 }
@@ -43,6 +46,9 @@
 	link      *Link
 	epoch     int
 	near, far net.Conn
+	// lossy is true once something was dropped: a connection that lost a part
+	// of what it carries brings nothing more.
+	lossy atomic.Bool
 }
 
 // Start relays from an address to a target.
@@ -121,7 +127,7 @@
 func (p *pipe) run() {
 	defer p.end()
 	if p.link.Faults().Cut {
-		p.copy(nil, p.near)
+		p.copy(nil, p.near, false)
 		return
 	}
 	far, err := net.Dial("tcp", p.link.target)
@@ -132,10 +138,10 @@
 	p.far = far
 	p.link.mu.Unlock()
 	go func() {
-		p.copy(p.near, far)
+		p.copy(p.near, far, true)
 		_ = p.near.Close()
 	}()
-	p.copy(far, p.near)
+	p.copy(far, p.near, false)
 }
 
 func (p *pipe) end() {
@@ -150,12 +156,12 @@
 }
 
 // copy relays one direction until the source ends. What is read while the
-// connection is silent is dropped.
-func (p *pipe) copy(dst, src net.Conn) {
+// connection is silent is dropped. Back is true for what comes from the target.
+func (p *pipe) copy(dst, src net.Conn, back bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		if n > 0 && !p.pass(dst, buf[:n]) {
+		if n > 0 && !p.pass(dst, buf[:n], back) {
 			return
 		}
 		if err != nil {
@@ -170,12 +176,15 @@
 	return p.link.epoch != p.epoch
 }
 
-func (p *pipe) pass(dst net.Conn, b []byte) bool {
+func (p *pipe) pass(dst net.Conn, b []byte, back bool) bool {
 	f := p.link.Faults()
 	if f.Delay > 0 {
 		time.Sleep(f.Delay)
 	}
-	if p.silent() || f.Cut || dst == nil {
+	if f.Cut || f.CutBack && back {
+		p.lossy.Store(true)
+	}
+	if p.silent() || p.lossy.Load() || dst == nil {
 		return true
 	}
 	_, err := dst.Write(b)
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -154,6 +154,29 @@
 	return ""
 }
 
+// Records returns the writes of each transaction in the newest primary's log.
+func (g *Group) Records() []map[string]string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []map[string]string
+	if p := g.primary(); p != nil {
+		for _, r := range p.log {
+			out = append(out, maps.Clone(r.writes))
+		}
+	}
+	return out
+}
+
+// Primary returns the member that leads the highest term; empty if none does.
+func (g *Group) Primary() cwgroup.MemberID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.primary(); p != nil {
+		return p.id
+	}
+	return ""
+}
+
 // Runs returns how often a member ran a statement with the caller's id.
 func (g *Group) Runs(id string) int {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/tool/cwcommand/soak.go
@@ -0,0 +1,140 @@
+package cwcommand
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/tool/cwsoak"
+	"cicadawalk.example/cicadawalk/platform"
+)
+
+// soakFlags are the flags of a soak.
+type soakFlags struct {
+	program, dir               string
+	first                      uint64
+	seeds                      int
+	duration                   time.Duration
+	instances, groups, callers int
+	verbose                    bool
+}
+
+// SoakRoot returns the cicadasoak command.
+func SoakRoot() *cobra.Command {
+	var f soakFlags
+	cmd := &cobra.Command{
+		Use:   "cicadasoak",
+		Short: "Run the real proxies under random faults and check what callers see",
+		Long: `Starts proxies as processes before stand-ins for databases and the platform,
+brings faults about from outside, and checks the promises. Prints one line for
+each seed and one for each broken promise; exits with 1 if there is any.`,
+		Example: `  go build -o bin/ ./cmd/...
+  bin/cicadasoak --program bin/cicadawalk --seeds 50
+  bin/cicadasoak --program bin/cicadawalk --first-seed 7 --seeds 1 --verbose`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return soak(cmd, f) },
+	}
+	fs := cmd.Flags()
+	fs.StringVar(&f.program, "program", "bin/cicadawalk", "path of the proxy")
+	fs.StringVar(&f.dir, "dir", "", "folder for settings and logs; a new one that goes with the run if empty")
+	fs.Uint64Var(&f.first, "first-seed", 0, "first seed; drawn from the time of day if 0")
+	fs.IntVar(&f.seeds, "seeds", 1, "number of runs, each with the next seed")
+	fs.DurationVar(&f.duration, "duration", 15*time.Second, "time with faults in each run")
+	fs.IntVar(&f.instances, "instances", 9, "proxies")
+	fs.IntVar(&f.groups, "groups", 2, "groups of three databases")
+	fs.IntVar(&f.callers, "callers", 24, "callers at once")
+	fs.BoolVar(&f.verbose, "verbose", false, "print each fault")
+	return cmd
+}
+
+func soak(cmd *cobra.Command, f soakFlags) error {
+	if f.seeds < 1 || f.instances < 1 || f.groups < 1 || f.callers < 1 || f.duration <= 0 {
+		return &ExitError{Code: ExitUsage, Cause: &UsageError{Text: "seeds, instances, groups, callers and duration must be above 0"}}
+	}
+	if f.first == 0 {
+		f.first = uint64(time.Now().UnixNano())
+	}
+	broken := 0
+	for i := range f.seeds {
+		n, err := soakOne(cmd, f, f.first+uint64(i))
+		if err != nil {
+			return &ExitError{Code: ExitFailed, Cause: err}
+		}
+		broken += n
+	}
+	if broken > 0 {
+		return &ExitError{Code: ExitFailed, Cause: &BrokenError{Promises: broken}}
+	}
+	return nil
+}
+
+// soakOne plays one seed and returns the number of promises that were broken.
+func soakOne(cmd *cobra.Command, f soakFlags, seed uint64) (int, error) {
+	dir := f.dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "cicadasoak"); err != nil {
+			return 0, err
+		}
+	} else {
+		dir = filepath.Join(dir, strconv.FormatUint(seed, 10))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return 0, err
+		}
+	}
+	logger := log.NewWithOptions(cmd.ErrOrStderr(), log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Level: log.WarnLevel})
+	if f.verbose {
+		logger.SetLevel(log.InfoLevel)
+	}
+	r, err := cwsoak.Run(cmd.Context(), cwsoak.Config{
+		Seed: seed, Duration: f.duration, Instances: f.instances, Groups: f.groups, Callers: f.callers,
+		Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
+	})
+	if err != nil {
+		return 0, err
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "seed=%d faults=%d acknowledged=%d refused=%d unresolved=%d reads=%d broken=%d dir=%s\n",
+		r.Seed, r.Faults, r.Acked, r.Refused, r.Unresolved, r.Reads, len(r.Violations), dir)
+	for _, v := range r.Violations {
+		fmt.Fprintf(cmd.OutOrStdout(), "broken seed=%d promise=%s what=%q\n", r.Seed, v.Kind, v.What)
+	}
+	if len(r.Violations) == 0 && f.dir == "" {
+		return 0, os.RemoveAll(dir)
+	}
+	return len(r.Violations), nil
+}
+
+// soakPlatform speaks as the users' platform does.
+func soakPlatform() cwsoak.Platform {
+	return cwsoak.Platform{
+		NewStore: func(p cwport.Promoter) cwsoak.Store { return platform.NewStandinStore(p) },
+		ServeTarget: func(id cwgroup.MemberID, d cwport.Dialer, conn net.Conn) {
+			platform.StandinDatabase{ID: id, Dialer: d}.Serve(conn)
+		},
+		Caller: platform.Dialer{Who: "soak"},
+		Settings: func(a cwsoak.Addresses) []byte {
+			return platform.StandinSettings(a.Instance, a.DataCentre, a.Callers, a.Ready, a.Peers, a.Store)
+		},
+		Command: func(settings string) []string { return []string{"serve", "--settings", settings} },
+	}
+}
+
+// UsageError reports flags that make no sense together.
+type UsageError struct{ Text string }
+
+func (e *UsageError) Error() string { return e.Text }
+
+// BrokenError reports promises that did not hold.
+type BrokenError struct{ Promises int }
+
+func (e *BrokenError) Error() string { return fmt.Sprintf("%d promises were broken", e.Promises) }
--- /dev/null
+++ b/internal/tool/cwsoak/world.go
@@ -0,0 +1,370 @@
+package cwsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
+	"cicadawalk.example/cicadawalk/internal/standin/cwreplica"
+)
+
+// Error is the class of the soak's own failures.
+var Error = errs.Class("soak")
+
+// What the world is made of.
+const (
+	members        = 3
+	connections    = 24
+	slots          = 3
+	promotionTakes = 600 * time.Millisecond
+	maxAge         = 1500 * time.Millisecond
+	// readyWithin is how long the instances may take to start.
+	readyWithin = 20 * time.Second
+	// versionEvery is the pause between two desired states.
+	versionEvery = 1500 * time.Millisecond
+)
+
+// group is a group of targets with the paths to them.
+type group struct {
+	*cwreplica.Group
+	ids   []cwgroup.MemberID
+	links map[cwgroup.MemberID]*cwlink.Link
+}
+
+// world is everything around the proxies, and the proxies.
+type world struct {
+	cfg       Config
+	ledger    *ledger
+	store     Store
+	gate      *storeGate
+	groups    []*group
+	instances []*process
+	// stores are the paths of the instances to the store.
+	stores []*cwlink.Link
+	closes []func()
+
+	mu sync.Mutex
+	// revision is the newest desired state.
+	revision int
+	// disturbed is when a fault that was not planned last began or ended.
+	disturbed time.Time
+}
+
+// promoter hands an order to the group that it is about.
+type promoter struct{ world *world }
+
+// Promote implements cwport.Promoter.
+func (p promoter) Promote(ctx context.Context, order cwport.Promotion) error {
+	for _, g := range p.world.groups {
+		if g.Service == order.Service {
+			return g.Promote(ctx, order)
+		}
+	}
+	return &cwport.RefusedError{Code: cwstatement.WrongTarget, Detail: order.Service}
+}
+
+func newWorld(cfg Config) (*world, error) {
+	w := &world{cfg: cfg, ledger: newLedger(), disturbed: time.Now()}
+	if err := w.build(); err != nil {
+		w.stop()
+		return nil, Error.Wrap(err)
+	}
+	return w, nil
+}
+
+func (w *world) build() error {
+	w.store = w.cfg.Platform.NewStore(promoter{world: w})
+	w.gate = &storeGate{next: w.store}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: w.gate, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	w.closes = append(w.closes, func() { _ = srv.Close() })
+	for i := range w.cfg.Groups {
+		if err := w.addGroup(fmt.Sprintf("group%d", i)); err != nil {
+			return err
+		}
+	}
+	if err := w.desire(); err != nil {
+		return err
+	}
+	for i := range w.cfg.Instances {
+		if err := w.addInstance(i, ln.Addr().String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) addGroup(name string) error {
+	g := &group{links: make(map[cwgroup.MemberID]*cwlink.Link)}
+	for i := range members {
+		g.ids = append(g.ids, cwgroup.MemberID(fmt.Sprintf("%s-%d", name, i)))
+	}
+	g.Group = cwreplica.NewGroup(name, g.ids...)
+	g.SetPromotionTakes(promotionTakes, clockwork.NewRealClock())
+	for i, id := range g.ids {
+		g.LimitConnections(id, connections)
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		go w.runTarget(ln, id, g.From("soak"))
+		l, err := cwlink.Start("127.0.0.1:0", ln.Addr().String())
+		if err != nil {
+			return err
+		}
+		w.closes = append(w.closes, func() { _ = ln.Close() }, l.Stop)
+		g.links[id] = l
+		role := cwport.LeadershipReplica
+		if i == 0 {
+			role = cwport.LeadershipPrimary
+		}
+		err = w.store.List(cwport.Listing{ID: id, Service: name, Address: l.Addr(), DataCentre: centre(i), Slots: slots, Role: role})
+		if err != nil {
+			return err
+		}
+	}
+	w.groups = append(w.groups, g)
+	return nil
+}
+
+func centre(i int) string { return fmt.Sprintf("dc%d", i%members) }
+
+func (w *world) runTarget(ln net.Listener, id cwgroup.MemberID, d cwport.Dialer) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go w.cfg.Platform.ServeTarget(id, d, conn)
+	}
+}
+
+func (w *world) addInstance(i int, store string) error {
+	l, err := cwlink.Start("127.0.0.1:0", store)
+	if err != nil {
+		return err
+	}
+	w.stores = append(w.stores, l)
+	w.closes = append(w.closes, l.Stop)
+	a := Addresses{Instance: fmt.Sprintf("front%d", i), DataCentre: centre(i), Store: l.Addr()}
+	for _, at := range []*string{&a.Callers, &a.Ready, &a.Peers} {
+		if *at, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	settings := filepath.Join(w.cfg.Dir, a.Instance+".json")
+	if err := os.WriteFile(settings, w.cfg.Platform.Settings(a), 0o600); err != nil {
+		return err
+	}
+	p := &process{
+		name: a.Instance, program: w.cfg.Program, args: w.cfg.Platform.Command(settings),
+		logFile: filepath.Join(w.cfg.Dir, a.Instance+".log"), callers: a.Callers,
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	w.instances = append(w.instances, p)
+	w.closes = append(w.closes, p.stop)
+	return nil
+}
+
+// freeAddress returns a loopback address that nobody listened on a moment ago.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+func (w *world) stop() {
+	for i := len(w.closes) - 1; i >= 0; i-- {
+		w.closes[i]()
+	}
+}
+
+// The databases of a group, by what their reads see.
+var rules = []struct {
+	prefix string
+	rule   cwcatalogue.ReadRule
+}{
+	{"newest-", cwcatalogue.ReadNewest},
+	{"aged-", cwcatalogue.ReadAged},
+	{"own-", cwcatalogue.ReadOwnWrites},
+}
+
+// versionName is a database that exists from one desired state on.
+func versionName(revision int) string { return fmt.Sprintf("version-%d", revision) }
+
+// desire writes the next desired state: all databases, and one for each version
+// so far.
+func (w *world) desire() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := w.revision + 1
+	c := cwcatalogue.Catalogue{Revision: cwcatalogue.Revision(next)}
+	contract := cwcatalogue.Contract{
+		Connections: connections, StatementTimeout: time.Second, Aim: 500 * time.Millisecond,
+		MaxAge: maxAge, IdleTransaction: 5 * time.Second,
+	}
+	for _, g := range w.groups {
+		for _, r := range rules {
+			contract.Reads = r.rule
+			c.Entries = append(c.Entries, cwcatalogue.Entry{Service: r.prefix + g.Service, Groups: []cwcatalogue.Group{{Name: g.Service}}, Contract: contract})
+		}
+	}
+	for v := 1; v <= next; v++ {
+		c.Entries = append(c.Entries, cwcatalogue.Entry{Service: versionName(v), Groups: []cwcatalogue.Group{{Name: w.groups[0].Service}}, Contract: contract})
+	}
+	if err := w.store.Desire(c); err != nil {
+		return err
+	}
+	w.revision = next
+	return nil
+}
+
+// loopVersions writes desired states and checks that no instance goes back.
+func (w *world) loopVersions(ctx context.Context) error {
+	seen := make([]struct{ life, revision int }, len(w.instances))
+	for pause(ctx, versionEvery) {
+		if err := w.desire(); err != nil {
+			return err
+		}
+		for i, p := range w.instances {
+			life, _ := p.state()
+			if seen[i].life != life {
+				seen[i].life, seen[i].revision = life, 0
+			}
+			if seen[i].revision > 0 && w.lacks(ctx, p, seen[i].revision) {
+				if now, _ := p.state(); now == life {
+					w.ledger.fail(Reverted, "%s had desired state %d", p.name, seen[i].revision)
+				}
+			}
+			if w.has(ctx, p, w.revision) {
+				seen[i].revision = w.revision
+			}
+		}
+	}
+	return nil
+}
+
+// has and lacks ask an instance for a database that came with a revision. An
+// instance that does not answer neither has nor lacks it.
+func (w *world) has(ctx context.Context, p *process, revision int) bool {
+	return w.connect(ctx, p, versionName(revision)) == nil
+}
+
+func (w *world) lacks(ctx context.Context, p *process, revision int) bool {
+	var refused *cwport.RefusedError
+	err := w.connect(ctx, p, versionName(revision))
+	return errors.As(err, &refused) && refused.Code == cwstatement.NoDatabase
+}
+
+func (w *world) connect(ctx context.Context, p *process, database string) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	t, err := w.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: database, Address: p.callers})
+	if err != nil {
+		return err
+	}
+	return t.Close()
+}
+
+// ready waits until each instance serves each group.
+func (w *world) ready(ctx context.Context) error {
+	if missing := w.unserved(ctx, readyWithin); missing != "" {
+		return Error.New("not ready: %s", missing)
+	}
+	return nil
+}
+
+// recover checks that everything is served again.
+func (w *world) recover(ctx context.Context) {
+	if missing := w.unserved(ctx, settleFor); missing != "" {
+		w.ledger.fail(NotRecovered, "%s", missing)
+	}
+}
+
+// unserved returns what is not served within a time; empty if all is.
+func (w *world) unserved(ctx context.Context, within time.Duration) string {
+	end := time.Now().Add(within)
+	for _, p := range w.instances {
+		for _, g := range w.groups {
+			for !w.writes(ctx, p, g) {
+				if time.Now().After(end) || !pause(ctx, 50*time.Millisecond) {
+					return p.name + " does not write to " + g.Service
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func (w *world) writes(ctx context.Context, p *process, g *group) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	t, err := w.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: "newest-" + g.Service, Address: p.callers})
+	if err != nil {
+		return false
+	}
+	defer func() { _ = t.Close() }()
+	if t.SetTimeout(2*time.Second) != nil {
+		return false
+	}
+	a, err := ask(t, cwstatement.Command{ID: "check", Verb: cwstatement.Write, Text: "WRITE check 0"})
+	return err == nil && a.Code == cwstatement.OK
+}
+
+// disturb notes that a fault which was not planned begins or ends.
+func (w *world) disturb() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disturbed = time.Now()
+}
+
+// calm reports whether there was no such fault for a while.
+func (w *world) calm(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.disturbed) > d
+}
+
+// pause waits. It returns false if ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask sends one command and reads its answer.
+func ask(t cwport.Target, c cwstatement.Command) (cwstatement.Answer, error) {
+	t.Send(c)
+	if err := t.Flush(); err != nil {
+		return cwstatement.Answer{}, err
+	}
+	return t.Receive()
+}
