lead: members are fenced for the group's next term; busy ones are ordered again

Change: members are fenced and demoted for one more than the newest term of their logs; a fence that did not hold is an error; a busy member is ordered again within the 500 ms of an order. Whether a change has shown its primary is told by the term known when its row came, not by the claim's number; so a row of an earlier change no longer shortens the wait before the first acknowledgement of a term (found by reading).

Ruled out: releasing fenced members later by RESUME (one that does not see the new primary would follow the old one again).

Tests fail without it: TestFailedAttemptLeavesNoMemberBehind, TestBusyMemberIsOrderedAgain. The soak's instances have addresses of their own.

--- a/internal/proxy/cwengine/promise_test.go
+++ b/internal/proxy/cwengine/promise_test.go
@@ -1,6 +1,7 @@
 package cwengine
 
 import (
+	"context"
 	"strconv"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -153,3 +155,45 @@
 	t.Logf("promoted after %v", took)
 	w.c.Assert(took < 10*time.Second, qt.IsTrue, qt.Commentf("%v", took))
 }
+
+// An attempt to replace a lost primary comes to nothing. The next one numbered
+// its claim one higher and fenced the replicas for that number; the new primary
+// led the term before it, the third member waited on for a later one, and no
+// write was acknowledged for ten seconds.
+func TestFailedAttemptLeavesNoMemberBehind(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	e := w.engine("x")
+	w.settled(e)
+	s := w.session(e)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	for _, other := range []string{"x", "b", "c"} {
+		w.group.Cut("a", other, true)
+	}
+	// The first attempt finds one member that can be fenced, of two it needs.
+	w.group.RefuseFences("c", 1)
+	w.eventually("a write is acknowledged by the new primary", func() bool {
+		return s.ask(cwstatement.Write, "WRITE i 2").Code == cwstatement.OK
+	})
+}
+
+// A busy replica refuses the order that fences it, and the whole attempt to
+// replace the primary failed; the next may begin only two seconds later.
+func TestBusyMemberIsOrderedAgain(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	e := w.engine("x")
+	w.settled(e)
+	s := w.session(e)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	for _, other := range []string{"x", "b", "c"} {
+		w.group.Cut("a", other, true)
+	}
+	w.group.BusyAtFences("c", 3)
+	w.eventually("a write is acknowledged by the new primary", func() bool {
+		return s.ask(cwstatement.Write, "WRITE i 2").Code == cwstatement.OK
+	})
+	row, err := w.table.Get(context.Background(), "group/"+testService)
+	w.c.Assert(err, qt.IsNil)
+	claimed, err := cwclaim.Decode(row.Value)
+	w.c.Assert(err, qt.IsNil)
+	w.c.Assert(claimed.Term, qt.Equals, cwgroup.Term(2), qt.Commentf("the first attempt succeeds"))
+}
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -124,6 +124,10 @@
 	// never falls.
 	row     cwfailover.Row
 	rowSeen time.Time
+	// rowTerm is the newest known term when the row came, or the one before if
+	// the row's primary led by then. Claims are numbered on their own: attempts
+	// that came to nothing count there and not in the members' terms.
+	rowTerm cwgroup.Term
 	// synchronous is true if a primary itself waits for a replica.
 	synchronous bool
 	// rank is this proxy's place among those that may replace the primary.
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -17,8 +17,14 @@
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
-// orderTimeout bounds one order to a member or the platform.
-const orderTimeout = 500 * time.Millisecond
+// Times of orders.
+const (
+	// orderTimeout bounds one order to a member or the platform.
+	orderTimeout = 500 * time.Millisecond
+	// busyPause is the wait before an order that a busy member refused is given
+	// again: a statement or two of its queue.
+	busyPause = 15 * time.Millisecond
+)
 
 // NoteRow takes the group's row as it stands in the table.
 func (g *Group) NoteRow(row cwfailover.Row) {
@@ -33,7 +39,11 @@
 		return
 	}
 	g.cfg.Log.Info("claimSeen", "group", g.cfg.Service, "term", row.Term, "claim", row.Claim, "keeper", row.Keeper, "primary", row.Primary, "done", row.Done)
-	g.row, g.rowSeen = row, g.cfg.Clock.Now()
+	g.row, g.rowSeen, g.rowTerm = row, g.cfg.Clock.Now(), g.term
+	if p, ok := g.sup.View().Primary(); ok && p.Member == row.Primary && g.term > 0 {
+		// What the row tells has shown already.
+		g.rowTerm = g.term - 1
+	}
 	g.notify()
 }
 
@@ -258,17 +268,49 @@
 	if !ok {
 		return cwstatement.Health{}, &cwport.RefusedError{Code: cwstatement.WrongTarget, Detail: "no longer listed"}
 	}
+	end := g.cfg.Clock.Now().Add(orderTimeout)
+	for {
+		h, err := g.orderOnce(m, f)
+		var refused *cwport.RefusedError
+		busy := errors.As(err, &refused) && refused.Code == cwstatement.Busy
+		if !busy || !g.cfg.Clock.Now().Add(busyPause).Before(end) {
+			return h, err
+		}
+		g.cfg.Clock.Sleep(busyPause)
+	}
+}
+
+func (g *Group) orderOnce(m Member, f func(cwport.Target) (cwstatement.Health, error)) (cwstatement.Health, error) {
 	var h cwstatement.Health
 	err := g.with(m, orderTimeout, func(t cwport.Target, asked time.Time) error {
 		var err error
 		if h, err = f(t); err == nil {
-			g.heard(id, h, asked)
+			g.heard(m.ID, h, asked)
 		}
 		return err
 	})
 	return h, err
 }
 
+// nextTerm returns the term that a change of primary leads to, where a member's
+// log is in a term.
+//
+// The failure: an attempt to replace a primary comes to nothing, the next claim
+// has a higher number than the term that follows, and replicas are fenced for
+// it: once the new primary leads they still wait for a later term and receive
+// nothing, so that it can acknowledge and confirm nothing. Members are therefore
+// fenced for the next term of the group, whatever the claim is called.
+func (g *Group) nextTerm(t cwgroup.Term) cwgroup.Term {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(t, g.term) + 1
+}
+
+// NotFencedError reports a member that goes on receiving.
+type NotFencedError struct{ Member cwgroup.MemberID }
+
+func (e *NotFencedError) Error() string { return string(e.Member) + " goes on receiving" }
+
 // adopt makes a member stop receiving from a primary of an earlier term: a
 // replica is fenced, a primary becomes a replica.
 func (g *Group) adopt(o cwfailover.Order) (cwgroup.Status, error) {
@@ -277,10 +319,14 @@
 		if err != nil {
 			return h, err
 		}
+		next := g.nextTerm(h.Term)
 		if h.Role == cwgroup.RolePrimary {
-			return t.Demote(o.Term)
+			return t.Demote(next)
+		}
+		if h, err = t.Fence(next); err == nil && h.Fence < next {
+			return h, &NotFencedError{Member: o.Member}
 		}
-		return t.Fence(o.Term)
+		return h, err
 	})
 	if err != nil {
 		return cwgroup.Status{}, err
@@ -313,7 +359,7 @@
 			return h, err
 		}
 		if h.Role == cwgroup.RolePrimary {
-			return t.Demote(o.Term)
+			return t.Demote(g.nextTerm(h.Term))
 		}
 		return h, nil
 	})
--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -150,9 +150,11 @@
 	}
 	g.trace = cwroute.History{Spacing: traceSpacing}
 	g.trace.Observe(p.Last, p.At)
+	// The members were fenced before the change was recorded. The record of an
+	// earlier change says nothing, even of the same member.
+	recorded := g.row.Done && g.row.Primary == p.Member && g.rowTerm == g.term
 	g.term, g.learnt, g.start = p.Adopted, now, p.Last
-	if g.row.Done && g.row.Term >= p.Adopted {
-		// The members were fenced before the change was recorded.
+	if recorded {
 		g.learnt = g.rowSeen
 	}
 }
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -86,7 +86,7 @@
 // pending reports whether a finished change has not shown its primary yet. The
 // caller holds mu.
 func (g *Group) pending(now time.Time) bool {
-	return g.row.Done && g.row.Term > g.term && now.Sub(g.rowSeen) < promotionPatience
+	return g.row.Done && g.row.Primary != "" && g.rowTerm >= g.term && now.Sub(g.rowSeen) < promotionPatience
 }
 
 // CutOff reports whether most members cannot be reached from here.
--- a/internal/standin/cwreplica/conn.go
+++ b/internal/standin/cwreplica/conn.go
@@ -197,9 +197,26 @@
 
 // Fence implements cwport.Target.
 func (c *conn) Fence(t cwgroup.Term) (cwstatement.Health, error) {
+	if err := c.refuseFence(); err != nil {
+		return cwstatement.Health{}, err
+	}
 	return c.order(func(m *Member) { m.fence = max(m.fence, t) })
 }
 
+func (c *conn) refuseFence() error {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	switch m := c.member; {
+	case m.refuse > 0:
+		m.refuse--
+		return errLost
+	case m.busy > 0:
+		m.busy--
+		return &cwport.RefusedError{Code: cwstatement.Busy, Detail: string(m.id)}
+	}
+	return nil
+}
+
 // Unfence implements cwport.Target.
 func (c *conn) Unfence() error {
 	_, err := c.order(func(m *Member) { m.fence = 0 })
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -35,16 +35,19 @@
 
 // Member is one database. Its fields are guarded by the group's lock.
 type Member struct {
-	id     cwgroup.MemberID
-	role   cwgroup.Role
-	term   cwgroup.Term
-	fence  cwgroup.Term
-	log    []record
-	deaf   bool
-	lose   bool
-	dark   bool
-	limit  int
-	opened int
+	id    cwgroup.MemberID
+	role  cwgroup.Role
+	term  cwgroup.Term
+	fence cwgroup.Term
+	log   []record
+	deaf  bool
+	lose  bool
+	dark  bool
+	limit int
+	// refuse is how many more orders to stop receiving get no answer, busy how
+	// many are refused as too much.
+	refuse, busy int
+	opened       int
 }
 
 // Group is a replica set. Make one with NewGroup.
@@ -123,6 +126,22 @@
 	g.members[id].dark, g.clock = dark, clock
 }
 
+// RefuseFences makes a member give no answer to the next orders to stop
+// receiving.
+func (g *Group) RefuseFences(id cwgroup.MemberID, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].refuse = n
+}
+
+// BusyAtFences makes a member refuse the next orders to stop receiving as too
+// busy.
+func (g *Group) BusyAtFences(id cwgroup.MemberID, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id].busy = n
+}
+
 // LimitConnections bounds the connections of a member; zero means no bound.
 func (g *Group) LimitConnections(id cwgroup.MemberID, n int) {
 	g.mu.Lock()
--- a/internal/tool/cwsoak/world.go
+++ b/internal/tool/cwsoak/world.go
@@ -165,11 +165,7 @@
 	w.stores = append(w.stores, l)
 	w.closes = append(w.closes, l.Stop)
 	a := Addresses{Instance: fmt.Sprintf("front%d", i), DataCentre: centre(i), Store: l.Addr()}
-	for _, at := range []*string{&a.Callers, &a.Ready, &a.Peers} {
-		if *at, err = freeAddress(); err != nil {
-			return err
-		}
-	}
+	a.Callers, a.Ready, a.Peers = ownAddress(i, 7001), ownAddress(i, 7002), ownAddress(i, 7003)
 	settings := filepath.Join(w.cfg.Dir, a.Instance+".json")
 	if err := os.WriteFile(settings, w.cfg.Platform.Settings(a), 0o600); err != nil {
 		return err
@@ -186,14 +182,14 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that nobody listened on a moment ago.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
+// ownAddress returns an address of an instance's own on the loopback network.
+//
+// The failure: a port that was free a moment ago is taken by an outgoing
+// connection of somebody else, an instance cannot listen, and the run fails for
+// nothing. Nobody connects from the instances' addresses.
+func ownAddress(instance, port int) string {
+	const firstNet, nets = 10, 200
+	return fmt.Sprintf("127.%d.%d.1:%d", firstNet+os.Getpid()%nets, instance, port)
 }
 
 func (w *world) stop() {
