engine, lead: names of transactions differ between lives; two files in order

Cause, found by reading: an instance that restarts counts its transactions from one again; at a holder that has not noticed its end a new transaction took the place of an old one, whose connection was never given back. And a commit of a transaction that its holder had rolled back left the caller in a failed transaction.

Change: the process's seed is part of the name; such a commit ends in state idle. Tests: TestNamesOfTransactionsDifferBetweenLives, and a state in TestHeldTransactionEndsWithItsConnection.

--- a/internal/proxy/cwengine/away.go
+++ b/internal/proxy/cwengine/away.go
@@ -130,43 +130,45 @@
 
 // handleAway serves one statement of a transaction that runs at a holder.
 func (s *session) handleAway(st cwstatement.Statement, began time.Time) cwstatement.Answer {
-	t := s.away
 	switch st.Verb {
 	case cwstatement.Set, cwstatement.Prepare, cwstatement.Deallocate:
-		a := s.keep(st)
-		if a.Code != cwstatement.OK {
-			s.failAway("")
-			return a.WithState(cwstatement.Failed)
-		}
-		return a.WithState(cwstatement.Open)
+		// The holder hears of it with the next statement.
+		return s.inAway(s.keep(st))
 	case cwstatement.Rollback:
 		s.dropAway()
 		return cwstatement.Answer{}
-	case cwstatement.Read, cwstatement.Write, cwstatement.Execute, cwstatement.Commit:
-	default:
-		s.failAway("")
-		return cwstatement.Failure(cwstatement.Malformed, "the statement has no place in a transaction").WithState(cwstatement.Failed)
-	}
-	if st.Verb != cwstatement.Commit {
+	case cwstatement.Read, cwstatement.Write, cwstatement.Execute:
 		w, bad := s.workOf(st)
 		if bad.Code != cwstatement.OK {
-			s.failAway("")
-			return bad.WithState(cwstatement.Failed)
+			return s.inAway(bad)
 		}
-		t.wrote = t.wrote || w.writes
+		s.away.wrote = s.away.wrote || w.writes
+	case cwstatement.Commit:
+	default:
+		return s.inAway(cwstatement.Failure(cwstatement.Malformed, "the statement has no place in a transaction"))
 	}
-	if t.holder == nil {
+	if s.away.holder == nil {
 		return s.openAway(st, began)
 	}
-	h := s.handover(t.entry, st, began)
-	h.Transaction = t.name
-	r, err := s.hand(t.holder, h, began)
+	h := s.handover(s.away.entry, st, began)
+	h.Transaction = s.away.name
+	r, err := s.hand(s.away.holder, h, began)
 	if err != nil {
 		return s.lostAway(st)
 	}
 	return s.answeredAway(r.Answer)
 }
 
+// inAway is the answer to a statement of the transaction that was answered here;
+// a failure ends the transaction at its holder.
+func (s *session) inAway(a cwstatement.Answer) cwstatement.Answer {
+	if a.Code == cwstatement.OK {
+		return a.WithState(cwstatement.Open)
+	}
+	s.failAway("")
+	return a.WithState(cwstatement.Failed)
+}
+
 // openAway gives a holder the transaction with its first statement. Where no
 // holder takes it, it runs here.
 func (s *session) openAway(st cwstatement.Statement, began time.Time) cwstatement.Answer {
@@ -261,5 +263,5 @@
 
 // nextName names a transaction among those of all instances.
 func (e *Engine) nextName() string {
-	return e.cfg.Name + "/" + strconv.FormatUint(e.named.Add(1), 10)
+	return e.cfg.Name + "/" + e.cfg.Seed + "/" + strconv.FormatUint(e.named.Add(1), 10)
 }
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -55,6 +55,8 @@
 	Metrics *Metrics
 	// Name is this instance's, unique among all of them.
 	Name string
+	// Seed differs between the runs of an instance.
+	Seed string
 	// Holders tells who holds groups; nil if this instance holds all.
 	Holders cwport.Holders
 }
--- a/internal/proxy/cwengine/handover_test.go
+++ b/internal/proxy/cwengine/handover_test.go
@@ -222,13 +222,23 @@
 	w.c.Assert(w.group.Value("i"), qt.Equals, "")
 }
 
+// The caller's instance loses power and starts again while a transaction of its
+// former life rests at the holder. A transaction of the new life that had the
+// same name took its place, and its connection was never given back.
+func TestNamesOfTransactionsDifferBetweenLives(t *testing.T) {
+	a, b := New(Config{Name: "front", Seed: "1"}), New(Config{Name: "front", Seed: "2"})
+	qt.Assert(t, a.nextName(), qt.Not(qt.Equals), b.nextName())
+}
+
 // The same where the connection of the caller's instance ends.
 func TestHeldTransactionEndsWithItsConnection(t *testing.T) {
 	w, s, h := handed(t, cwcatalogue.ReadNewest)
 	succeeds(w.c, s.ask(cwstatement.Begin, "BEGIN"))
 	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
 	h.engine.Left(h)
-	promises(w.c, s.ask(cwstatement.Commit, "COMMIT"))
+	a := s.ask(cwstatement.Commit, "COMMIT")
+	promises(w.c, a)
+	w.c.Assert(a.State, qt.Equals, cwstatement.Idle)
 	w.c.Assert(w.group.Value("i"), qt.Equals, "")
 }
 
--- a/internal/proxy/cwengine/held.go
+++ b/internal/proxy/cwengine/held.go
@@ -74,21 +74,25 @@
 	t, ok := e.held[h.Transaction]
 	e.mu.RUnlock()
 	if !ok {
-		return goneHeld()
+		return goneHeld(h.Statement.Verb)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.over {
-		return goneHeld()
+		return goneHeld(h.Statement.Verb)
 	}
 	t.session.take(h)
 	return e.runHeld(t, h, began)
 }
 
-// goneHeld is the answer for a transaction that was rolled back meanwhile.
-func goneHeld() cwport.Handed {
+// goneHeld is the answer for a transaction that was rolled back meanwhile. A
+// commit ends it for the caller, too.
+func goneHeld(v cwstatement.Verb) cwport.Handed {
 	a := cwstatement.RetryLater(cwstatement.Aborted, "the transaction was rolled back", unreachableRetry)
-	return cwport.Handed{Answer: a.WithState(cwstatement.Failed)}
+	if v != cwstatement.Commit {
+		a = a.WithState(cwstatement.Failed)
+	}
+	return cwport.Handed{Answer: a}
 }
 
 // runHeld runs a statement of a transaction. The caller holds t.mu.
--- a/internal/proxy/cwengine/promise_test.go
+++ b/internal/proxy/cwengine/promise_test.go
@@ -156,11 +156,8 @@
 	w.c.Assert(took < 10*time.Second, qt.IsTrue, qt.Commentf("%v", took))
 }
 
-// An attempt to replace a lost primary comes to nothing. The next one numbered
-// its claim one higher and fenced the replicas for that number; the new primary
-// led the term before it, the third member waited on for a later one, and no
-// write was acknowledged for ten seconds.
-func TestFailedAttemptLeavesNoMemberBehind(t *testing.T) {
+// primaryLost is a session before a group whose primary was just cut off.
+func primaryLost(t *testing.T) (*world, *testCaller) {
 	w := newWorld(t, cwcatalogue.ReadNewest)
 	e := w.engine("x")
 	w.settled(e)
@@ -169,6 +166,15 @@
 	for _, other := range []string{"x", "b", "c"} {
 		w.group.Cut("a", other, true)
 	}
+	return w, s
+}
+
+// An attempt to replace a lost primary comes to nothing. The next one numbered
+// its claim one higher and fenced the replicas for that number; the new primary
+// led the term before it, the third member waited on for a later one, and no
+// write was acknowledged for ten seconds.
+func TestFailedAttemptLeavesNoMemberBehind(t *testing.T) {
+	w, s := primaryLost(t)
 	// The first attempt finds one member that can be fenced, of two it needs.
 	w.group.RefuseFences("c", 1)
 	w.eventually("a write is acknowledged by the new primary", func() bool {
@@ -179,14 +185,7 @@
 // A busy replica refuses the order that fences it, and the whole attempt to
 // replace the primary failed; the next may begin only two seconds later.
 func TestBusyMemberIsOrderedAgain(t *testing.T) {
-	w := newWorld(t, cwcatalogue.ReadNewest)
-	e := w.engine("x")
-	w.settled(e)
-	s := w.session(e)
-	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
-	for _, other := range []string{"x", "b", "c"} {
-		w.group.Cut("a", other, true)
-	}
+	w, s := primaryLost(t)
 	w.group.BusyAtFences("c", 3)
 	w.eventually("a write is acknowledged by the new primary", func() bool {
 		return s.ask(cwstatement.Write, "WRITE i 2").Code == cwstatement.OK
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -79,7 +79,7 @@
 	}
 	in.engine = cwengine.New(cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
-		Name: cfg.Name, Holders: in.peers,
+		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers,
 	})
 	return in
 }
