peers, place: holders are worked out once a second, names are hashed once

Each row of an instance reaches all others by itself, and each of them worked out the holders of every group anew and tried connections for it: 79 us a group with 300 instances, most of it hashing names while sorting.

Change: changes of the list are told to the groups once a second, the first list at once; each name is hashed once.

Test: TestRowsAreToldTogether.

--- a/internal/core/cwplace/place.go
+++ b/internal/core/cwplace/place.go
@@ -25,9 +25,13 @@
 
 // Order returns the nodes in the order of the key, first choice first.
 func Order(key string, nodes []string) []string {
+	weights := make(map[string]uint64, len(nodes))
+	for _, n := range nodes {
+		weights[n] = weight(n, key)
+	}
 	out := slices.Clone(nodes)
 	slices.SortFunc(out, func(a, b string) int {
-		if c := cmp.Compare(weight(b, key), weight(a, key)); c != 0 {
+		if c := cmp.Compare(weights[b], weights[a]); c != 0 {
 			return c
 		}
 		return cmp.Compare(a, b)
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -77,6 +77,7 @@
 		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.Peers},
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log,
 	}
+	in.peers.Changed = in.rehold
 	in.engine = cwengine.New(cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
 		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers,
@@ -84,6 +85,8 @@
 	return in
 }
 
+func (in *Instance) rehold() { in.engine.Rehold() }
+
 func dialPeer(ctx context.Context, name, address string) (cwpeers.Conn, error) {
 	return cwhandover.Dial(ctx, name, address)
 }
@@ -175,7 +178,6 @@
 // Rows implements cwdirectory.Sink.
 func (in *Instance) Rows(rows []cwport.Row, whole bool) {
 	in.peers.Rows(rows, whole)
-	in.engine.Rehold()
 	for _, r := range rows {
 		service, ok := cwclaim.Service(r.Key)
 		if !ok || r.Removed {
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -60,8 +60,12 @@
 	Dial  Dial
 	Clock clockwork.Clock
 	Log   *log.Logger
+	// Changed is called after the holders of groups may have changed.
+	Changed func()
 
 	mu sync.Mutex
+	// dirty is true if rows have changed since Changed was called.
+	dirty bool
 	// listed is true once the rows were read.
 	listed    bool
 	instances map[string]cwholder.Instance
@@ -90,8 +94,32 @@
 
 // Rows takes rows of the table; whole is true if these are all.
 func (p *Peers) Rows(rows []cwport.Row, whole bool) {
+	p.takeRows(rows, whole)
+	if whole {
+		p.tell()
+	}
+}
+
+// tell says that the holders of groups may have changed.
+//
+// The failure: hundreds of instances start together, each one's row reaches all
+// others by itself, and each works out the holders of every group for each of
+// them: work that grows with the square of the instances, before the first caller
+// has come. The first rows are told at once, changes once a second.
+func (p *Peers) tell() {
+	p.mu.Lock()
+	dirty := p.dirty
+	p.dirty = false
+	p.mu.Unlock()
+	if dirty && p.Changed != nil {
+		p.Changed()
+	}
+}
+
+func (p *Peers) takeRows(rows []cwport.Row, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dirty = p.dirty || whole
 	if p.instances == nil || whole {
 		p.instances, p.version = make(map[string]cwholder.Instance), ""
 	}
@@ -99,10 +127,13 @@
 	for _, r := range rows {
 		if name, ok := strings.CutPrefix(r.Key, KeyPrefix); ok {
 			p.row(name, r)
+			p.dirty = true
 		}
 	}
-	clear(p.orders)
-	p.unlink()
+	if p.dirty {
+		clear(p.orders)
+		p.unlink()
+	}
 }
 
 // row takes one instance's row. The caller holds mu.
@@ -146,6 +177,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		p.tell()
 		if p.unregistered() {
 			p.register(ctx)
 		}
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -246,3 +246,20 @@
 		})
 	})
 }
+
+// Hundreds of instances start together, and the row of each reaches the others
+// by itself. Each of them worked out all holders for every single one.
+func TestRowsAreToldTogether(t *testing.T) {
+	c := qt.New(t)
+	told := 0
+	p := &Peers{Self: instance("a", "z"), Clock: clockwork.NewFakeClock(), Log: log.New(io.Discard), Changed: func() { told++ }}
+	p.Rows(nil, true)
+	c.Assert(told, qt.Equals, 1, qt.Commentf("the first rows are told at once"))
+	for _, name := range []string{"b", "c", "d", "e", "f"} {
+		p.Rows([]cwport.Row{row(instance(name, "z"))}, false)
+	}
+	c.Assert(told, qt.Equals, 1)
+	p.tell()
+	p.tell()
+	c.Assert(told, qt.Equals, 2)
+}
