--- a/cmd/cicadasoak/soak_test.go
+++ b/cmd/cicadasoak/soak_test.go
@@ -15,10 +15,10 @@
 // seeds are those that CI plays. A seed that ever failed stays here, with a line
 // on the cause.
 var seeds = []string{
-	// One with a pause, a kill, a lost primary and a store that loses answers
-	// within its first seconds.
+	// A planned stop with a reload, a store that loses answers and is slow, paths
+	// cut both ways and one way, a dark primary.
 	"103",
-	// One in which a planned stop meets a reload.
+	// A planned stop with a reload between a cut path and a dark primary.
 	"1",
 	// Statements that crossed the end of a resting session counted as cut off.
 	"1001",
