platform, directory: an entry of another writer names no target

Cause: the list of targets took whatever parsed as JSON. An entry without address, state or slots became a target, one of an unknown state counted as ready, and each version of an unreadable row was logged anew.

A row is logged once until it is good again.

--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -98,12 +98,21 @@
 	// went.
 	known    map[cwgroup.MemberID]cwport.Listing
 	vanished map[cwgroup.MemberID]time.Time
+	// unreadable are the rows that are logged as such already.
+	unreadable map[rowName]bool
+}
+
+// rowName names a row of a topic.
+type rowName struct {
+	topic cwport.Topic
+	key   string
 }
 
 // Run follows all topics until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	d.known = make(map[cwgroup.MemberID]cwport.Listing)
 	d.vanished = make(map[cwgroup.MemberID]time.Time)
+	d.unreadable = make(map[rowName]bool)
 	eg, ctx := errgroup.WithContext(ctx)
 	for _, t := range []cwport.Topic{cwport.Desired, cwport.Targets, cwport.Own} {
 		eg.Go(func() error { return d.loop(ctx, t) })
@@ -243,9 +252,7 @@
 }
 
 func (d *Directory) take(t cwport.Topic, b cwport.Batch, fresh bool) {
-	for _, err := range b.Faults {
-		d.Log.Error("rowUnreadable", "topic", t, "cause", err)
-	}
+	d.noteFaults(t, b)
 	switch t {
 	case cwport.Desired:
 		if b.Catalogue != nil {
@@ -260,6 +267,25 @@
 	}
 }
 
+// noteFaults logs each row that cannot be read once, however often its writer
+// writes it, until it can be read again. A whole snapshot or a change of the row
+// tells.
+func (d *Directory) noteFaults(t cwport.Topic, b cwport.Batch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range b.Listed {
+		delete(d.unreadable, rowName{t, string(l.ID)})
+	}
+	for _, f := range b.Faults {
+		name := rowName{t, f.Key}
+		if d.unreadable[name] {
+			continue
+		}
+		d.unreadable[name] = true
+		d.Log.Error("rowUnreadable", "topic", t, "key", f.Key, "version", f.Version, "cause", f.Cause)
+	}
+}
+
 func (d *Directory) takeTargets(b cwport.Batch, fresh bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -275,7 +301,7 @@
 		d.Log.Info("targetListed", "target", l.ID, "service", l.Service, "address", l.Address, "dataCentre", l.DataCentre, "leaving", l.Leaving, "role", l.Role)
 	}
 	for _, id := range removed {
-		if _, ok := d.known[id]; ok {
+		if _, ok := d.known[id]; ok && d.vanished[id].IsZero() {
 			d.vanished[id] = now
 			d.Log.Info("targetVanished", "target", id)
 		}
--- a/internal/proxy/cwdirectory/directory_test.go
+++ b/internal/proxy/cwdirectory/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -108,11 +109,13 @@
 	return s.revisions[len(s.revisions)-1]
 }
 
-func start(t *testing.T, src *source) *sink {
+func start(t *testing.T, src *source) *sink { return startWith(t, src, log.New(io.Discard)) }
+
+func startWith(t *testing.T, src *source, l *log.Logger) *sink {
 	out := &sink{present: map[cwgroup.MemberID]bool{}}
 	d := &Directory{
 		Waits: Waits{Desired: 50 * time.Millisecond, Targets: time.Hour}, Source: src, Sink: out,
-		Clock: clockwork.NewRealClock(), Log: log.New(io.Discard),
+		Clock: clockwork.NewRealClock(), Log: l,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
@@ -206,6 +209,54 @@
 	eventually(t, "it is gone once the store is there and says so", func() bool { return !out.has("a") })
 }
 
+// Somebody else writes into the list of targets, twice a second, what no database
+// would write, under the id of one that is there and under one of its own. The
+// log fills up with the same line; the database whose entry it was counts as one
+// that left, and comes back with its next entry.
+func TestForeignEntryIsLoggedOnce(t *testing.T) {
+	src := &source{targets: make(chan cwport.Batch)}
+	var lines lockedBuffer
+	out := startWith(t, src, log.New(&lines))
+	eventually(t, "the list is known", func() bool { return out.has("a") })
+	foreign := func(v uint64) cwport.Batch {
+		return cwport.Batch{
+			Version: v, Removed: []cwgroup.MemberID{"a", "x"},
+			Faults: []cwport.RowFault{{Key: "a", Version: v, Cause: errForeign}, {Key: "x", Version: v, Cause: errForeign}},
+		}
+	}
+	for v := range uint64(2) {
+		src.targets <- foreign(v + 2)
+	}
+	qt.Assert(t, out.has("a"), qt.IsTrue)
+	qt.Assert(t, out.has("b"), qt.IsTrue)
+	eventually(t, "the target without an entry of its own is gone", func() bool { return !out.has("a") })
+	src.targets <- cwport.Batch{Version: 4, Listed: []cwport.Listing{{ID: "a"}}}
+	eventually(t, "it is back", func() bool { return out.has("a") })
+	qt.Assert(t, lines.count("rowUnreadable"), qt.Equals, 2)
+	src.targets <- foreign(5)
+	eventually(t, "a good entry that turns bad again is logged again", func() bool { return lines.count("rowUnreadable") == 3 })
+}
+
+var errForeign = errors.New("foreign")
+
+// lockedBuffer collects log lines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) count(what string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.b.String(), what)
+}
+
 // Many targets start together, each with an entry of its own. Every instance
 // asked the store once for each, and a deployment with many instances used up
 // the calls that all of them may make.
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -119,6 +119,10 @@
 	// Leaving is true once the target has announced that it ends.
 	Leaving bool
 	Role    Leadership
+	// Born is when the target started, by its own clock; zero if it does not
+	// tell. A target that starts again under its id has another one, which can
+	// be an earlier one where that clock was set back.
+	Born time.Time
 }
 
 // Topic is something that a Source tells about.
@@ -151,9 +155,23 @@
 	Rows []Row
 	// Faults are parts of the batch that could not be read. They are left out;
 	// what was known before stays.
-	Faults []error
+	Faults []RowFault
 }
 
+// RowFault is a row that could not be read.
+type RowFault struct {
+	Key     string
+	Version uint64
+	Cause   error
+}
+
+func (f RowFault) Error() string {
+	return "row " + f.Key + " version " + strconv.FormatUint(f.Version, 10) + ": " + f.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f RowFault) Unwrap() error { return f.Cause }
+
 // Changed reports whether the batch brings any news.
 func (b Batch) Changed() bool {
 	return b.Catalogue != nil || len(b.Listed)+len(b.Removed)+len(b.Rows) > 0
