lead, failover: what a target's restart under its id undoes

Cause: nothing read the time of birth in a target's entry. A replica that starts again has forgotten its fence and its records, but what it had reported went on counting: a majority with it confirmed a replaced primary, acknowledged records, or was promoted from.

Change: a restart shows by another time of birth, earlier or later, or by a log that is shorter than at an earlier answer of the same term. It forgets what the member reported, closes idle connections, takes back the confirmation, and gives up a promotion that counts on the member and is not ordered yet. Until the group's row, read after the restart, shows no change of primary, the member confirms and acknowledges nothing; until its log reaches what the primary had, its fence does not count, for ten seconds at most.

Ruled out: doubting a member whenever a connection breaks. A restart inside a cut, with the store out of reach, that shows by nothing else stays open.

--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -58,6 +58,32 @@
 	return nil
 }
 
+// Forget takes that a member has started again: its fence is gone with all else.
+//
+// The failure: a majority is counted with a member that has started again since
+// it was fenced. It may lack what it reported, and follow the old primary. A
+// promotion that has not been ordered yet is given up; the next claim fences
+// anew.
+func (k *Keeper) Forget(m cwgroup.MemberID) {
+	if _, fenced := k.fenced[m]; !fenced || k.Ended() {
+		return
+	}
+	switch {
+	case k.phase == Fencing:
+		delete(k.fenced, m)
+		k.refused[m] = true
+		majority := cwgroup.Majority(len(k.plan.Members))
+		if len(k.fenced) < majority {
+			k.majorityAt = time.Time{}
+		}
+		if len(k.refused) > k.counted()-majority {
+			k.abandon(ReasonRestarted)
+		}
+	case k.phase == Promoting && len(k.waiting) > 0:
+		k.abandon(ReasonRestarted)
+	}
+}
+
 // counted returns how many members count towards the majority. The majority
 // itself is always that of the whole group.
 func (k *Keeper) counted() int {
--- a/internal/core/cwfailover/keeper.go
+++ b/internal/core/cwfailover/keeper.go
@@ -53,6 +53,7 @@
 	ReasonMajority   Reason = "no majority of the members answered"
 	ReasonExpired    Reason = "the claim ran out, perhaps while this proxy was paused"
 	ReasonPromote    Reason = "the member to be promoted did not answer"
+	ReasonRestarted  Reason = "a member has started again since it was fenced"
 )
 
 // NextTerm returns the term that a change of primary would move to.
--- a/internal/core/cwfailover/keeper_test.go
+++ b/internal/core/cwfailover/keeper_test.go
@@ -239,3 +239,38 @@
 	s.Tick(cut.Add(80*time.Millisecond), one)
 	qt.Assert(t, s.Keeping(), qt.IsTrue)
 }
+
+// A majority is fenced, and one of it starts again before the promotion is
+// ordered: it has forgotten the fence, and perhaps what it had. The promotion
+// would go by what is no longer so.
+func TestRestartedMemberIsNotFenced(t *testing.T) {
+	t.Run("while others are waited for", func(t *testing.T) {
+		k := fencing(t, plan())
+		k.Handle(adoptedBy("b", mark(3, 7)), start)
+		k.Handle(adoptedBy("c", mark(3, 9)), start)
+		k.Forget("c")
+		assertOrders(t, k.Tick(start.Add(FencePatience)))
+		assertOrders(t, k.Handle(adoptedBy("a", mark(3, 8)), start), "promote a")
+	})
+	t.Run("with nobody left to wait for", func(t *testing.T) {
+		k := fencing(t, plan())
+		k.Handle(Event{Kind: Adopt, Member: "a", Failed: true}, start)
+		k.Handle(adoptedBy("b", mark(3, 7)), start)
+		k.Forget("b")
+		qt.Assert(t, k.Reason(), qt.Equals, ReasonRestarted)
+	})
+	t.Run("while the claim is read back", func(t *testing.T) {
+		p := plan()
+		p.ChecksTerm, p.WithoutTable = false, false
+		k := NewKeeper(p)
+		k.Start(start)
+		k.Handle(Event{Kind: ClaimRow, Row: RowDone}, start)
+		k.Handle(Event{Kind: ReadRow, Row: RowDone}, start)
+		k.Handle(adoptedBy("a", mark(3, 7)), start)
+		k.Handle(adoptedBy("b", mark(3, 7)), start)
+		assertOrders(t, k.Handle(adoptedBy("c", mark(3, 7)), start), "readRow ")
+		k.Forget("c")
+		qt.Assert(t, k.Reason(), qt.Equals, ReasonRestarted)
+		assertOrders(t, k.Handle(Event{Kind: ReadRow, Row: RowDone}, start))
+	})
+}
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -137,6 +137,17 @@
 	s.vote(now)
 }
 
+// Forget takes that a member has started again and knows nothing of before. What
+// it reported counts no more, nor does its fence in a change of primary.
+func (s *Supervisor) Forget(id cwgroup.MemberID, now time.Time) {
+	s.view = s.view.WithForgotten(id)
+	delete(s.following, id)
+	if s.keeper != nil {
+		s.keeper.Forget(id)
+	}
+	s.vote(now)
+}
+
 // SetMembers replaces the members of the group.
 func (s *Supervisor) SetMembers(ids []cwgroup.MemberID) { s.view = s.view.WithMembers(ids) }
 
--- a/internal/core/cwgroup/group.go
+++ b/internal/core/cwgroup/group.go
@@ -219,6 +219,18 @@
 	return v
 }
 
+// WithForgotten returns a view in which the member was never heard of.
+func (v View) WithForgotten(id MemberID) View {
+	i := slices.Index(v.members, id)
+	if i < 0 {
+		return v
+	}
+	reports := slices.Clone(v.reports)
+	reports[i] = Report{}
+	v.reports = reports
+	return v
+}
+
 // Report returns the last report of a member. The second result is false if
 // the member was never heard of.
 func (v View) Report(id MemberID) (Report, bool) {
--- a/internal/core/cwroute/age.go
+++ b/internal/core/cwroute/age.go
@@ -184,6 +184,9 @@
 	l.lag[id] = old + (now.Sub(at)-old)/lagSmoothing
 }
 
+// Forget forgets what a member has applied. Its lag stays.
+func (l *LagMeter) Forget(id cwgroup.MemberID) { delete(l.last, id) }
+
 // Lag returns the member's average lag.
 func (l *LagMeter) Lag(id cwgroup.MemberID) time.Duration { return l.lag[id] }
 
--- a/internal/proxy/cwclaim/claim.go
+++ b/internal/proxy/cwclaim/claim.go
@@ -76,7 +76,7 @@
 
 // Send carries out one order.
 func (c Claims) Send(ctx context.Context, o cwfailover.Order) Result {
-	row, tag, err := c.read(ctx)
+	row, tag, err := c.Read(ctx)
 	if err != nil {
 		return Result{Outcome: cwfailover.RowUnavailable}
 	}
@@ -96,7 +96,9 @@
 	return Result{Outcome: c.commit(ctx, next, tag), Tag: tag}
 }
 
-func (c Claims) read(ctx context.Context) (cwfailover.Row, string, error) {
+// Read returns the group's row and its tag; a row that is not there is finished,
+// and its tag is empty.
+func (c Claims) Read(ctx context.Context) (cwfailover.Row, string, error) {
 	row, err := c.Table.Get(ctx, KeyPrefix+c.Group)
 	var absent *cwplatform.NotFoundError
 	if errors.As(err, &absent) {
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -101,6 +101,10 @@
 	lag     cwroute.LagMeter
 	tracker cwack.Tracker
 	streams map[cwgroup.MemberID]*stream
+	// restarts are the members that started again under their ids and do not
+	// count in full yet.
+	restarts map[cwgroup.MemberID]restart
+	closed   bool
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
 	// term is the newest term whose primary this proxy knows. At learnt the
@@ -152,15 +156,16 @@
 // New returns a group without members.
 func New(cfg Config) *Group {
 	return &Group{
-		cfg:     cfg,
-		members: make(map[cwgroup.MemberID]*Member),
-		sup:     cwfailover.NewSupervisor(cfg.Self, cfg.Seed, cfg.Service, nil),
-		streams: make(map[cwgroup.MemberID]*stream),
-		asked:   make(map[cwgroup.MemberID]bool),
-		lost:    make(map[cwgroup.MemberID]bool),
-		changed: make(chan struct{}),
-		row:     cwfailover.Row{Done: true},
-		rank:    rankOf(cfg.Self, cfg.Service),
+		cfg:      cfg,
+		members:  make(map[cwgroup.MemberID]*Member),
+		sup:      cwfailover.NewSupervisor(cfg.Self, cfg.Seed, cfg.Service, nil),
+		streams:  make(map[cwgroup.MemberID]*stream),
+		asked:    make(map[cwgroup.MemberID]bool),
+		lost:     make(map[cwgroup.MemberID]bool),
+		changed:  make(chan struct{}),
+		restarts: make(map[cwgroup.MemberID]restart),
+		row:      cwfailover.Row{Done: true},
+		rank:     rankOf(cfg.Self, cfg.Service),
 	}
 }
 
@@ -174,6 +179,7 @@
 	for _, m := range g.members {
 		m.Pool.Close()
 	}
+	g.closed = true
 	g.tracker.Close()
 	g.notify()
 }
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -328,6 +328,9 @@
 		}
 		return h, err
 	})
+	if err == nil {
+		err = g.fenceCounts(o.Member, h.Received)
+	}
 	if err != nil {
 		return cwgroup.Status{}, err
 	}
--- a/internal/proxy/cwlead/member.go
+++ b/internal/proxy/cwlead/member.go
@@ -33,6 +33,7 @@
 			delete(g.members, id)
 			delete(g.streams, id)
 			delete(g.lost, id)
+			delete(g.restarts, id)
 		}
 	}
 	g.recount(g.cfg.Clock.Now())
@@ -69,6 +70,7 @@
 
 func (g *Group) setMember(l cwport.Listing, ceiling int) {
 	m, ok := g.members[l.ID]
+	again := ok && bornAgain(m.Born, l.Born)
 	if ok && m.Address != l.Address {
 		m.Pool.Close()
 		ok = false
@@ -85,6 +87,9 @@
 	m.Listing = l
 	m.Pool.SetCeiling(ceiling)
 	m.Pool.SetSlots(l.Slots)
+	if again {
+		g.restarted(l.ID, "its entry tells another start")
+	}
 }
 
 // Member returns a member by its id.
--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -13,6 +13,11 @@
 	received  cwgroup.Mark
 	advanced  time.Time
 	owedSince time.Time
+	// told is where the log stood by the member's last answer about itself, in
+	// toldTerm; the answer came at toldAt.
+	told     cwgroup.Mark
+	toldTerm cwgroup.Term
+	toldAt   time.Time
 }
 
 // Saw takes where a member's log stood, from the answer to a statement that
@@ -93,6 +98,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
+	if g.lostRecords(id, h.Term, h.Received, asked) {
+		g.restarted(id, "its log is shorter than it was")
+	}
 	applied := cwgroup.Mark{}
 	if rep, ok := g.sup.View().Report(id); ok {
 		applied = rep.Applied
@@ -124,6 +132,10 @@
 func (g *Group) report(r cwgroup.Report) {
 	now := g.cfg.Clock.Now()
 	delete(g.lost, r.Member)
+	r, ok := g.doubt(r)
+	if !ok {
+		return
+	}
 	g.sup.ReportLatest(r, now)
 	v := g.sup.View()
 	if p, ok := v.Primary(); ok {
