lead, engine: silence from other data centres is one fact

Cause: an instance inside a data centre that is cut off learnt it group by group: a statement waits 250 ms for a member, a fresh connection 300 ms more, and so on for each.

Change: a statement or question to another data centre without an answer, while nothing has come from any target there since it was sent, puts the path in doubt: the instance is not ready at once, and all its groups ask all members there at the same time, until anything answers.

Ruled out: leaving the 300 ms before an instance says that it is cut off; the balancer's two probes are the guard against short doubts.

Without the change TestSilenceFromOtherDataCentresIsSeenAtOnce fails.

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -59,6 +59,8 @@
 	Seed string
 	// Holders tells who holds groups; nil if this instance holds all.
 	Holders cwport.Holders
+	// Path is what the groups share; nil if each has its own.
+	Path *cwlead.Path
 }
 
 // Engine serves sessions. Make one with New.
@@ -81,6 +83,9 @@
 	draining atomic.Bool
 	// isolated is true while this instance reaches no group's majority.
 	isolated atomic.Bool
+	// missed counts the balancer's probes in a row that were told that this
+	// instance is not ready.
+	missed atomic.Int64
 	// named counts the transactions that were named, handing the statements of
 	// other instances that are under way.
 	named   atomic.Uint64
@@ -99,6 +104,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
+	if cfg.Path == nil {
+		cfg.Path = &cwlead.Path{}
+	}
 	return &Engine{
 		cfg:      cfg,
 		entries:  make(map[string]cwcatalogue.Entry),
@@ -114,7 +122,7 @@
 func (e *Engine) Ready() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.revision > 0 && e.listed.Load() && !e.draining.Load() && !e.isolated.Load()
+	return e.revision > 0 && e.listed.Load() && !e.draining.Load() && !e.isolated.Load() && !e.cfg.Path.InDoubt()
 }
 
 // Revision returns the revision that is in force.
@@ -256,6 +264,7 @@
 // Start lets the engine run under ctx. Call it once, before anything else.
 func (e *Engine) Start(ctx context.Context, eg *errgroup.Group) {
 	e.run, e.eg = ctx, eg
+	e.cfg.Path.Doubted = e.doubtPath
 	eg.Go(func() error { return e.loopIsolation(ctx) })
 	eg.Go(func() error { return e.loopHeld(ctx) })
 }
--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -45,7 +45,8 @@
 // for suspectAfter is therefore tried by a fresh connection meanwhile; the
 // statement waits on.
 func (s *session) exchange(t *try, l *loan, w work) sent {
-	doubt := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.group.Suspect(l.place.ID) })
+	sent := s.engine.cfg.Clock.Now()
+	doubt := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.group.Silent(l.place.Member, sent) })
 	defer doubt.Stop()
 	r := s.send(l.conn, w, t.limits)
 	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -74,13 +74,13 @@
 
 // engineWith starts an engine that hands statements to holders.
 func (w *world) engineWith(name string, h cwport.Holders) *Engine {
-	logger := log.New(io.Discard)
+	logger, path := log.New(io.Discard), &cwlead.Path{}
 	e := New(Config{
-		Clock: w.clock, Log: logger, Grace: 6 * time.Second, Name: name, Holders: h,
+		Clock: w.clock, Log: logger, Grace: 6 * time.Second, Name: name, Holders: h, Path: path,
 		NewGroup: func(service string) *cwlead.Group {
 			return cwlead.New(cwlead.Config{
 				Self: cwfailover.InstanceID(name), DataCentre: "dc-a", Service: service, Clock: w.clock,
-				Log: logger, Dialer: w.group.From(name), Table: w.table, Promoter: w.group, Seed: "test",
+				Log: logger, Dialer: w.group.From(name), Table: w.table, Promoter: w.group, Seed: "test", Path: path,
 			})
 		},
 	})
--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -12,11 +12,14 @@
 	// isolatedAfter is how long it must look cut off before it says so; a lost
 	// primary or a few refused connections are over sooner, or leave other
 	// groups in reach.
-	isolatedAfter = 300 * time.Millisecond
-	// moveAfter is how long after it said so callers that rest are sent away:
-	// the balancer takes an instance out after two probes, a second apart, and
-	// whoever is sent away earlier comes back here.
-	moveAfter = 2100 * time.Millisecond
+	isolatedAfter = 100 * time.Millisecond
+	// missedToLeave is how many probes in a row the balancer must have been told
+	// that an instance is not ready until it sends callers elsewhere. Whoever is
+	// sent away earlier comes back here.
+	missedToLeave = 2
+	// moveAfter is how long after it looked cut off callers that rest are sent
+	// away where no probes come: time for two of them, a second apart.
+	moveAfter = 2400 * time.Millisecond
 )
 
 // loopIsolation tells the balancer when this instance is cut off from the
@@ -37,13 +40,17 @@
 			return nil
 		}
 		now := e.cfg.Clock.Now()
+		if e.cfg.Path.InDoubt() {
+			// Until something answers, also after the last caller has gone.
+			e.suspectAway()
+		}
 		if !e.cutOff() {
 			since = time.Time{}
 		} else if since.IsZero() {
 			since = now
 		}
 		e.setIsolated(!since.IsZero() && now.Sub(since) >= isolatedAfter)
-		if e.isolated.Load() && now.Sub(since) >= isolatedAfter+moveAfter {
+		if e.isolated.Load() && (e.missed.Load() >= missedToLeave || now.Sub(since) >= moveAfter) {
 			e.sendAway(false)
 		}
 	}
@@ -88,6 +95,33 @@
 	return reached
 }
 
+// Probe answers a probe of the balancer: it reports whether callers may come.
+func (e *Engine) Probe() bool {
+	ready := e.Ready()
+	if ready {
+		e.missed.Store(0)
+	} else {
+		e.missed.Add(1)
+	}
+	return ready
+}
+
+// doubtPath takes that nothing comes from other data centres any more.
+func (e *Engine) doubtPath() {
+	e.cfg.Log.Warn("pathInDoubt", "sessions", e.Sessions())
+	e.suspectAway()
+}
+
+// suspectAway has all groups ask their members in other data centres for a sign
+// of life, those apart that are being asked.
+func (e *Engine) suspectAway() {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, g := range e.groups {
+		g.SuspectAway()
+	}
+}
+
 func (e *Engine) setIsolated(isolated bool) {
 	if e.isolated.Swap(isolated) == isolated {
 		return
--- a/internal/proxy/cwengine/promise_test.go
+++ b/internal/proxy/cwengine/promise_test.go
@@ -196,3 +196,34 @@
 	w.c.Assert(err, qt.IsNil)
 	w.c.Assert(claimed.Term, qt.Equals, cwgroup.Term(2), qt.Commentf("the first attempt succeeds"))
 }
+
+// A data centre is cut off by losing packets, and its callers are refused for
+// three seconds before the balancer hears that their instance is not ready: each
+// group's members were tried one after the other, each after a statement of its
+// own had waited. One statement without an answer, while nothing else comes from
+// other data centres, is enough to say so, and two probes to send callers away.
+func TestSilenceFromOtherDataCentresIsSeenAtOnce(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	e := w.engine("x")
+	w.settled(e)
+	s, resting := w.session(e), w.session(e)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	reads(w.c, resting.ask(cwstatement.Read, "READ i"), "1")
+	w.c.Assert(e.Probe(), qt.IsTrue)
+
+	for _, id := range []string{"b", "c"} {
+		w.group.SetDark(memberID(id), true, w.clock)
+	}
+	go s.offer(cwstatement.Write, "WRITE i 2")
+	w.eventually("the path is in doubt", e.cfg.Path.InDoubt)
+	w.c.Assert(e.Probe(), qt.IsFalse)
+	w.c.Assert(e.Probe(), qt.IsFalse)
+	w.eventually("resting callers are sent away", func() bool {
+		select {
+		case <-resting.gone:
+			return true
+		default:
+			return false
+		}
+	})
+}
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -67,12 +67,13 @@
 	cfg     Config
 	engine  *cwengine.Engine
 	peers   *cwpeers.Peers
+	path    *cwlead.Path
 	metrics *cwengine.Metrics
 }
 
 // New returns an instance that is not running.
 func New(cfg Config) *Instance {
-	in := &Instance{cfg: cfg, metrics: cwengine.NewMetrics()}
+	in := &Instance{cfg: cfg, path: &cwlead.Path{}, metrics: cwengine.NewMetrics()}
 	in.peers = &cwpeers.Peers{
 		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.Peers},
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log,
@@ -80,7 +81,7 @@
 	in.peers.Changed = in.rehold
 	in.engine = cwengine.New(cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
-		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers,
+		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers, Path: in.path,
 	})
 	return in
 }
@@ -95,7 +96,7 @@
 	return cwlead.New(cwlead.Config{
 		Self: cwfailover.InstanceID(in.cfg.Name), DataCentre: in.cfg.DataCentre, Service: service,
 		Clock: in.cfg.Clock, Log: in.cfg.Log, Dialer: in.cfg.Dialer, Table: in.cfg.Table,
-		Promoter: in.cfg.Promoter, Turn: in.cfg.Turn, Seed: in.cfg.Seed,
+		Promoter: in.cfg.Promoter, Turn: in.cfg.Turn, Seed: in.cfg.Seed, Path: in.path,
 	})
 }
 
@@ -157,7 +158,7 @@
 }
 
 func (in *Instance) ready(w http.ResponseWriter, _ *http.Request) {
-	if !in.engine.Ready() {
+	if !in.engine.Probe() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -107,6 +107,7 @@
 }
 
 func (g *Group) runAsk(m Member) {
+	sent := g.cfg.Clock.Now()
 	err := g.with(m, askTimeout, func(t cwport.Target, asked time.Time) error {
 		h, err := t.Health()
 		if err == nil {
@@ -118,6 +119,10 @@
 		g.stopAsking(m.ID)
 		return
 	}
+	var refused *cwport.RefusedError
+	if g.away(&m) && !errors.As(err, &refused) {
+		g.cfg.Path.Silent(sent)
+	}
 	g.cfg.Log.Debug("noHealth", "group", g.cfg.Service, "target", m.ID, "cause", err)
 	var unreachable *cwtargets.UnreachableError
 	if errors.As(err, &unreachable) {
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -81,6 +81,9 @@
 	Dialer     cwport.Dialer
 	Table      cwplatform.Table
 	Promoter   cwport.Promoter
+	// Path is shared by the groups of an instance; nil stands for one of this
+	// group's own.
+	Path *Path
 	// Turn is the least time between the acts of two holders.
 	Turn time.Duration
 	// Seed makes claim ids unique; it must differ between processes.
@@ -155,6 +158,9 @@
 
 // New returns a group without members.
 func New(cfg Config) *Group {
+	if cfg.Path == nil {
+		cfg.Path = &Path{}
+	}
 	return &Group{
 		cfg:      cfg,
 		members:  make(map[cwgroup.MemberID]*Member),
--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -28,6 +28,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if member, ok := g.members[id]; ok && g.away(member) {
+		g.cfg.Path.Heard(g.cfg.Clock.Now())
+	}
 	rep, known := g.sup.View().Report(id)
 	if led {
 		g.trace.Observe(m, asked)
@@ -132,6 +135,9 @@
 func (g *Group) report(r cwgroup.Report) {
 	now := g.cfg.Clock.Now()
 	delete(g.lost, r.Member)
+	if m, ok := g.members[r.Member]; ok && g.away(m) {
+		g.cfg.Path.Heard(now)
+	}
 	r, ok := g.doubt(r)
 	if !ok {
 		return
