lead, route: reads go on without the primary

Cause: a read of aged data needs the primary's word on where its log stood, and a read of the newest data the primary itself.

Change: without a primary that answers, the floor of a read comes from all other members. What was acknowledged is held by one of them at least; asked after the moment that counts, the furthest of their logs has it. None may lead, and none may have started again. Reads of the newest data and transactions that only read use it, too. Where one of them is lost as well, the read is refused at once.

Ruled out: asking at each read (one question a member in 30 ms serves all that wait); using it while the primary answers (it would cost questions for nothing).

--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -225,8 +225,12 @@
 const (
 	// needAged is a read that the entry allows to see older data.
 	needAged need = iota
-	// needNewest is a read, or a transaction with reads, at the primary.
+	// needNewest is a read of all that was acknowledged. The primary serves it,
+	// or, while there is none, another member that is known to have all of it.
 	needNewest
+	// needConfirmed is a transaction that may write and whose reads must see the
+	// newest data.
+	needConfirmed
 	// needPrimary is a write.
 	needPrimary
 )
@@ -256,7 +260,7 @@
 			return l, cwstatement.Answer{}
 		}
 		t.tried = append(t.tried, place.ID)
-		if n != needAged || !t.another() {
+		if place.Primary && n != needAged || !t.another() {
 			return nil, t.unplaced(err)
 		}
 	}
@@ -281,8 +285,14 @@
 	switch n {
 	case needPrimary:
 		return t.group.Primary()
-	case needNewest:
+	case needConfirmed:
 		return t.group.Confirmed(ctx, t.began, t.limits.offer)
+	case needNewest:
+		place, err := t.group.Confirmed(ctx, t.began, t.limits.offer)
+		var none *cwlead.NoPrimaryError
+		if !errors.As(err, &none) {
+			return place, err
+		}
 	}
 	rd := t.session.read(t.entry, t.began)
 	rd.Tried = t.tried
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -276,6 +276,9 @@
 
 // read returns what a read of the session needs.
 func (s *session) read(e cwcatalogue.Entry, began time.Time) cwlead.Read {
+	if e.Contract.Reads == cwcatalogue.ReadNewest {
+		return cwlead.Read{Came: began}
+	}
 	rd := cwlead.Read{Came: began, MaxAge: e.Contract.MaxAge}
 	if e.Contract.Reads == cwcatalogue.ReadOwnWrites {
 		rd.Seen = s.wrote[e.Groups[0].Name]
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -38,7 +38,7 @@
 		return cwstatement.Answer{State: cwstatement.Open}
 	}
 	tx := &transaction{session: s, entry: entry, group: group, reads: st.Verb == cwstatement.BeginRead}
-	if !tx.reads || entry.Contract.Reads == cwcatalogue.ReadNewest {
+	if !tx.reads {
 		if _, err := group.Primary(); err != nil {
 			t := try{session: s, entry: entry, group: group}
 			a := t.unplaced(err)
@@ -184,7 +184,7 @@
 	// The failure: a primary that was replaced takes the transaction, and its
 	// reads miss what was acknowledged at the new one. A transaction that may
 	// write needs a confirmed primary as much as a read of the newest data.
-	n, verb := needNewest, cwstatement.Begin
+	n, verb := needConfirmed, cwstatement.Begin
 	if tx.reads {
 		n, verb = t.needOf(false), cwstatement.BeginRead
 	}
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -172,10 +172,12 @@
 		now := g.cfg.Clock.Now()
 		g.use(now)
 		floor, ok := g.floor(rd)
+		if !ok {
+			floor, ok = g.quorumFloor(rd)
+		}
 		stale := rd.Came.Sub(g.confirmed) > min(refreshAt, rd.MaxAge/2)
 		changed := g.changed
-		p, known := g.sup.View().Primary()
-		silent := known && !p.Reachable
+		_, _, leaderErr := g.leader(now)
 		var place Place
 		var found bool
 		if ok {
@@ -191,12 +193,13 @@
 		if ok {
 			return Place{}, &NoPrimaryError{Group: g.cfg.Service, Why: "no member can serve the read", RetryAfter: retryTypical}
 		}
-		if silent {
-			// Without the primary's word the age stays unknown.
-			return Place{}, &NoPrimaryError{Group: g.cfg.Service, Why: "the age of the data is not known, the primary does not answer", RetryAfter: retryTypical, Silent: true}
+		if leaderErr != nil && g.awaitQuorum(ctx, changed, rd, deadline) {
+			continue
 		}
-		if !g.await(ctx, changed, deadline.Sub(now)) {
-			return Place{}, &NoPrimaryError{Group: g.cfg.Service, Why: "the age of the data is not known", RetryAfter: retryTypical}
+		if leaderErr != nil || !g.await(ctx, changed, deadline.Sub(now)) {
+			return Place{}, &NoPrimaryError{
+				Group: g.cfg.Service, Why: "the age of the data is not known", RetryAfter: retryTypical, Silent: leaderErr != nil,
+			}
 		}
 	}
 }
