lead: replicas are asked with the first doubt of their primary

Cause: a dark primary is doubted after 250 ms, a fresh connection fails 300 ms later, and only then the replicas are asked whether they still hear it, which takes 300 ms more, after a calm pause of up to 250 ms of the group's loop.

Change: the replicas are asked with the first statement that waited for too long, and the time that they must not have heard anything runs from then; a lost target wakes the loop. A primary is replaced on the same evidence as before: no fresh connection to it, and a majority that hears nothing for 300 ms.

Ruled out: a shorter 300 ms. Commits of a group come every 60 ms, and less than five of them tell nothing.

--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -26,6 +26,7 @@
 	g.sup.Unreachable(to.ID, now)
 	g.noteCutOff(now)
 	g.notify()
+	g.wake()
 }
 
 // refusedForNow reports whether a target that refused a connection is there all
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -148,6 +148,11 @@
 	// unservedAt is when a statement was last refused here after holders could not
 	// run it.
 	unservedAt time.Time
+	// hurry has an element if the next tick is to come at once.
+	hurry chan struct{}
+	// silentSince is since when the primary has been asked for a sign of life in
+	// vain; zero if it has not.
+	silentSince time.Time
 	// cutOff is true while most members cannot be reached from here.
 	cutOff atomic.Bool
 	// reached is true while a majority of them has answered lately.
@@ -170,6 +175,7 @@
 		lost:     make(map[cwgroup.MemberID]bool),
 		changed:  make(chan struct{}),
 		restarts: make(map[cwgroup.MemberID]restart),
+		hurry:    make(chan struct{}, 1),
 		row:      cwfailover.Row{Done: true},
 		rank:     rankOf(cfg.Self, cfg.Service),
 	}
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -58,6 +58,7 @@
 	for {
 		select {
 		case <-g.cfg.Clock.After(g.pause()):
+		case <-g.hurry:
 		case <-ctx.Done():
 			return nil
 		}
@@ -65,6 +66,17 @@
 	}
 }
 
+// wake lets the next tick come at once.
+//
+// The failure: a target is lost while the group is calm, and what follows waits
+// for the end of a calm pause.
+func (g *Group) wake() {
+	select {
+	case g.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // pause returns how long nothing needs to be done.
 func (g *Group) pause() time.Duration {
 	g.mu.Lock()
--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -145,6 +145,9 @@
 	g.sup.ReportLatest(r, now)
 	v := g.sup.View()
 	if p, ok := v.Primary(); ok {
+		if p.Reachable && p.At.After(g.silentSince) {
+			g.silentSince = time.Time{}
+		}
 		g.learn(p, now)
 		if at, ok := cwroute.Sampled(v, p, p.At); ok && p.Reachable {
 			if at.After(g.confirmed) {
@@ -188,12 +191,16 @@
 		s.received, s.advanced = received, now
 	}
 	p, ok := g.sup.View().Primary()
-	if ok && p.Reachable && s.received.AtLeast(p.Last) {
+	silent := !g.silentSince.IsZero()
+	if ok && p.Reachable && !silent && s.received.AtLeast(p.Last) {
 		s.owedSince = time.Time{}
 		return 0
 	}
 	if s.owedSince.IsZero() {
 		s.owedSince = now
+		if silent {
+			s.owedSince = g.silentSince
+		}
 	}
 	if s.advanced.After(s.owedSince) {
 		return now.Sub(s.advanced)
