lead: a lost member is not tried in a busy loop

Cause: a lost target wakes the group's loop, which tries the target, which fails at once where nothing listens, and wakes the loop.

Change: only the first failure wakes the loop. TestLostMemberIsNotTriedInABusyLoop fails without it.

--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -22,11 +22,15 @@
 		g.cfg.Log.Warn("targetLost", "group", g.cfg.Service, "target", to.ID, "cause", err)
 	}
 	now := g.cfg.Clock.Now()
+	if !g.lost[to.ID] {
+		// Only the first time: a member that refuses at once is tried with each
+		// tick, and each failure would bring the next one.
+		g.wake()
+	}
 	g.lost[to.ID] = true
 	g.sup.Unreachable(to.ID, now)
 	g.noteCutOff(now)
 	g.notify()
-	g.wake()
 }
 
 // refusedForNow reports whether a target that refused a connection is there all
--- a/internal/proxy/cwlead/doubt_test.go
+++ b/internal/proxy/cwlead/doubt_test.go
@@ -8,6 +8,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
 // A primary goes dark, and writes stand still for 1.6 s though 1.1 would do: the
@@ -57,3 +58,16 @@
 	qt.Assert(b.t, ok, qt.IsTrue)
 	return rep.UpstreamAge > cwfailover.StreamLost
 }
+
+// A replica is restarted, and for some seconds nothing listens at its address.
+// Each instance tried it hundreds of times a second, since each failure brought
+// on the next look at the group.
+func TestLostMemberIsNotTriedInABusyLoop(t *testing.T) {
+	b := newBench(t)
+	to := cwport.Endpoint{ID: "c"}
+	b.DialFailed(to, errAway)
+	qt.Assert(t, b.hurry, qt.HasLen, 1)
+	<-b.hurry
+	b.DialFailed(to, errAway)
+	qt.Assert(t, b.hurry, qt.HasLen, 0)
+}
