lead, engine: the smaller side of a partition sends its callers away

Cause: a primary and half of the instances are cut off from the other members and from the store; the others replace the primary.

Change: an instance that is cut off from most members reads the group's row twice a second. If the row names another primary, or cannot be read, and statements are refused here although other instances were asked, it is not ready and sends its callers away, once in 2.4 s, until members are in reach or the row shows that nobody has changed anything.

Ruled out: the row alone.

--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -32,7 +32,7 @@
 // come back through instances that serve. Where all of a group's members are
 // lost to everybody, other groups are still in reach, and the instance stays.
 func (e *Engine) loopIsolation(ctx context.Context) error {
-	var since time.Time
+	var since, sentAway time.Time
 	for ctx.Err() == nil {
 		select {
 		case <-e.cfg.Clock.After(isolationStep):
@@ -44,19 +44,33 @@
 			// Until something answers, also after the last caller has gone.
 			e.suspectAway()
 		}
-		if !e.cutOff() {
+		overtaken := e.overtaken()
+		if !overtaken && !e.cutOff() {
 			since = time.Time{}
 		} else if since.IsZero() {
 			since = now
 		}
 		e.setIsolated(!since.IsZero() && now.Sub(since) >= isolatedAfter)
-		if e.isolated.Load() && (e.missed.Load() >= missedToLeave || now.Sub(since) >= moveAfter) {
+		out := e.isolated.Load() && (e.missed.Load() >= missedToLeave || now.Sub(since) >= moveAfter)
+		if out && (!overtaken || now.Sub(sentAway) >= moveAfter) {
+			sentAway = now
 			e.sendAway(false)
 		}
 	}
 	return nil
 }
 
+// overtaken reports whether a group is led where this instance does not reach it.
+func (e *Engine) overtaken() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	overtaken := false
+	for _, g := range e.groups {
+		overtaken = g.Overtaken() || overtaken
+	}
+	return overtaken
+}
+
 // cutOff reports whether every group that is in use is cut off.
 func (e *Engine) cutOff() bool {
 	e.mu.RLock()
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -78,7 +78,7 @@
 	if !a.Code.Promises() {
 		return a
 	}
-	if offered.elsewhere {
+	if offered.elsewhere || group.CutOff() {
 		group.NoteUnserved()
 		return a
 	}
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -155,6 +155,11 @@
 	silentSince time.Time
 	// cutOff is true while most members cannot be reached from here.
 	cutOff atomic.Bool
+	// overtaken is true from when others were taken to serve the group until most
+	// members are in reach again. Meanwhile the row is read at readRowAt, and
+	// rowLost is true if it could not be.
+	overtaken, rowLost bool
+	readRowAt          time.Time
 	// reached is true while a majority of them has answered lately.
 	reached atomic.Bool
 	// fence is the version of the table row that holds this proxy's claim.
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -103,6 +103,7 @@
 	}
 	g.recount(now)
 	g.noteCutOff(now)
+	g.readRow(now)
 	if !g.watched(now) {
 		g.mu.Unlock()
 		return
--- a/internal/proxy/cwlead/reach.go
+++ b/internal/proxy/cwlead/reach.go
@@ -1,9 +1,11 @@
 package cwlead
 
 import (
+	"context"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
 )
 
 // Times of use.
@@ -42,6 +44,59 @@
 	return g.cfg.Clock.Now().Sub(g.unservedAt) < unservedFor
 }
 
+// Overtaken reports whether others are likely to serve the group while statements
+// are refused here.
+//
+// The failure: a primary and some of the instances are cut off from the rest,
+// which replaces it. Callers of these instances are refused whatever they ask of
+// the group for as long as the cut lasts; the other instances serve it. An
+// instance that is cut off from most members therefore reads the group's row
+// again and again. If another member was promoted, or if the row cannot be read
+// either, others can act on the group and it cannot.
+func (g *Group) Overtaken() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.cutOff.Load() {
+		g.overtaken, g.rowLost = false, false
+		return false
+	}
+	now := g.cfg.Clock.Now()
+	p, _ := g.sup.View().Primary()
+	replaced := g.row.Done && g.row.Primary != "" && g.row.Primary != p.Member
+	refused := now.Sub(g.unservedAt) < unservedFor
+	g.overtaken = (replaced || g.rowLost) && (refused || g.overtaken)
+	if g.overtaken {
+		// Its callers go, and it is watched until the cut ends.
+		g.use(now)
+	}
+	return g.overtaken
+}
+
+// readRow reads the group's row if most members are out of reach and it was not
+// read lately. The caller holds mu.
+func (g *Group) readRow(now time.Time) {
+	if !g.cutOff.Load() || !g.used(now) || now.Before(g.readRowAt) {
+		return
+	}
+	g.readRowAt = now.Add(rowPause)
+	go g.runReadRow()
+}
+
+func (g *Group) runReadRow() {
+	ctx, cancel := context.WithTimeout(context.Background(), rowTimeout)
+	defer cancel()
+	row, _, err := cwclaim.Claims{Table: g.cfg.Table, Group: g.cfg.Service}.Read(ctx)
+	if err != nil {
+		g.cfg.Log.Debug("rowNotRead", "group", g.cfg.Service, "cause", err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rowLost = err != nil
+	if err == nil {
+		g.noteRow(row)
+	}
+}
+
 // Reached reports whether a majority of the members has answered lately.
 func (g *Group) Reached() bool { return g.reached.Load() }
 
