command: losses counts what was not served, by time, group and cause

The table of what is lost was made with one-off scripts over the logs, each time anew. The command reads the same logs as explain, drops ids and figures from the reasons, and counts lines that an instance left out in rows of their own. explain also shows doubts about the path and restarts of targets.

--- a/internal/tool/cwcommand/explain.go
+++ b/internal/tool/cwcommand/explain.go
@@ -27,12 +27,12 @@
 // groupEvents are the messages about a group that can explain a request.
 var groupEvents = []string{
 	"claimSeen", "primaryKnown", "primaryChanged", "primaryNotChanged", "targetLost", "membersCounted",
-	"promotionUnknown", "order", "orderTooLate",
+	"promotionUnknown", "order", "orderTooLate", "targetRestarted", "restartChecked", "emptyMemberCounts",
 }
 
 // instanceEvents are the messages about an instance that can explain one.
 var instanceEvents = []string{
-	"storeLost", "storeRegained", "isolated", "reconnected", "draining", "drained", "started", "stopped",
+	"storeLost", "storeRegained", "pathInDoubt", "isolated", "reconnected", "draining", "drained", "started", "stopped",
 	"historyLost", "linesLeftOut",
 }
 
--- a/internal/tool/cwcommand/root.go
+++ b/internal/tool/cwcommand/root.go
@@ -77,7 +77,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	})
-	root.AddCommand(proxyCommand(), serveCommand(), explainCommand(), catalogueCommand(), stopCommand(), statusCommand(), demoCommand())
+	root.AddCommand(proxyCommand(), serveCommand(), explainCommand(), lossesCommand(), catalogueCommand(), stopCommand(), statusCommand(), demoCommand())
 	return root
 }
 
