lead: acknowledgement, confirmation and doubt in files of their own

place.go held where statements run, who confirms it and what may be acknowledged; each has a file now, and asking several members stands once.

--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -111,6 +111,12 @@
 	go g.runAsk(m)
 }
 
+func (g *Group) askAll(all []Member) {
+	for _, m := range all {
+		g.ask(m)
+	}
+}
+
 func (g *Group) runAsk(m Member) {
 	sent := g.cfg.Clock.Now()
 	err := g.with(m, askTimeout, func(t cwport.Target, asked time.Time) error {
--- a/internal/proxy/cwlead/path.go
+++ b/internal/proxy/cwlead/path.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 )
 
 // Path is what an instance knows of its ways to the targets of other data
@@ -68,29 +66,6 @@
 	g.Suspect(m.ID)
 }
 
-// doubtPrimary takes that the primary has not answered a statement for long, and
-// asks the replicas whether they still hear it.
-//
-// The failure: a primary is lost, and the question whether its replicas hear it
-// is asked only once a fresh connection has failed, too: writes stand still for
-// 0.3 s longer.
-func (g *Group) doubtPrimary(id cwgroup.MemberID, sent time.Time) {
-	g.mu.Lock()
-	p, ok := g.sup.View().Primary()
-	if !ok || p.Member != id || p.At.After(sent) {
-		g.mu.Unlock()
-		return
-	}
-	if g.silentSince.IsZero() {
-		g.silentSince = g.cfg.Clock.Now()
-	}
-	ask := g.nearest(id)
-	g.mu.Unlock()
-	for _, m := range ask {
-		g.ask(m)
-	}
-}
-
 // SuspectAway asks the members in other data centres for a sign of life.
 func (g *Group) SuspectAway() {
 	g.mu.Lock()
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
-	"cicadawalk.example/cicadawalk/internal/core/cwack"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
@@ -231,7 +231,7 @@
 	var options []cwroute.Option
 	for id, m := range g.members {
 		rep, known := v.Report(id)
-		if m.Leaving && id != primary.Member || known && !rep.Reachable || contains(rd.Tried, id) {
+		if m.Leaving && id != primary.Member || known && !rep.Reachable || slices.Contains(rd.Tried, id) {
 			continue
 		}
 		load := m.Pool.Load()
@@ -255,115 +255,3 @@
 	}
 	return g.lag.CatchUp(rep.Member, floor, now)
 }
-
-func contains(ids []cwgroup.MemberID, id cwgroup.MemberID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
-// confirm asks the primary and one more member about themselves.
-func (g *Group) confirm() {
-	g.mu.Lock()
-	v := g.sup.View()
-	p, ok := v.Primary()
-	now := g.cfg.Clock.Now()
-	if now.Before(g.confirmAt) {
-		g.mu.Unlock()
-		return
-	}
-	g.confirmAt = now.Add(confirmEvery)
-	var ask []Member
-	if m := g.members[p.Member]; ok && m != nil && now.Sub(p.At) > refreshAt-confirmEvery {
-		ask = append(ask, *m)
-	}
-	need := cwgroup.Majority(len(v.Members())) - 1
-	for _, m := range g.nearest(p.Member) {
-		if need == 0 {
-			break
-		}
-		ask = append(ask, m)
-		need--
-	}
-	g.mu.Unlock()
-	for _, m := range ask {
-		g.ask(m)
-	}
-}
-
-// nearest returns the members except one, those that answer first, and of
-// those the ones in this data centre. The caller holds mu.
-func (g *Group) nearest(except cwgroup.MemberID) []Member {
-	var near, far, lost []Member
-	for id, m := range g.members {
-		switch {
-		case id == except:
-		case g.lost[id] || m.Leaving:
-			lost = append(lost, *m)
-		case m.DataCentre == g.cfg.DataCentre:
-			near = append(near, *m)
-		default:
-			far = append(far, *m)
-		}
-	}
-	return append(append(near, far...), lost...)
-}
-
-// Committed waits until a commit may be acknowledged.
-func (g *Group) Committed(m cwgroup.Mark) cwack.Outcome {
-	now := g.cfg.Clock.Now()
-	done := make(chan cwack.Outcome, 1)
-	g.mu.Lock()
-	if g.synchronous && m.Term == g.term && now.Sub(g.learnt) >= Lease {
-		// The primary itself has waited for a replica.
-		g.mu.Unlock()
-		return cwack.Acknowledged
-	}
-	g.tracker.Add(cwack.Wait{Mark: m, Deadline: now.Add(AckTimeout), Done: func(o cwack.Outcome) { done <- o }})
-	g.observeAcks(now)
-	start := !g.acking && g.tracker.Len() > 0
-	g.acking = g.acking || start
-	g.mu.Unlock()
-	if start {
-		go g.runAcks()
-	}
-	return <-done
-}
-
-// observeAcks ends the waits that can end. Nothing of a new term is
-// acknowledged before the confirmations of the term before it have lapsed
-// everywhere. The caller holds mu.
-func (g *Group) observeAcks(now time.Time) {
-	if now.Sub(g.learnt) < Lease && g.start.Term > 0 && g.term > 1 {
-		return
-	}
-	g.tracker.Observe(g.sup.View(), now)
-}
-
-// runAcks asks the replicas where their logs stand while commits wait.
-func (g *Group) runAcks() {
-	pause := ackPollMin
-	g.cfg.Clock.Sleep(ackFirst)
-	for n := 1; ; n++ {
-		g.mu.Lock()
-		g.observeAcks(g.cfg.Clock.Now())
-		if g.tracker.Len() == 0 {
-			g.acking = false
-			g.mu.Unlock()
-			return
-		}
-		p, _ := g.sup.View().Primary()
-		ask := g.nearest(p.Member)
-		g.mu.Unlock()
-		// The nearest alone at first: it usually has the record.
-		ask = ask[:min(n, len(ask))]
-		for _, m := range ask {
-			g.ask(m)
-		}
-		g.cfg.Clock.Sleep(pause)
-		pause = min(pause*3/2, ackPollMax)
-	}
-}
--- a/internal/proxy/cwlead/quorum.go
+++ b/internal/proxy/cwlead/quorum.go
@@ -40,9 +40,7 @@
 		return false
 	}
 	ask, enough := g.quorumToAsk(rd, now)
-	for _, m := range ask {
-		g.ask(m)
-	}
+	g.askAll(ask)
 	if enough {
 		g.await(ctx, changed, confirmEvery)
 	}
