engine, lead: a doubt about the path asks only groups that are looked after

Found by reading: in doubt an instance asked the members of all groups in other data centres every 300 ms, and groups nobody uses here, too; at the target size 700 groups. Now the groups that it holds or uses are asked, and three others where there are none, so that a doubt still ends. TestDoubtAsksOnlyWhatIsLookedAfter.

--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -17,6 +17,9 @@
 	// that an instance is not ready until it sends callers elsewhere. Whoever is
 	// sent away earlier comes back here.
 	missedToLeave = 2
+	// askedInDoubt is how many groups are asked to end a doubt where none is
+	// looked after: more than one, since one can be lost as a whole.
+	askedInDoubt = 3
 	// moveAfter is how long after it looked cut off callers that rest are sent
 	// away where no probes come: time for two of them, a second apart.
 	moveAfter = 2400 * time.Millisecond
@@ -126,13 +129,26 @@
 	e.suspectAway()
 }
 
-// suspectAway has all groups ask their members in other data centres for a sign
-// of life, those apart that are being asked.
+// suspectAway has all groups that this instance looks after ask their members in
+// other data centres for a sign of life, those apart that are being asked. Where
+// it looks after none any more, some are asked all the same: any answer ends the
+// doubt, and without one it would never end.
 func (e *Engine) suspectAway() {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
+	asked := false
 	for _, g := range e.groups {
-		g.SuspectAway()
+		asked = g.SuspectAway() || asked
+	}
+	if asked {
+		return
+	}
+	n := 0
+	for _, g := range e.groups {
+		if n++; n > askedInDoubt {
+			return
+		}
+		g.KeepWatching()
 	}
 }
 
--- a/internal/proxy/cwlead/path.go
+++ b/internal/proxy/cwlead/path.go
@@ -66,12 +66,13 @@
 	g.Suspect(m.ID)
 }
 
-// SuspectAway asks the members in other data centres for a sign of life.
-func (g *Group) SuspectAway() {
+// SuspectAway asks the members in other data centres for a sign of life, if this
+// proxy looks after the group. It reports whether there were any.
+func (g *Group) SuspectAway() bool {
 	g.mu.Lock()
 	var ask []Member
 	for _, m := range g.members {
-		if g.away(m) {
+		if g.away(m) && g.watched(g.cfg.Clock.Now()) {
 			ask = append(ask, *m)
 		}
 	}
@@ -79,4 +80,5 @@
 	for _, m := range ask {
 		g.Suspect(m.ID)
 	}
+	return len(ask) > 0
 }
--- a/internal/proxy/cwlead/path_test.go
+++ b/internal/proxy/cwlead/path_test.go
@@ -23,3 +23,15 @@
 	p.Heard(at(300))
 	qt.Assert(t, p.InDoubt(), qt.IsFalse)
 }
+
+// Hundreds of instances before thousands of groups doubt the same path, and each
+// asks every member of every group three times a second. Each asks those that it
+// looks after.
+func TestDoubtAsksOnlyWhatIsLookedAfter(t *testing.T) {
+	b := newBench(t)
+	b.cfg.DataCentre = "elsewhere"
+	b.SetHeld(-1, false)
+	qt.Assert(t, b.SuspectAway(), qt.IsFalse)
+	b.KeepWatching()
+	qt.Assert(t, b.SuspectAway(), qt.IsTrue)
+}
