--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -111,6 +111,7 @@
 	go g.runAsk(m)
 }
 
+// askAll asks each of some members about itself.
 func (g *Group) askAll(all []Member) {
 	for _, m := range all {
 		g.ask(m)
--- a/internal/proxy/cwlead/doubt_test.go
+++ b/internal/proxy/cwlead/doubt_test.go
@@ -22,7 +22,7 @@
 		lost     bool
 	}{{"they hear nothing either", 100, true}, {"they still hear it", 101, false}} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newTestGroup(t)
 			b.tell("a", cwgroup.RolePrimary, 1, 100)
 			b.tell("c", cwgroup.RoleReplica, 1, 100)
 			b.clock.Advance(time.Second)
@@ -37,7 +37,7 @@
 // The primary was only slow. Its answer ends the doubt, and the replicas have
 // nothing to make up for.
 func TestAnswerOfThePrimaryEndsTheDoubt(t *testing.T) {
-	b := newBench(t)
+	b := newTestGroup(t)
 	b.tell("a", cwgroup.RolePrimary, 1, 100)
 	b.tell("c", cwgroup.RoleReplica, 1, 100)
 	b.clock.Advance(time.Second)
@@ -50,7 +50,7 @@
 }
 
 // upstreamLost reports whether a member counts as having lost its primary.
-func (b *bench) upstreamLost(id cwgroup.MemberID) bool {
+func (b *testGroup) upstreamLost(id cwgroup.MemberID) bool {
 	b.t.Helper()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,7 +63,7 @@
 // Each instance tried it hundreds of times a second, since each failure brought
 // on the next look at the group.
 func TestLostMemberIsNotTriedInABusyLoop(t *testing.T) {
-	b := newBench(t)
+	b := newTestGroup(t)
 	to := cwport.Endpoint{ID: "c"}
 	b.DialFailed(to, errAway)
 	qt.Assert(t, b.hurry, qt.HasLen, 1)
--- a/internal/proxy/cwlead/path_test.go
+++ b/internal/proxy/cwlead/path_test.go
@@ -28,7 +28,7 @@
 // asks every member of every group three times a second. Each asks those that it
 // looks after.
 func TestDoubtAsksOnlyWhatIsLookedAfter(t *testing.T) {
-	b := newBench(t)
+	b := newTestGroup(t)
 	b.cfg.DataCentre = "elsewhere"
 	b.SetHeld(-1, false)
 	qt.Assert(t, b.SuspectAway(), qt.IsFalse)
--- a/internal/proxy/cwlead/reach_test.go
+++ b/internal/proxy/cwlead/reach_test.go
@@ -13,7 +13,7 @@
 
 // loseMost makes most members of the group unreachable while statements for it
 // are refused, and lets the group look at its row.
-func (b *bench) loseMost() {
+func (b *testGroup) loseMost() {
 	b.tell("a", cwgroup.RolePrimary, 1, 100)
 	for _, id := range []cwgroup.MemberID{"b", "c"} {
 		b.DialFailed(cwport.Endpoint{ID: id}, errAway)
@@ -22,7 +22,7 @@
 }
 
 // lookAtRow lets one tick pass, and waits for what it reads.
-func (b *bench) lookAtRow() {
+func (b *testGroup) lookAtRow() {
 	b.t.Helper()
 	b.KeepWatching()
 	b.NoteUnserved()
@@ -39,7 +39,7 @@
 }
 
 // assertOvertaken waits until the group is taken to be served elsewhere, or not.
-func (b *bench) assertOvertaken(want bool) {
+func (b *testGroup) assertOvertaken(want bool) {
 	b.t.Helper()
 	for range 400 {
 		if b.Overtaken() == want {
@@ -56,7 +56,7 @@
 // elsewhere, since other groups were in reach.
 func TestInstanceOnTheSmallerSideSendsCallersAway(t *testing.T) {
 	t.Run("the store is out of reach as well", func(t *testing.T) {
-		b := newBench(t)
+		b := newTestGroup(t)
 		b.table.setAway(true)
 		b.loseMost()
 		b.assertOvertaken(true)
@@ -64,13 +64,13 @@
 		b.assertOvertaken(true)
 	})
 	t.Run("the row names another primary", func(t *testing.T) {
-		b := newBench(t)
+		b := newTestGroup(t)
 		b.table.value = []byte(changedToB)
 		b.loseMost()
 		b.assertOvertaken(true)
 	})
 	t.Run("members are in reach again", func(t *testing.T) {
-		b := newBench(t)
+		b := newTestGroup(t)
 		b.table.setAway(true)
 		b.loseMost()
 		b.tell("b", cwgroup.RoleReplica, 1, 100)
@@ -82,7 +82,7 @@
 // The members are lost to everybody, and nobody has done anything about it: an
 // instance that sent its callers away would help none of them.
 func TestLostMembersAloneSendNobodyAway(t *testing.T) {
-	b := newBench(t)
+	b := newTestGroup(t)
 	b.loseMost()
 	b.assertOvertaken(false)
 	b.table.setAway(true)
--- a/internal/proxy/cwlead/restart_test.go
+++ b/internal/proxy/cwlead/restart_test.go
@@ -20,16 +20,16 @@
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
-// bench is a group whose members' answers the test gives, on virtual time.
-type bench struct {
+// testGroup is a group whose members' answers the test gives, on virtual time.
+type testGroup struct {
 	*Group
 	t     *testing.T
 	clock *clockwork.FakeClock
 	table *rowTable
 }
 
-func newBench(t *testing.T) *bench {
-	b := &bench{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), table: &rowTable{}}
+func newTestGroup(t *testing.T) *testGroup {
+	b := &testGroup{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), table: &rowTable{}}
 	b.Group = New(Config{
 		Self: "x", DataCentre: "dc", Service: "ledger", Clock: b.clock, Log: log.New(io.Discard),
 		Dialer: noDialer{}, Table: b.table,
@@ -40,7 +40,7 @@
 }
 
 // list lists the members; c was born at the given time.
-func (b *bench) list(born time.Time) {
+func (b *testGroup) list(born time.Time) {
 	b.SetMembers([]cwport.Listing{
 		{ID: "a", Service: "ledger", Address: "10.0.0.1:1", DataCentre: "dc", Slots: 3, Born: time.UnixMilli(400)},
 		{ID: "b", Service: "ledger", Address: "10.0.0.2:1", DataCentre: "dc", Slots: 3, Born: time.UnixMilli(400)},
@@ -49,14 +49,14 @@
 }
 
 // tell has a member answer a question that is asked now, a millisecond later.
-func (b *bench) tell(id cwgroup.MemberID, role cwgroup.Role, term cwgroup.Term, received cwgroup.Position) {
+func (b *testGroup) tell(id cwgroup.MemberID, role cwgroup.Role, term cwgroup.Term, received cwgroup.Position) {
 	asked := b.clock.Now()
 	b.clock.Advance(time.Millisecond)
 	b.heard(id, cwstatement.Health{Role: role, Term: term, Received: cwgroup.Mark{Term: 1, Position: received}}, asked)
 }
 
-// rowRead waits until the row was read after a restart of c, or not, as wanted.
-func (b *bench) rowChecked(want bool) {
+// rowChecked waits until the row was read after a restart of c, or not, as wanted.
+func (b *testGroup) rowChecked(want bool) {
 	b.t.Helper()
 	for range 400 {
 		b.clock.Advance(10 * time.Millisecond)
@@ -71,7 +71,7 @@
 	b.t.Fatalf("row checked: not %t", want)
 }
 
-func (b *bench) assertConfirmed(want bool) {
+func (b *testGroup) assertConfirmed(want bool) {
 	b.t.Helper()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -134,7 +134,7 @@
 		{"its clock was set back", time.UnixMilli(100)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newTestGroup(t)
 			_, err := cwclaim.Decode([]byte(changedToB))
 			qt.Assert(t, err, qt.IsNil)
 			b.table.value = []byte(changedToB)
@@ -154,7 +154,7 @@
 // The connection breaks and the restarted replica is asked before its entry in
 // the list tells of the restart: its log is shorter than it was.
 func TestRestartShowsByAShorterLog(t *testing.T) {
-	b := newBench(t)
+	b := newTestGroup(t)
 	b.table.setAway(true)
 	b.tell("a", cwgroup.RolePrimary, 1, 100)
 	b.tell("c", cwgroup.RoleReplica, 1, 100)
@@ -174,13 +174,13 @@
 // primary is cut back in its term, and answers to two questions cross.
 func TestShorterLogThatIsNoRestart(t *testing.T) {
 	t.Run("cut back in a later term", func(t *testing.T) {
-		b := newBench(t)
+		b := newTestGroup(t)
 		b.tell("c", cwgroup.RoleReplica, 1, 100)
 		b.tell("c", cwgroup.RoleReplica, 2, 90)
 		qt.Assert(t, b.restarts, qt.HasLen, 0)
 	})
 	t.Run("answers that cross", func(t *testing.T) {
-		b := newBench(t)
+		b := newTestGroup(t)
 		asked := b.clock.Now()
 		b.tell("c", cwgroup.RoleReplica, 1, 100)
 		b.heard("c", cwstatement.Health{Term: 1, Received: cwgroup.Mark{Term: 1, Position: 90}}, asked)
@@ -192,7 +192,7 @@
 // forgotten it. Neither does its word of before count, nor its next one before
 // it is known that nobody had fenced it.
 func TestRestartedReplicaAcknowledgesNothing(t *testing.T) {
-	b := newBench(t)
+	b := newTestGroup(t)
 	b.table.setAway(true)
 	b.tell("a", cwgroup.RolePrimary, 1, 100)
 	b.tell("c", cwgroup.RoleReplica, 1, 102)
@@ -217,7 +217,7 @@
 // replica started again empty, and the primary was lost before it had it back.
 // The two that are left are a majority, but neither has the booking.
 func TestEmptyMemberIsNoPartOfAMajority(t *testing.T) {
-	b := newBench(t)
+	b := newTestGroup(t)
 	b.tell("a", cwgroup.RolePrimary, 1, 100)
 	b.tell("c", cwgroup.RoleReplica, 1, 100)
 	b.list(time.UnixMilli(900))
@@ -240,7 +240,7 @@
 		leads bool
 	}{{"with its log", 100, true}, {"without its log", 0, false}} {
 		t.Run(tc.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newTestGroup(t)
 			b.tell("c", cwgroup.RolePrimary, 1, 100)
 			b.list(time.UnixMilli(900))
 			b.tell("c", cwgroup.RolePrimary, 1, tc.has)
