route: no penalty for members that are behind

It guards nothing: a member that is behind refuses the read without running it. The expected time until it has caught up stays.

--- a/internal/core/cwroute/spread.go
+++ b/internal/core/cwroute/spread.go
@@ -21,9 +21,6 @@
 	// (13 and 9%) at two thirds of the members' capacity; reads are served as
 	// soon.
 	PrimaryShare = 150
-	// BehindPenalty is added for a member that is not expected to hold the
-	// floor: a wasted round trip, a place in its queue, and the next try.
-	BehindPenalty = 40 * time.Millisecond
 	// UntriedLatency is expected of a member that was not used lately. It is
 	// low, so that each is tried now and then.
 	UntriedLatency = 5 * time.Millisecond
@@ -57,10 +54,7 @@
 	if o.Primary {
 		d += latency * PrimaryShare / 100
 	}
-	if o.CatchUp > 0 {
-		d += BehindPenalty + o.CatchUp
-	}
-	return d
+	return d + o.CatchUp
 }
 
 // Quickest returns the option that is expected to answer first, or false if
