directory, peers, feed: the store's news passed on between instances

Change: in each data centre of eight instances or more two ask, the others ask one above them in a tree; answers carry the age of the store's last confirmation, and an instance whose knowledge is too old asks the store itself. Ruled out: trusting a feeder's word (a frozen one delays a desired state past its bound, TestDesiredStateIsInForceInTime), one root, pushing. Also mended: a target counted as gone after GoneAfter though no question had been answered since its entry vanished (TestFollowerKeepsTargetsWhileTheStoreIsAway).

--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -1,23 +1,26 @@
 // Package cwdirectory keeps an instance up to date with what the platform's
 // store tells: the desired state, the list of targets, the product's own rows.
 //
-// Each topic has a follower: one snapshot, then changes by long poll, resumed
-// where the last answer ended. While the store is away what was known stays in
-// force. An entry that vanishes may have lapsed only because the store was
-// away, so a target is taken as gone a while after its entry.
+// Each topic begins with a snapshot from the store. Changes come from the store
+// by long poll, resumed where the last answer ended, or from another instance
+// that follows the store: cwfeed decides which. Every instance answers others
+// the same way. While the store is away what was known stays in force. An entry
+// that vanishes may have lapsed only because the store was away, so a target is
+// taken as gone a while after its entry.
 package cwdirectory
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -88,10 +91,33 @@
 	Clock  clockwork.Clock
 	Log    *log.Logger
 
-	mu sync.Mutex
+	// Feeders tells which other instance tells the news; nil if the store is
+	// always asked. Decoder reads what that instance tells, and Stale is how old
+	// its word may be. Both are needed with Feeders only.
+	Feeders cwport.Feeders
+	Decoder cwport.Decoder
+	Stale   Stale
+
+	// Counts may be its zero value; then nothing is counted.
+	Counts Counts
+
+	// taking is held while a batch is taken, so that an older one never comes
+	// after a newer one. It is locked before mu.
+	taking sync.Mutex
+
+	mu     sync.Mutex
+	topics [cwport.TopicCount]topicState
+	// source is where news come from, turned is closed when that changes.
+	source newsSource
+	turned chan struct{}
+	// renewed is closed and replaced with each batch and each confirmation of
+	// the desired state.
+	renewed chan struct{}
+	// askedAt is when another instance last asked for news.
+	askedAt time.Time
 	// away is true while the store does not answer about targets.
 	away bool
-	// back is closed with the next answer about the desired state; nil if nobody
+	// back is closed with the next confirmation of the desired state; nil if nobody
 	// waits for it.
 	back chan struct{}
 	// known are the targets that count, vanished when the entry of a target
@@ -102,6 +128,31 @@
 	unreadable map[rowName]bool
 }
 
+// Counts counts questions and answers.
+type Counts struct {
+	// StoreQuestions are those to the store, FeederAnswers the answers of a
+	// feeder, Told those to other instances.
+	StoreQuestions, FeederAnswers, Told *metrics.Counter
+}
+
+func inc(c *metrics.Counter) {
+	if c != nil {
+		c.Inc()
+	}
+}
+
+// topicState is what is known of one topic.
+type topicState struct {
+	// after is up to where it is known; it never falls.
+	after uint64
+	// read is true once a snapshot was taken.
+	read bool
+	// confirmed is a time at which what is known was all there was, by the
+	// store's word. It never falls.
+	confirmed time.Time
+	history   cwfeed.History[cwport.Row]
+}
+
 // rowName names a row of a topic.
 type rowName struct {
 	topic cwport.Topic
@@ -110,148 +161,108 @@
 
 // Run follows all topics until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
-	d.known = make(map[cwgroup.MemberID]cwport.Listing)
-	d.vanished = make(map[cwgroup.MemberID]time.Time)
-	d.unreadable = make(map[rowName]bool)
+	d.prepare()
 	eg, ctx := errgroup.WithContext(ctx)
-	for _, t := range []cwport.Topic{cwport.Desired, cwport.Targets, cwport.Own} {
+	if d.Feeders != nil {
+		d.setSource(fromNobody)
+		eg.Go(func() error { return d.loopFollow(ctx) })
+	}
+	for _, t := range cwport.Topics {
 		eg.Go(func() error { return d.loop(ctx, t) })
 	}
 	eg.Go(func() error { return d.loopGone(ctx) })
 	return eg.Wait()
 }
 
-// loop follows one topic.
-func (d *Directory) loop(ctx context.Context, t cwport.Topic) error {
-	var after uint64
-	fresh, away := true, false
-	pause := retryMin
-	for ctx.Err() == nil {
-		b, err := d.ask(ctx, t, fresh, away, after)
-		var history *cwport.HistoryError
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case errors.As(err, &history):
-			d.Log.Warn("historyLost", "topic", t, "after", after)
-			fresh = true
-			// A store that drops its history again and again is not asked in a
-			// busy loop.
-			d.sleep(ctx, retryMin)
-			continue
-		case err != nil:
-			if !away {
-				d.Log.Warn("storeLost", "topic", t, "after", after, "cause", err)
-			}
-			d.setAway(t, true)
-			d.awaitStore(ctx, t, pause, !away)
-			away = true
-			pause = min(pause*2, retryMax)
-			continue
-		}
-		if away {
-			d.Log.Info("storeRegained", "topic", t, "version", b.Version)
-		}
-		d.setAway(t, false)
-		d.noteBack(t)
-		away, pause = false, retryMin
-		d.take(t, b, fresh)
-		fresh, after = false, max(after, b.Version)
-		if b.Changed() {
-			d.sleep(ctx, settle(t))
-		}
-	}
-	return nil
-}
-
-// ask asks for a snapshot or for changes.
-//
-// The failure: the store comes back just after a long question was sent into
-// its silence, and the instance notices only once that has timed out. While the
-// store is away questions are therefore short.
-func (d *Directory) ask(ctx context.Context, t cwport.Topic, fresh, away bool, after uint64) (cwport.Batch, error) {
-	if fresh {
-		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-		defer cancel()
-		return d.Source.Snapshot(ctx, t)
-	}
-	wait, timeout := d.wait(t), d.wait(t)+pollSlack
-	if away {
-		wait, timeout = 0, awayTimeout
+// prepare makes what the zero value lacks. Another instance may ask before Run.
+func (d *Directory) prepare() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known != nil {
+		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return d.Source.Changes(ctx, t, after, wait)
+	d.known = make(map[cwgroup.MemberID]cwport.Listing)
+	d.vanished = make(map[cwgroup.MemberID]time.Time)
+	d.unreadable = make(map[rowName]bool)
+	d.turned, d.renewed = make(chan struct{}), make(chan struct{})
 }
 
-func (d *Directory) wait(t cwport.Topic) time.Duration {
-	switch t {
-	case cwport.Desired:
-		return d.Waits.Desired
-	case cwport.Targets:
-		return d.Waits.Targets
+// take takes a batch that the store confirmed at a time; whole is true if it has
+// all rows there are.
+func (d *Directory) take(t cwport.Topic, b cwport.Batch, whole bool, confirmed time.Time) {
+	d.taking.Lock()
+	defer d.taking.Unlock()
+	b, news := d.onlyNew(t, b, whole)
+	if news {
+		d.apply(t, b, whole)
 	}
-	return ownWait
+	d.note(t, b, whole && news, confirmed)
 }
 
-// awaitStore waits before a topic asks a store that did not answer once more.
+// onlyNew drops what is known already; news is false if that is all.
 //
-// The failure: a store that turns instances away is asked by each for every
-// topic, twice a second; these calls are refused and counted, and take from what
-// all instances may make. Only one topic asks often, the others wait for it.
-func (d *Directory) awaitStore(ctx context.Context, t cwport.Topic, pause time.Duration, first bool) {
-	if first || t == cwport.Desired {
-		d.sleep(ctx, pause)
-		return
+// The failure: the answer of a feeder and one of the store come together, and
+// the older is taken last: a target that left is used again.
+func (d *Directory) onlyNew(t cwport.Topic, b cwport.Batch, whole bool) (cwport.Batch, bool) {
+	d.mu.Lock()
+	after := d.topics[t].after
+	d.mu.Unlock()
+	if whole {
+		return b, b.Version >= after
 	}
-	select {
-	case <-d.storeBack():
-	case <-d.Clock.After(awayPause):
-	case <-ctx.Done():
+	var fresh []cwport.Row
+	for _, r := range b.Raw {
+		if r.Version > after {
+			fresh = append(fresh, r)
+		}
+	}
+	if len(fresh) == len(b.Raw) {
+		return b, b.Changed() || len(b.Faults) > 0
 	}
+	b = d.Decoder.Decode(t, b.Version, fresh)
+	return b, b.Changed() || len(b.Faults) > 0
 }
 
-// storeBack returns a channel that is closed with the next answer about the
-// desired state.
-func (d *Directory) storeBack() <-chan struct{} {
+// note notes up to where a topic is known, and wakes those who asked.
+func (d *Directory) note(t cwport.Topic, b cwport.Batch, whole bool, confirmed time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.back == nil {
-		d.back = make(chan struct{})
+	s := &d.topics[t]
+	if whole {
+		s.read = true
+		s.history.Replace(b.Version, entriesOf(b.Raw))
+	} else {
+		s.history.Add(b.Version, entriesOf(b.Raw))
+	}
+	s.after = max(s.after, b.Version)
+	if confirmed.After(s.confirmed) {
+		s.confirmed = confirmed
+		d.noteBack(t)
+	}
+	if t == cwport.Desired || b.Changed() {
+		close(d.renewed)
+		d.renewed = make(chan struct{})
 	}
-	return d.back
 }
 
-// noteBack wakes the topics that wait for the store.
+// noteBack wakes the topics that wait for the store. The caller holds mu.
 func (d *Directory) noteBack(t cwport.Topic) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	if t == cwport.Desired && d.back != nil {
 		close(d.back)
 		d.back = nil
 	}
 }
 
-// settle is how long changes of a topic are let come together. A new desired
-// state is in force at once.
-func settle(t cwport.Topic) time.Duration {
-	switch t {
-	case cwport.Targets:
-		return targetsSettle
-	case cwport.Own:
-		return ownSettle
-	}
-	return 0
-}
-
-func (d *Directory) sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-d.Clock.After(t):
-	case <-ctx.Done():
+func entriesOf(rows []cwport.Row) []cwfeed.Entry[cwport.Row] {
+	out := make([]cwfeed.Entry[cwport.Row], 0, len(rows))
+	for _, r := range rows {
+		out = append(out, cwfeed.Entry[cwport.Row]{Key: r.Key, Version: r.Version, Removed: r.Removed, Row: r})
 	}
+	return out
 }
 
-func (d *Directory) take(t cwport.Topic, b cwport.Batch, fresh bool) {
+// apply tells the sink.
+func (d *Directory) apply(t cwport.Topic, b cwport.Batch, whole bool) {
 	d.noteFaults(t, b)
 	switch t {
 	case cwport.Desired:
@@ -259,10 +270,10 @@
 			d.Sink.SetCatalogue(*b.Catalogue)
 		}
 	case cwport.Targets:
-		d.takeTargets(b, fresh)
+		d.takeTargets(b, whole)
 	default:
-		if fresh || len(b.Rows) > 0 {
-			d.Sink.Rows(b.Rows, fresh)
+		if whole || len(b.Rows) > 0 {
+			d.Sink.Rows(b.Rows, whole)
 		}
 	}
 }
@@ -286,99 +297,21 @@
 	}
 }
 
-func (d *Directory) takeTargets(b cwport.Batch, fresh bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	first := fresh && len(d.known) == 0
-	removed := b.Removed
-	if fresh {
-		removed = d.missing(b.Listed)
-	}
-	for _, l := range b.Listed {
-		d.known[l.ID] = l
-		delete(d.vanished, l.ID)
-		d.Log.Info("targetListed", "target", l.ID, "service", l.Service, "address", l.Address, "dataCentre", l.DataCentre, "leaving", l.Leaving, "role", l.Role)
-	}
-	for _, id := range removed {
-		if _, ok := d.known[id]; ok && d.vanished[id].IsZero() {
-			d.vanished[id] = now
-			d.Log.Info("targetVanished", "target", id)
-		}
-	}
-	if first {
-		d.Sink.SetListings(b.Listed)
-		return
-	}
-	if len(b.Listed) > 0 {
-		d.Sink.ChangeListings(b.Listed, nil)
-	}
-}
-
-// missing returns the known targets that a snapshot does not have. The caller
-// holds mu.
-func (d *Directory) missing(listed []cwport.Listing) []cwgroup.MemberID {
-	there := make(map[cwgroup.MemberID]bool, len(listed))
-	for _, l := range listed {
-		there[l.ID] = true
-	}
-	var out []cwgroup.MemberID
-	for id := range d.known {
-		if _, gone := d.vanished[id]; !there[id] && !gone {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// setAway notes whether the store answers about targets.
-//
-// The failure: the store goes away, comes back for a moment in which this
-// instance learns that entries have lapsed, and goes away again. They were
-// written anew, but nobody tells; the instance takes living targets as gone and
-// refuses everything until the next return. The time after which a target counts
-// as gone therefore runs only while the store is there, from its last return.
-func (d *Directory) setAway(t cwport.Topic, away bool) {
-	if t != cwport.Targets {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.away && !away {
-		for id := range d.vanished {
-			d.vanished[id] = d.Clock.Now()
-		}
-	}
-	d.away = away
-}
-
-// loopGone takes targets out whose entry stayed away.
-func (d *Directory) loopGone(ctx context.Context) error {
-	for ctx.Err() == nil {
-		d.sleep(ctx, goneStep)
-		d.dropGone()
+// settle is how long changes of a topic are let come together. A new desired
+// state is in force at once.
+func settle(t cwport.Topic) time.Duration {
+	switch t {
+	case cwport.Targets:
+		return targetsSettle
+	case cwport.Own:
+		return ownSettle
 	}
-	return nil
+	return 0
 }
 
-// goneStep is how often vanished targets are looked at.
-const goneStep = 500 * time.Millisecond
-
-func (d *Directory) dropGone() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	var gone []cwgroup.MemberID
-	for id, at := range d.vanished {
-		if d.away || now.Sub(at) < max(d.GoneAfter, MinGoneAfter) {
-			continue
-		}
-		d.Log.Info("targetGone", "target", id)
-		gone = append(gone, id)
-		delete(d.vanished, id)
-		delete(d.known, id)
-	}
-	if len(gone) > 0 {
-		d.Sink.ChangeListings(nil, gone)
+func (d *Directory) sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-d.Clock.After(t):
+	case <-ctx.Done():
 	}
 }
--- /dev/null
+++ b/internal/proxy/cwdirectory/gone.go
@@ -0,0 +1,119 @@
+package cwdirectory
+
+import (
+	"context"
+	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+func (d *Directory) takeTargets(b cwport.Batch, fresh bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	first := fresh && len(d.known) == 0
+	removed := b.Removed
+	if fresh {
+		removed = d.missing(b.Listed)
+	}
+	for _, l := range b.Listed {
+		d.known[l.ID] = l
+		delete(d.vanished, l.ID)
+		d.Log.Info("targetListed", "target", l.ID, "service", l.Service, "address", l.Address, "dataCentre", l.DataCentre, "leaving", l.Leaving, "role", l.Role)
+	}
+	for _, id := range removed {
+		if _, ok := d.known[id]; ok && d.vanished[id].IsZero() {
+			d.vanished[id] = now
+			d.Log.Info("targetVanished", "target", id)
+		}
+	}
+	if first {
+		d.Sink.SetListings(b.Listed)
+		return
+	}
+	if len(b.Listed) > 0 {
+		d.Sink.ChangeListings(b.Listed, nil)
+	}
+}
+
+// missing returns the known targets that a snapshot does not have. The caller
+// holds mu.
+func (d *Directory) missing(listed []cwport.Listing) []cwgroup.MemberID {
+	there := make(map[cwgroup.MemberID]bool, len(listed))
+	for _, l := range listed {
+		there[l.ID] = true
+	}
+	var out []cwgroup.MemberID
+	for id := range d.known {
+		if _, gone := d.vanished[id]; !there[id] && !gone {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// setAway notes whether the store answers about targets.
+//
+// The failure: the store goes away, comes back for a moment in which this
+// instance learns that entries have lapsed, and goes away again. They were
+// written anew, but nobody tells; the instance takes living targets as gone and
+// refuses everything until the next return. The time after which a target counts
+// as gone therefore runs only while the store is there, from its last return.
+func (d *Directory) setAway(t cwport.Topic, away bool) {
+	if t != cwport.Targets {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away && !away {
+		for id := range d.vanished {
+			d.vanished[id] = d.Clock.Now()
+		}
+	}
+	d.away = away
+}
+
+// loopGone takes targets out whose entry stayed away.
+func (d *Directory) loopGone(ctx context.Context) error {
+	for ctx.Err() == nil {
+		d.sleep(ctx, goneStep)
+		d.dropGone()
+	}
+	return nil
+}
+
+// goneStep is how often vanished targets are looked at.
+const goneStep = 500 * time.Millisecond
+
+func (d *Directory) dropGone() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	var gone []cwgroup.MemberID
+	for id, at := range d.vanished {
+		if !d.staysAway(at, now) {
+			continue
+		}
+		d.Log.Info("targetGone", "target", id)
+		gone = append(gone, id)
+		delete(d.vanished, id)
+		delete(d.known, id)
+	}
+	if len(gone) > 0 {
+		d.Sink.ChangeListings(nil, gone)
+	}
+}
+
+// staysAway reports whether a target whose entry vanished at a time is gone. The
+// caller holds mu.
+//
+// The failure: the store falls silent right after it told that entries lapsed.
+// No question to it has failed yet when the time is up, and living targets count
+// as gone. So the store must have said, late enough, that they are not back.
+func (d *Directory) staysAway(vanished, now time.Time) bool {
+	if d.away || now.Sub(vanished) < max(d.GoneAfter, MinGoneAfter) {
+		return false
+	}
+	return d.topics[cwport.Targets].confirmed.Sub(vanished) >= MinGoneAfter
+}
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -16,6 +16,10 @@
 	Attempts, Retries *metrics.Counter
 	// HandedOver counts statements given to holders.
 	HandedOver *metrics.Counter
+	// StoreQuestions counts the questions to the platform's store about its rows,
+	// FeederAnswers the answers of another instance in their place, and NewsTold
+	// the answers to other instances.
+	StoreQuestions, FeederAnswers, NewsTold *metrics.Counter
 	// AckWait is how long commits waited for a second member, in seconds.
 	AckWait *metrics.Histogram
 	// Statement is how long statements took, in seconds.
@@ -30,8 +34,13 @@
 		Attempts:   set.NewCounter("cicadawalk_attempts_total"),
 		Retries:    set.NewCounter("cicadawalk_retries_total"),
 		HandedOver: set.NewCounter("cicadawalk_handed_over_total"),
-		AckWait:    set.NewHistogram("cicadawalk_ack_wait_seconds"),
-		Statement:  set.NewHistogram("cicadawalk_statement_seconds"),
+
+		StoreQuestions: set.NewCounter("cicadawalk_store_questions_total"),
+		FeederAnswers:  set.NewCounter("cicadawalk_feeder_answers_total"),
+		NewsTold:       set.NewCounter("cicadawalk_news_told_total"),
+
+		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
+		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
 	}
 }
 
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -48,10 +48,13 @@
 	// GoneAfter is how long after its entry a target is taken as gone.
 	GoneAfter time.Duration
 	// Turn is the least time between the acts of two holders of a duty.
-	Turn     time.Duration
-	Codec    func(net.Conn) cwport.Caller
-	Dialer   cwport.Dialer
-	Source   cwport.Source
+	Turn    time.Duration
+	Codec   func(net.Conn) cwport.Caller
+	Dialer  cwport.Dialer
+	Source  cwport.Source
+	Decoder cwport.Decoder
+	// Stale is how old the word of another instance about the store may be.
+	Stale    cwdirectory.Stale
 	Table    cwplatform.Table
 	Promoter cwport.Promoter
 	Clock    clockwork.Clock
@@ -122,10 +125,14 @@
 	for _, p := range probes {
 		eg.Go(func() error { return serveHTTP(p) })
 	}
-	dir := &cwdirectory.Directory{Waits: in.cfg.Waits, GoneAfter: in.cfg.GoneAfter, Source: in.cfg.Source, Sink: in, Clock: in.cfg.Clock, Log: in.cfg.Log}
+	dir := &cwdirectory.Directory{
+		Waits: in.cfg.Waits, GoneAfter: in.cfg.GoneAfter, Source: in.cfg.Source, Sink: in, Clock: in.cfg.Clock, Log: in.cfg.Log,
+		Feeders: in.peers, Decoder: in.cfg.Decoder, Stale: in.cfg.Stale,
+		Counts: cwdirectory.Counts{StoreQuestions: in.metrics.StoreQuestions, FeederAnswers: in.metrics.FeederAnswers, Told: in.metrics.NewsTold},
+	}
 	eg.Go(func() error { return dir.Run(run) })
 	eg.Go(func() error { return in.peers.Run(run) })
-	eg.Go(func() error { return (&cwhandover.Server{Handler: in.engine}).Run(run, others) })
+	eg.Go(func() error { return (&cwhandover.Server{Handler: in.engine, News: dir}).Run(run, others) })
 	eg.Go(func() error { return in.engine.Serve(callers, in.cfg.Codec) })
 	in.cfg.Log.Info("started", "instance", in.cfg.Name, "dataCentre", in.cfg.DataCentre, "listen", in.cfg.Callers)
 	select {
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -16,8 +16,7 @@
 // Times of a link.
 const (
 	// silentAfter is how long a statement may be under way before the holder is
-	// asked for a sign of life, and again for as long until it must have given
-	// one. Most statements end sooner; a busy instance answers a ping within
+	// probed, and how long the probe may take. Most statements end sooner; a busy instance answers a ping within
 	// some tens of milliseconds.
 	silentAfter = 250 * time.Millisecond
 	// redialMin and redialMax bound the pause after a connection that failed or
@@ -43,7 +42,7 @@
 	mu      sync.Mutex
 	conn    Conn
 	dialing bool
-	// trying is true while a sign of life is asked for out of turn.
+	// trying is true while a probe out of turn is under way.
 	trying bool
 	closed bool
 	// redialAt is when a connection may be tried again, redial the next pause.
@@ -74,7 +73,15 @@
 	return false
 }
 
-// fresh reports whether the holder gave a sign of life lately, and asks for one
+// failing reports whether the last try to connect failed, or the last connection
+// was lost, and none has come about since.
+func (l *link) failing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn == nil && l.redial > 0
+}
+
+// fresh reports whether the holder has answered lately, and probes it
 // otherwise.
 //
 // The failure: an instance that is cut off from a group's targets asks others for
@@ -158,7 +165,7 @@
 	l.heard = l.clock.Now()
 }
 
-// try asks for a sign of life and closes the connection if there is none.
+// try probes the connection and closes it if there is no answer.
 func (l *link) try(conn Conn) {
 	ctx, cancel := context.WithTimeout(context.Background(), silentAfter)
 	defer cancel()
@@ -196,7 +203,7 @@
 //
 // The failure: the holder freezes, or loses power, with statements of other
 // instances' callers, who wait until their time is up. A holder that is silent
-// for silentAfter is asked for a sign of life; a statement that merely takes
+// for silentAfter is probed; a statement that merely takes
 // long goes on.
 func (l *link) Hand(ctx context.Context, h cwport.Handover) (cwport.Handed, error) {
 	l.mu.Lock()
@@ -205,8 +212,8 @@
 	if conn == nil {
 		return cwport.Handed{}, &cwport.LostError{Holder: l.to.ID, NotSent: true, Cause: errSilent}
 	}
-	doubt := l.clock.AfterFunc(silentAfter, func() { l.try(conn) })
-	defer doubt.Stop()
+	overdue := l.clock.AfterFunc(silentAfter, func() { l.try(conn) })
+	defer overdue.Stop()
 	r, err := conn.Hand(ctx, h)
 	if err != nil {
 		return r, err
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -20,6 +20,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
@@ -46,7 +47,8 @@
 // Conn is a connection to another instance.
 type Conn interface {
 	Hand(ctx context.Context, h cwport.Handover) (cwport.Handed, error)
-	// Ping asks for a sign of life.
+	cwport.NewsTeller
+	// Ping probes the other end.
 	Ping(ctx context.Context) error
 	// Done is closed once the connection has ended.
 	Done() <-chan struct{}
@@ -60,6 +62,8 @@
 	Dial  Dial
 	Clock clockwork.Clock
 	Log   *log.Logger
+	// Tree places the instances that tell each other the news of the store.
+	Tree cwfeed.Tree
 	// Changed is called after the holders of groups may have changed.
 	Changed func()
 
@@ -326,7 +330,10 @@
 	return l
 }
 
-var _ cwport.Holders = (*Peers)(nil)
+var (
+	_ cwport.Holders = (*Peers)(nil)
+	_ cwport.Feeders = (*Peers)(nil)
+)
 
 // errSilent is why a connection on which nothing comes is closed.
-var errSilent = errors.New("no sign of life")
+var errSilent = errors.New("no answer to a probe")
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -25,9 +25,18 @@
 	rows   map[string][]byte
 	writes int
 	lost   bool
+	// refused are the instances that take no connection, newsErr is how all
+	// answer questions for news.
+	refused map[string]bool
+	newsErr error
 }
 
 func (n *network) dial(_ context.Context, name, _ string) (Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refused[name] {
+		return nil, errSilent
+	}
 	return &conn{net: n, name: name, done: make(chan struct{})}, nil
 }
 
@@ -83,6 +92,15 @@
 	return cwport.Handed{Elsewhere: h.Statement.ID == "elsewhere"}, nil
 }
 
+func (c *conn) TellNews(ctx context.Context, _ cwport.NewsQuestion) (cwport.News, error) {
+	if err := c.wait(ctx); err != nil {
+		return cwport.News{}, err
+	}
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	return cwport.News{}, c.net.newsErr
+}
+
 func (c *conn) Ping(ctx context.Context) error { return c.wait(ctx) }
 func (c *conn) Done() <-chan struct{}          { return c.done }
 
@@ -105,7 +123,7 @@
 // others of its data centre hold.
 func start(t *testing.T) (*qt.C, *Peers, *network, *clockwork.FakeClock) {
 	c := qt.New(t)
-	n := &network{silent: map[string]bool{}, rows: map[string][]byte{}}
+	n := &network{silent: map[string]bool{}, rows: map[string][]byte{}, refused: map[string]bool{}}
 	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 	var rows []cwport.Row
 	var all []cwholder.Instance
@@ -121,6 +139,13 @@
 	}
 	p := &Peers{Self: self, Table: n, Dial: n.dial, Clock: clock, Log: log.New(io.Discard)}
 	p.Rows(rows, true)
+	runPeers(t, p, clock)
+	return c, p, n, clock
+}
+
+// runPeers lets the peers and their clock run until the test ends.
+func runPeers(t *testing.T, p *Peers, clock *clockwork.FakeClock) *qt.C {
+	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { return p.Run(ctx) })
@@ -129,7 +154,7 @@
 		cancel()
 		c.Check(eg.Wait(), qt.IsNil)
 	})
-	return c, p, n, clock
+	return c
 }
 
 func loopTime(ctx context.Context, clock *clockwork.FakeClock) error {
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -153,6 +153,9 @@
 	Removed []cwgroup.MemberID
 	// Rows are rows of the product's own that are new, changed or removed.
 	Rows []Row
+	// Raw are all rows of the batch as the store told them, to be passed on to
+	// other instances.
+	Raw []Row
 	// Faults are parts of the batch that could not be read. They are left out;
 	// what was known before stays.
 	Faults []RowFault
@@ -177,13 +180,16 @@
 	return b.Catalogue != nil || len(b.Listed)+len(b.Removed)+len(b.Rows) > 0
 }
 
-// Row is a row of the product's own.
+// Row is a row of the store.
 type Row struct {
 	Key     string
 	Value   []byte
 	Version uint64
 	// Removed is true if the table no longer has it.
 	Removed bool
+	// Garbled is true if the store's text of the value cannot be read; the value
+	// is empty then.
+	Garbled bool
 }
 
 // Tag returns the row's tag for a condition of a change; empty if the row is not
--- a/internal/tool/cwcommand/explain.go
+++ b/internal/tool/cwcommand/explain.go
@@ -32,8 +32,8 @@
 
 // instanceEvents are the messages about an instance that can explain one.
 var instanceEvents = []string{
-	"storeLost", "storeRegained", "pathInDoubt", "isolated", "reconnected", "draining", "drained", "started", "stopped",
-	"historyLost", "linesLeftOut",
+	"storeLost", "storeRegained", "pathSuspected", "isolated", "reconnected", "draining", "drained", "started", "stopped",
+	"historyLost", "linesLeftOut", "newsSource", "feederLost",
 }
 
 // logLine is one line of a log file.
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -90,6 +90,8 @@
 		Codec:      func(c net.Conn) cwport.Caller { return platform.NewCaller(c) },
 		Dialer:     platform.Dialer{Who: s.Instance},
 		Source:     store,
+		Decoder:    platform.Decoder{},
+		Stale:      stale(s),
 		Table:      store,
 		Promoter:   &platform.Duties{Address: s.Duties, HTTP: client},
 		Clock:      clock,
@@ -122,7 +124,19 @@
 	}
 }
 
+// stale returns how old the word of another instance may be. What is left of the
+// bound is for a question to the store that is lost, and a second one.
+func stale(s platform.Settings) cwdirectory.Stale {
+	return cwdirectory.Stale{
+		Desired: s.ConfigBound * staleShare / 100,
+		Targets: max(minWait, s.DrainBound-2*lostAnswerMargin),
+	}
+}
+
 const (
+	// staleShare is the share of the time in which a desired state must be in
+	// force, in percent, that an instance relies on others alone.
+	staleShare = 70
 	// lostAnswerMargin is the time to notice a lost answer and ask again.
 	lostAnswerMargin = time.Second
 	// goneMargin is how long before the platform's bound work at a target without
--- a/internal/wire/cwhandover/conn.go
+++ b/internal/wire/cwhandover/conn.go
@@ -32,8 +32,12 @@
 	Left(from any)
 }
 
-// Server takes the statements of other instances.
-type Server struct{ Handler Handler }
+// Server takes the statements of other instances, and their questions for news.
+type Server struct {
+	Handler Handler
+	// News may be nil; then nothing is told.
+	News cwport.NewsTeller
+}
 
 // Run accepts connections until ctx ends.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
@@ -45,7 +49,12 @@
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	bounded := &cwlisten.Bounded{Conn: conn, MaxMessage: maxMessage, Idle: idleTimeout}
 	defer s.Handler.Left(bounded)
-	handle := func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	handle := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+		if req.Method == methodNews {
+			return s.tell(ctx, req)
+		}
 		return s.handle(bounded, req)
 	}
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(bounded), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle).SuppressErrClosed()))
@@ -70,6 +79,22 @@
 	return bodyOfHanded(s.Handler.Hand(from, h)), nil
 }
 
+// tell answers a question for news.
+func (s *Server) tell(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	if s.News == nil || req.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+	}
+	q, err := questionOf(*req.Params)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	n, err := s.News.TellNews(ctx, q)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+	return bodyOfNews(n), nil
+}
+
 // Conn is a connection to a holder.
 type Conn struct {
 	name string
@@ -119,7 +144,22 @@
 	return r, nil
 }
 
-// Ping asks for a sign of life.
+// TellNews implements cwport.NewsTeller. After an error other
+// than a *cwport.NoNewsError the connection is of no more use.
+func (c *Conn) TellNews(ctx context.Context, q cwport.NewsQuestion) (cwport.News, error) {
+	var b newsBody
+	err := c.rpc.Call(ctx, methodNews, bodyOfQuestion(q), &b)
+	var refused *jsonrpc2.Error
+	switch {
+	case errors.As(err, &refused):
+		return cwport.News{}, &cwport.NoNewsError{Cause: err}
+	case err != nil:
+		return cwport.News{}, err
+	}
+	return b.news()
+}
+
+// Ping probes the other end.
 func (c *Conn) Ping(ctx context.Context) error { return c.rpc.Call(ctx, methodPing, struct{}{}, nil) }
 
 // Done is closed once the connection has ended.
--- a/internal/wire/cwhandover/handover.go
+++ b/internal/wire/cwhandover/handover.go
@@ -3,9 +3,9 @@
 //
 // An instance hands a caller's statement to a holder of the group and gets the
 // answer, or the sign that the holder has not run it. Many statements are under
-// way on one connection. There are two calls: hand, and ping, by which the
-// calling side tells a connection that went silent from a statement that takes
-// long.
+// way on one connection. There are three calls: hand; ping, by which the calling
+// side tells a connection that went silent from a statement that takes long; and
+// news, which asks what the platform's store has told.
 package cwhandover
 
 import (
@@ -22,6 +22,7 @@
 const (
 	methodHand = "hand"
 	methodPing = "ping"
+	methodNews = "news"
 )
 
 type handBody struct {
--- a/internal/wire/cwhandover/handover_test.go
+++ b/internal/wire/cwhandover/handover_test.go
@@ -59,6 +59,70 @@
 	})
 }
 
+func exampleNews() cwport.News {
+	return cwport.News{
+		Topics: [cwport.TopicCount]cwport.TopicNews{
+			cwport.Desired: {Version: 9, Whole: true, Rows: []cwport.Row{{Key: "config", Value: []byte("{}"), Version: 7}}, Age: time.Second},
+			cwport.Targets: {Version: 9, Rows: []cwport.Row{{Key: "i-1", Version: 8, Removed: true}, {Key: "x", Version: 9, Garbled: true}}},
+			cwport.Own:     {Version: 4, Age: 250 * time.Microsecond},
+		},
+		Held: 20 * time.Millisecond, TargetsAway: true,
+	}
+}
+
+func TestNewsCodec(t *testing.T) {
+	t.Run("a question", func(t *testing.T) {
+		want := cwport.NewsQuestion{After: [cwport.TopicCount]uint64{1, 2, 3}, Wait: 1500 * time.Millisecond}
+		b, err := json.Marshal(bodyOfQuestion(want))
+		qt.Assert(t, err, qt.IsNil)
+		got, err := questionOf(b)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.DeepEquals, want)
+	})
+	t.Run("news", func(t *testing.T) {
+		b, err := json.Marshal(bodyOfNews(exampleNews()))
+		qt.Assert(t, err, qt.IsNil)
+		var body newsBody
+		qt.Assert(t, json.Unmarshal(b, &body), qt.IsNil)
+		got, err := body.news()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.DeepEquals, exampleNews())
+	})
+	for _, tc := range []struct{ name, text string }{
+		{"an age that would make old news young", `{"topics":[{"version":1,"ageUs":-5},{"version":1,"ageUs":0},{"version":1,"ageUs":0}]}`},
+		{"a hold that would, too", `{"topics":[{"version":1},{"version":1},{"version":1}],"heldUs":-1}`},
+		{"a topic too few", `{"topics":[{"version":1},{"version":1}]}`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var body newsBody
+			qt.Assert(t, json.Unmarshal([]byte(tc.text), &body), qt.IsNil)
+			_, err := body.news()
+			qt.Assert(t, err, qt.ErrorAs, new(*UnreadableError))
+		})
+	}
+}
+
+// What comes from another instance may be of another version, or garbage.
+func FuzzNews(f *testing.F) {
+	b, err := json.Marshal(bodyOfNews(exampleNews()))
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(b)
+	f.Add([]byte(`{"topics":[{"ageUs":-1},{},{}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var body newsBody
+		if json.Unmarshal(b, &body) != nil {
+			return
+		}
+		n, err := body.news()
+		if err != nil {
+			return
+		}
+		for _, topic := range n.Topics {
+			qt.Assert(t, topic.Age >= 0, qt.IsTrue)
+		}
+	})
+}
+
 // What comes from another instance may be of another version, or garbage.
 func FuzzHand(f *testing.F) {
 	b, err := json.Marshal(bodyOfHand(example()))
@@ -84,12 +148,14 @@
 
 func (h *handler) Left(from any) { h.left <- from }
 
-func serve(c *qt.C, h *handler) string {
+func serve(c *qt.C, h *handler) string { return serveNews(c, h, nil) }
+
+func serveNews(c *qt.C, h *handler, news cwport.NewsTeller) string {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- (&Server{Handler: h}).Run(ctx, ln) }()
+	go func() { done <- (&Server{Handler: h, News: news}).Run(ctx, ln) }()
 	c.Cleanup(func() {
 		cancel()
 		c.Check(<-done, qt.IsNil)
@@ -129,6 +195,70 @@
 	c.Assert(errors.As(err, &lost), qt.IsTrue)
 }
 
+// teller answers questions for news by a function.
+type teller func(context.Context, cwport.NewsQuestion) (cwport.News, error)
+
+func (f teller) TellNews(ctx context.Context, q cwport.NewsQuestion) (cwport.News, error) {
+	return f(ctx, q)
+}
+
+func TestNewsOverAConnection(t *testing.T) {
+	h := &handler{left: make(chan any, 16), answer: func(cwport.Handover) cwport.Handed { return cwport.Handed{} }}
+	question := cwport.NewsQuestion{After: [cwport.TopicCount]uint64{4, 5, 6}, Wait: time.Second}
+	ask := func(c *qt.C, f cwport.NewsTeller) (*Conn, cwport.News, error) {
+		conn, err := Dial(context.Background(), "feeder", serveNews(c, h, f))
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = conn.Close() })
+		n, err := conn.TellNews(context.Background(), question)
+		return conn, n, err
+	}
+	t.Run("an answer", func(t *testing.T) {
+		c := qt.New(t)
+		var got cwport.NewsQuestion
+		_, n, err := ask(c, teller(func(_ context.Context, q cwport.NewsQuestion) (cwport.News, error) {
+			got = q
+			return exampleNews(), nil
+		}))
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.Equals, question)
+		c.Assert(n, qt.DeepEquals, exampleNews())
+	})
+	t.Run("nothing to tell, and the connection goes on", func(t *testing.T) {
+		c := qt.New(t)
+		conn, _, err := ask(c, teller(func(context.Context, cwport.NewsQuestion) (cwport.News, error) {
+			return cwport.News{}, &cwport.NoNewsError{}
+		}))
+		c.Assert(err, qt.ErrorAs, new(*cwport.NoNewsError))
+		c.Assert(conn.Ping(context.Background()), qt.IsNil)
+	})
+	t.Run("an instance that tells nobody", func(t *testing.T) {
+		_, _, err := ask(qt.New(t), nil)
+		qt.Assert(t, err, qt.ErrorAs, new(*cwport.NoNewsError))
+	})
+	// A follower goes away with its question held. Each left a goroutine behind
+	// for as long as the question had to wait.
+	t.Run("a question ends with its connection", func(t *testing.T) {
+		c := qt.New(t)
+		held, ended := make(chan struct{}), make(chan struct{})
+		conn, err := Dial(context.Background(), "feeder", serveNews(c, h, teller(func(ctx context.Context, _ cwport.NewsQuestion) (cwport.News, error) {
+			close(held)
+			<-ctx.Done()
+			close(ended)
+			return cwport.News{}, ctx.Err()
+		})))
+		c.Assert(err, qt.IsNil)
+		lost := make(chan error, 1)
+		go func() {
+			_, err := conn.TellNews(context.Background(), question)
+			lost <- err
+		}()
+		<-held
+		c.Assert(conn.Close(), qt.IsNil)
+		c.Assert(<-lost, qt.IsNotNil)
+		<-ended
+	})
+}
+
 // An instance that stands still accepts connections, since its kernel does. A
 // statement given to it would wait until its time is up.
 func TestStandingInstanceIsNotConnected(t *testing.T) {
