directory: the first list of targets after an outage is awaited whole

Cause: a replacement started while the store was away; at its return two of a group's three members had their entries back, the reader counted two as all, asked one of them, and took its log for the furthest. Ruled out: the read's floor, the confirmation, the feeders (the code had none). Not covered: an instance that starts within two seconds of a return that it did not see.

--- a/internal/proxy/cwdirectory/ask.go
+++ b/internal/proxy/cwdirectory/ask.go
@@ -10,8 +10,17 @@
 )
 
 // loop asks the store about one topic whenever it is this instance's turn.
+//
+// The failure: an instance starts while the store is away. With the store's
+// return it reads a list without the members of a group whose entries lapsed
+// meanwhile and are not back yet; two of three members count as all of them, one
+// alone as a majority, and a read is served by a member that lacks what the
+// missing two acknowledged. Nobody else knows what this instance has never seen,
+// so the list counts once entries have had the time to come back.
 func (d *Directory) loop(ctx context.Context, t cwport.Topic) error {
 	fresh, away := true, false
+	// lapsed is true if entries may have lapsed that no answer has shown yet.
+	lapsed := false
 	pause := retryMin
 	for d.awaitTurn(ctx, t, fresh) {
 		b, confirmed, err := d.ask(ctx, t, fresh, away)
@@ -31,6 +40,7 @@
 				d.Log.Warn("storeLost", "topic", t, "cause", err)
 			}
 			d.setAway(t, true)
+			lapsed = lapsed || t == cwport.Targets && !d.read(t)
 			d.awaitStore(ctx, t, pause, !away, fresh)
 			away = true
 			pause = min(pause*2, retryMax)
@@ -41,6 +51,12 @@
 		}
 		d.setAway(t, false)
 		away, pause = false, retryMin
+		if lapsed {
+			d.Log.Info("targetsAwaited", "listed", len(b.Listed), "waitMs", MinGoneAfter.Milliseconds())
+			d.sleep(ctx, MinGoneAfter)
+			lapsed = false
+			continue
+		}
 		d.take(t, b, fresh, confirmed)
 		fresh = false
 		if b.Changed() {
--- a/internal/proxy/cwdirectory/fleet_test.go
+++ b/internal/proxy/cwdirectory/fleet_test.go
@@ -381,3 +381,40 @@
 	defer d.mu.Unlock()
 	c.Assert(d.vanished["a"].IsZero(), qt.IsFalse)
 }
+
+// A replacement starts while the store is away. When the store returns, one of a
+// group's three members has its entry back, the others a second and a half later.
+// The instance took the one for the whole group; a supervisor read a booking's
+// state from before it was made.
+func TestFirstListAfterAnOutageIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newTable()
+		store.setAway(func(string) bool { return true })
+		out := &sink{present: map[cwgroup.MemberID]bool{}}
+		d := &Directory{
+			Waits: fleetWaits, Source: askedBy{store, "front-1"}, Sink: out,
+			Clock: clockwork.NewRealClock(), Log: log.New(io.Discard),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- d.Run(ctx) }()
+		defer func() {
+			cancel()
+			c.Check(<-done, qt.IsNil)
+		}()
+		time.Sleep(5 * time.Second)
+		store.put(cwport.Targets, "a", false)
+		store.setAway(func(string) bool { return false })
+		back := time.Now()
+		time.AfterFunc(1500*time.Millisecond, func() {
+			store.put(cwport.Targets, "b", false)
+			store.put(cwport.Targets, "c", false)
+		})
+		for !out.has("a") && !out.has("b") && !out.has("c") {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(out.has("a") && out.has("b") && out.has("c"), qt.IsTrue)
+		c.Assert(time.Since(back) < 5*time.Second, qt.IsTrue, qt.Commentf("the list is told after %v", time.Since(back)))
+	})
+}
