engine: callers who come before the first catalogue are not told that it lacks them

Cause, found by reading: an instance listens before it has read its catalogue, and answered every startup until then that there is no such database, which callers take as final. Change: a startup waits for the first catalogue for a second, and is then refused with the time to come back.

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -28,6 +28,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwlead"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -79,6 +80,8 @@
 	// held are the transactions that other instances have handed over.
 	held map[string]*held
 
+	// informed is closed with the first catalogue.
+	informed chan struct{}
 	listed   atomic.Bool
 	draining atomic.Bool
 	// isolated is true while this instance reaches no group's majority.
@@ -115,6 +118,7 @@
 		sessions: make(map[*session]struct{}),
 		demands:  make(map[string]cwholder.Demand),
 		held:     make(map[string]*held),
+		informed: make(chan struct{}),
 	}
 }
 
@@ -140,6 +144,9 @@
 		return
 	}
 	e.cfg.Log.Info("catalogueInForce", "revision", c.Revision, "before", e.revision, "entries", len(c.Entries))
+	if e.revision == 0 {
+		close(e.informed)
+	}
 	e.revision = c.Revision
 	e.entries = make(map[string]cwcatalogue.Entry, len(c.Entries))
 	for _, entry := range c.Entries {
@@ -250,6 +257,24 @@
 	return entry, g.Group, true
 }
 
+// admit answers whether a caller may use a database.
+//
+// The failure: an instance has just started, or the store is away, and callers
+// who come before its first catalogue are told that their database does not
+// exist; they take that as final. Nobody knows yet, so they wait for the
+// catalogue, and are sent away with the time to come back if there is none.
+func (e *Engine) admit(database string) cwstatement.Answer {
+	select {
+	case <-e.informed:
+	case <-e.cfg.Clock.After(catalogueWait):
+		return cwstatement.RetryLater(cwstatement.Aborted, "the instance has no catalogue yet", catalogueRetry)
+	}
+	if _, _, ok := e.entry(database); !ok {
+		return noDatabase(database)
+	}
+	return cwstatement.Answer{}
+}
+
 // groupName returns the group that serves what a caller names, for logs; empty if
 // there is none.
 func (e *Engine) groupName(database string) string {
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -19,6 +19,13 @@
 const (
 	// startupTimeout bounds the wait for a caller's first message.
 	startupTimeout = 5 * time.Second
+	// catalogueWait is how long a startup waits for the first catalogue. The
+	// store gives it within some hundredths of a second, or some tenths when
+	// it is slow; callers give up after two seconds.
+	catalogueWait = time.Second
+	// catalogueRetry is what callers are told who came too early: instances look
+	// for a store that is away twice a second.
+	catalogueRetry = 500 * time.Millisecond
 	// maxValues and maxPrepared bound a session's settings and prepared
 	// statements, so that one caller cannot use up the memory of all.
 	maxValues   = 256
@@ -98,9 +105,10 @@
 		return false
 	}
 	s.database = database
-	if _, _, ok := s.engine.entry(database); !ok {
+	if a := s.engine.admit(database); a.Code != cwstatement.OK {
+		s.engine.cfg.Log.Info("sessionRefused", "database", database, "code", a.Code, "why", a.Detail)
 		// The answer ends the session; whether it arrives changes nothing.
-		_ = s.caller.Refuse(noDatabase(database))
+		_ = s.caller.Refuse(a)
 		return false
 	}
 	return s.caller.Accept() == nil
