--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -58,7 +58,7 @@
 	return nil
 }
 
-// Forget takes that a member has started again: its fence is gone with all else.
+// Forget records that a member has started again: its fence is gone with all else.
 //
 // The failure: a majority is counted with a member that has started again since
 // it was fenced. It may lack what it reported, and follow the old primary. A
--- a/internal/core/cwfailover/repair.go
+++ b/internal/core/cwfailover/repair.go
@@ -34,7 +34,7 @@
 }
 
 // Stranded reports whether a member cannot follow the primary in its term: it
-// adopted a later one, for a change that came to nothing, or the same one for
+// adopted a later one, for a change that failed, or the same one for
 // the claim of another keeper. It can follow only in a later term yet.
 func Stranded(v cwgroup.View, now time.Time) bool {
 	p, ok := v.Primary()
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -137,7 +137,7 @@
 	s.vote(now)
 }
 
-// Forget takes that a member has started again and knows nothing of before. What
+// Forget records that a member has started again and knows nothing of before. What
 // it reported counts no more, nor does its fence in a change of primary.
 func (s *Supervisor) Forget(id cwgroup.MemberID, now time.Time) {
 	s.view = s.view.WithForgotten(id)
@@ -154,7 +154,7 @@
 // Suspects reports whether this proxy suspects the primary.
 func (s *Supervisor) Suspects() bool { return s.detector.Own().Suspect }
 
-// Unreachable takes that a fresh connection to the member failed; the result is
+// Unreachable records that a fresh connection to the member failed; the result is
 // that of Report.
 func (s *Supervisor) Unreachable(id cwgroup.MemberID, now time.Time) bool {
 	s.view = s.view.WithUnreachable(id)
--- a/internal/core/cwlimit/pace.go
+++ b/internal/core/cwlimit/pace.go
@@ -32,7 +32,7 @@
 // The load it answers: all proxies together send a target more than it executes
 // at once, and it queues them in order of arrival, so that each waits for all
 // others and most are late. With a pace the queue forms here instead, where
-// whoever has least time goes first and whoever cannot make it is told at once.
+// statements with least time go first and those that cannot make it are refused at once.
 //
 // It moves by additive increase and multiplicative decrease, on the average time
 // of a statement against the lowest average seen. The increase grows with the
--- a/internal/core/cwlimit/share.go
+++ b/internal/core/cwlimit/share.go
@@ -3,7 +3,7 @@
 // Four small parts, each without I/O: a Share says how many connections one
 // proxy may open to one target, such that the sum over all proxies stays within
 // the target's limit; a Gate admits statements, keeps a bounded queue and
-// refuses at once whoever cannot make its deadline; a Budget bounds retries; an
+// refuses at once what cannot make its deadline; a Budget bounds retries; an
 // Adaptive limit finds how many statements a target executes well at once.
 package cwlimit
 
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -126,7 +126,7 @@
 func (e *Engine) Ready() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return e.revision > 0 && e.listed.Load() && !e.draining.Load() && !e.isolated.Load() && !e.cfg.Path.InDoubt()
+	return e.revision > 0 && e.listed.Load() && !e.draining.Load() && !e.isolated.Load() && !e.cfg.Path.Suspected()
 }
 
 // Revision returns the revision that is in force.
@@ -289,7 +289,7 @@
 // Start lets the engine run under ctx. Call it once, before anything else.
 func (e *Engine) Start(ctx context.Context, eg *errgroup.Group) {
 	e.run, e.eg = ctx, eg
-	e.cfg.Path.Doubted = e.doubtPath
+	e.cfg.Path.OnSuspicion = e.suspectPath
 	eg.Go(func() error { return e.loopIsolation(ctx) })
 	eg.Go(func() error { return e.loopHeld(ctx) })
 }
--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -41,13 +41,13 @@
 //
 // The failure: a target, or the path to it, goes dark; nothing is refused, and
 // whoever waits learns it only when the statement's time is up. Writes stand
-// still for as long before the primary is even doubted. A target that is silent
+// still for as long before the primary is even suspected. A target that is silent
 // for suspectAfter is therefore tried by a fresh connection meanwhile; the
 // statement waits on.
 func (s *session) exchange(t *try, l *loan, w work) sent {
 	sent := s.engine.cfg.Clock.Now()
-	doubt := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.group.Silent(l.place.Member, sent) })
-	defer doubt.Stop()
+	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.group.RecordOverdue(l.place.Member, sent) })
+	defer overdue.Stop()
 	r := s.send(l.conn, w, t.limits)
 	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
 		l.endTurn(r)
--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -17,9 +17,9 @@
 	// that an instance is not ready until it sends callers elsewhere. Whoever is
 	// sent away earlier comes back here.
 	missedToLeave = 2
-	// askedInDoubt is how many groups are asked to end a doubt where none is
-	// looked after: more than one, since one can be lost as a whole.
-	askedInDoubt = 3
+	// askedInSuspicion is how many groups are asked to end a suspicion where none is
+	// watched: more than one, since one can be lost as a whole.
+	askedInSuspicion = 3
 	// moveAfter is how long after it looked cut off callers that rest are sent
 	// away where no probes come: time for two of them, a second apart.
 	moveAfter = 2400 * time.Millisecond
@@ -43,7 +43,7 @@
 			return nil
 		}
 		now := e.cfg.Clock.Now()
-		if e.cfg.Path.InDoubt() {
+		if e.cfg.Path.Suspected() {
 			// Until something answers, also after the last caller has gone.
 			e.suspectAway()
 		}
@@ -123,16 +123,16 @@
 	return ready
 }
 
-// doubtPath takes that nothing comes from other data centres any more.
-func (e *Engine) doubtPath() {
-	e.cfg.Log.Warn("pathInDoubt", "sessions", e.Sessions())
+// suspectPath records that nothing comes from other data centres any more.
+func (e *Engine) suspectPath() {
+	e.cfg.Log.Warn("pathSuspected", "sessions", e.Sessions())
 	e.suspectAway()
 }
 
-// suspectAway has all groups that this instance looks after ask their members in
-// other data centres for a sign of life, those apart that are being asked. Where
-// it looks after none any more, some are asked all the same: any answer ends the
-// doubt, and without one it would never end.
+// suspectAway has all groups that this instance watches probe their
+// members in other data centres, but for probes that are under way. Where
+// it watches none any more, some are asked all the same: any answer ends the
+// suspicion, and without one it would never end.
 func (e *Engine) suspectAway() {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
@@ -145,7 +145,7 @@
 	}
 	n := 0
 	for _, g := range e.groups {
-		if n++; n > askedInDoubt {
+		if n++; n > askedInSuspicion {
 			return
 		}
 		g.KeepWatching()
--- a/internal/proxy/cwengine/promise_test.go
+++ b/internal/proxy/cwengine/promise_test.go
@@ -139,8 +139,8 @@
 
 // The primary goes dark: nothing is refused, nothing answered. Writes stood
 // still for the whole time limit of the first statement before the primary was
-// even doubted. With a limit of 60 s they would for a minute.
-func TestDarkPrimaryIsDoubtedEarly(t *testing.T) {
+// even suspected. With a limit of 60 s they would for a minute.
+func TestDarkPrimaryIsSuspectedEarly(t *testing.T) {
 	w := newWorld(t, cwcatalogue.ReadNewest)
 	w.entry.Contract.StatementTimeout = time.Minute
 	e := w.engine("x")
@@ -169,7 +169,7 @@
 	return w, s
 }
 
-// An attempt to replace a lost primary comes to nothing. The next one numbered
+// An attempt to replace a lost primary fails. The next one numbered
 // its claim one higher and fenced the replicas for that number; the new primary
 // led the term before it, the third member waited on for a later one, and no
 // write was acknowledged for ten seconds.
@@ -215,7 +215,7 @@
 		w.group.SetDark(memberID(id), true, w.clock)
 	}
 	go s.offer(cwstatement.Write, "WRITE i 2")
-	w.eventually("the path is in doubt", e.cfg.Path.InDoubt)
+	w.eventually("the path is suspected", e.cfg.Path.Suspected)
 	w.c.Assert(e.Probe(), qt.IsFalse)
 	w.c.Assert(e.Probe(), qt.IsFalse)
 	w.eventually("resting callers are sent away", func() bool {
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -247,7 +247,7 @@
 }
 
 // borrow finds where a statement runs, waits for its turn and borrows a
-// connection there. The turn comes first: whoever waits holds no connection. If
+// connection there. The turn comes first: a statement that waits holds no connection. If
 // there is none, the loan is nil and the answer says so; nothing has run.
 func (t *try) borrow(n need) (*loan, cwstatement.Answer) {
 	for {
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -197,7 +197,7 @@
 			continue
 		}
 		if g, ok := in.engine.Group(service); ok {
-			g.NoteRow(row)
+			g.SetRow(row)
 		}
 	}
 }
--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -44,7 +44,7 @@
 	return errors.As(err, &refused) && refused.Code == cwstatement.TooManyConnections
 }
 
-// Suspect asks a member for a sign of life on a fresh connection, after one of
+// Suspect probes a member on a fresh connection, after one of
 // the older ones went silent. Idle connections older than a fresh one that
 // works are closed.
 func (g *Group) Suspect(id cwgroup.MemberID) {
@@ -133,7 +133,7 @@
 	}
 	var refused *cwport.RefusedError
 	if g.away(&m) && !errors.As(err, &refused) {
-		g.cfg.Path.Silent(sent)
+		g.cfg.Path.RecordOverdue(sent)
 	}
 	g.cfg.Log.Debug("noHealth", "group", g.cfg.Service, "target", m.ID, "cause", err)
 	var unreachable *cwtargets.UnreachableError
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -133,7 +133,7 @@
 	rowSeen time.Time
 	// rowTerm is the newest known term when the row came, or the one before if
 	// the row's primary led by then. Claims are numbered on their own: attempts
-	// that came to nothing count there and not in the members' terms.
+	// that failed count there and not in the members' terms.
 	rowTerm cwgroup.Term
 	// synchronous is true if a primary itself waits for a replica.
 	synchronous bool
@@ -150,7 +150,7 @@
 	unservedAt time.Time
 	// hurry has an element if the next tick is to come at once.
 	hurry chan struct{}
-	// silentSince is since when the primary has been asked for a sign of life in
+	// silentSince is since when the primary has been probed in
 	// vain; zero if it has not.
 	silentSince time.Time
 	// cutOff is true while most members cannot be reached from here.
@@ -201,7 +201,7 @@
 	g.notify()
 }
 
-// notify wakes whoever waits for a change. The caller holds mu.
+// notify wakes those that wait for a change. The caller holds mu.
 func (g *Group) notify() {
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -26,8 +26,8 @@
 	busyPause = 15 * time.Millisecond
 )
 
-// NoteRow takes the group's row as it stands in the table.
-func (g *Group) NoteRow(row cwfailover.Row) {
+// SetRow takes the group's row as it stands in the table.
+func (g *Group) SetRow(row cwfailover.Row) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.noteRow(row)
@@ -88,7 +88,7 @@
 	return calmTick
 }
 
-// unsettled reports whether the primary is doubtful or about to change. The
+// unsettled reports whether the primary is suspected or about to change. The
 // caller holds mu.
 func (g *Group) unsettled(now time.Time) bool {
 	p, ok := g.sup.View().Primary()
@@ -308,7 +308,7 @@
 // nextTerm returns the term that a change of primary leads to, where a member's
 // log is in a term.
 //
-// The failure: an attempt to replace a primary comes to nothing, the next claim
+// The failure: an attempt to replace a primary fails, the next claim
 // has a higher number than the term that follows, and replicas are fenced for
 // it: once the new primary leads they still wait for a later term and receive
 // nothing, so that it can acknowledge and confirm nothing. Members are therefore
--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -29,7 +29,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if member, ok := g.members[id]; ok && g.away(member) {
-		g.cfg.Path.Heard(g.cfg.Clock.Now())
+		g.cfg.Path.RecordAnswer(g.cfg.Clock.Now())
 	}
 	rep, known := g.sup.View().Report(id)
 	if led {
@@ -61,7 +61,7 @@
 	g.lag.Replica(rep.Member, m, g.cfg.Clock.Now())
 }
 
-// sawLog takes that a member's log holds the record at m. The caller holds mu.
+// sawLog records that a member's log holds the record at m. The caller holds mu.
 //
 // What the traffic shows saves most questions: a member that has a record of
 // the present term followed its primary after the record was committed, so it
@@ -83,7 +83,7 @@
 	}
 }
 
-// NotPrimary takes that a member refused to lead a transaction that was sent
+// NotPrimary records that a member refused to lead a transaction that was sent
 // at asked.
 func (g *Group) NotPrimary(id cwgroup.MemberID, asked time.Time) {
 	g.mu.Lock()
@@ -136,9 +136,9 @@
 	now := g.cfg.Clock.Now()
 	delete(g.lost, r.Member)
 	if m, ok := g.members[r.Member]; ok && g.away(m) {
-		g.cfg.Path.Heard(now)
+		g.cfg.Path.RecordAnswer(now)
 	}
-	r, ok := g.doubt(r)
+	r, ok := g.afterRestart(r)
 	if !ok {
 		return
 	}
--- a/internal/proxy/cwlead/path.go
+++ b/internal/proxy/cwlead/path.go
@@ -6,7 +6,7 @@
 )
 
 // Path is what an instance knows of its ways to the targets of other data
-// centres, whatever group they belong to. The zero Path has no doubts.
+// centres, whatever group they belong to. The zero Path suspects nothing.
 //
 // The failure: a data centre is cut off. Each group finds that out by itself,
 // once a statement of its own has waited for each of its members in turn, and
@@ -14,60 +14,60 @@
 // meanwhile. That nothing comes from anywhere, though something was asked, is
 // one fact about the instance.
 type Path struct {
-	// Doubted is called, without any lock held, when doubt begins.
-	Doubted func()
+	// OnSuspicion is called, without any lock held, when suspicion begins.
+	OnSuspicion func()
 
 	mu sync.Mutex
 	// heard is when a target of another data centre last answered.
 	heard time.Time
-	// doubted is true while a statement has waited for suspectAfter and nothing
+	// suspected is true while a statement has waited for suspectAfter and nothing
 	// has come from any of these targets since it was sent.
-	doubted bool
+	suspected bool
 }
 
-// Heard takes that a target of another data centre has answered.
-func (p *Path) Heard(now time.Time) {
+// RecordAnswer records that a target of another data centre has answered.
+func (p *Path) RecordAnswer(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heard, p.doubted = now, false
+	p.heard, p.suspected = now, false
 }
 
-// Silent takes that a statement to a target of another data centre, which was
+// RecordOverdue records that a statement to a target of another data centre, which was
 // sent at a given time, has had no answer for long.
-func (p *Path) Silent(sent time.Time) {
+func (p *Path) RecordOverdue(sent time.Time) {
 	p.mu.Lock()
-	begins := !p.doubted && p.heard.Before(sent)
-	p.doubted = p.doubted || begins
-	doubted := p.Doubted
+	begins := !p.suspected && p.heard.Before(sent)
+	p.suspected = p.suspected || begins
+	suspected := p.OnSuspicion
 	p.mu.Unlock()
-	if begins && doubted != nil {
-		doubted()
+	if begins && suspected != nil {
+		suspected()
 	}
 }
 
-// InDoubt reports whether nothing has come from other data centres since
+// Suspected reports whether nothing has come from other data centres since
 // something was asked there.
-func (p *Path) InDoubt() bool {
+func (p *Path) Suspected() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.doubted
+	return p.suspected
 }
 
 // away reports whether a member is in another data centre.
 func (g *Group) away(m *Member) bool { return m.DataCentre != g.cfg.DataCentre }
 
-// Silent takes that a statement that was sent to a member at a given time has
-// had no answer for long, and asks the member for a sign of life.
-func (g *Group) Silent(m Member, sent time.Time) {
+// RecordOverdue records that a statement that was sent to a member at a given time has
+// had no answer for long, and probes the member.
+func (g *Group) RecordOverdue(m Member, sent time.Time) {
 	if g.away(&m) {
-		g.cfg.Path.Silent(sent)
+		g.cfg.Path.RecordOverdue(sent)
 	}
-	g.doubtPrimary(m.ID, sent)
+	g.suspectPrimary(m.ID, sent)
 	g.Suspect(m.ID)
 }
 
-// SuspectAway asks the members in other data centres for a sign of life, if this
-// proxy looks after the group. It reports whether there were any.
+// SuspectAway probes the members in other data centres, if this
+// proxy watches the group. It reports whether there were any.
 func (g *Group) SuspectAway() bool {
 	g.mu.Lock()
 	var ask []Member
--- a/internal/proxy/cwlead/reach.go
+++ b/internal/proxy/cwlead/reach.go
@@ -23,7 +23,7 @@
 // CutOff reports whether most members cannot be reached from here.
 func (g *Group) CutOff() bool { return g.cutOff.Load() }
 
-// NoteUnserved takes that holders that are cut off sent a statement elsewhere,
+// NoteUnserved records that holders that are cut off sent a statement elsewhere,
 // and that it could not be served here either.
 //
 // The failure: a data centre is cut off by losing packets. Its holders know it
@@ -160,7 +160,7 @@
 	}
 }
 
-// watched reports whether this proxy looks after the group. The caller holds mu.
+// watched reports whether this proxy watches the group. The caller holds mu.
 func (g *Group) watched(now time.Time) bool {
 	return !g.unheld || g.used(now) || g.sup.Keeping()
 }
--- a/internal/proxy/cwlead/restart.go
+++ b/internal/proxy/cwlead/restart.go
@@ -48,7 +48,7 @@
 	return fmt.Sprintf("%s has restarted and has the log to %s only, of %s", e.Member, e.Has, e.Owed)
 }
 
-// restarted takes that a member has started again under its id. The caller holds
+// restarted records that a member has started again under its id. The caller holds
 // mu.
 //
 // The failure: a replica is fenced, starts again, has forgotten its fence and
@@ -97,9 +97,9 @@
 	return lost
 }
 
-// doubt returns a report as far as it counts after the member's restart; false
+// afterRestart returns a report as far as it counts after the member's restart; false
 // if it does not. The caller holds mu.
-func (g *Group) doubt(r cwgroup.Report) (cwgroup.Report, bool) {
+func (g *Group) afterRestart(r cwgroup.Report) (cwgroup.Report, bool) {
 	rs, ok := g.restarts[r.Member]
 	if !ok {
 		return r, true
--- a/internal/proxy/cwlead/doubt.go
+++ b/internal/proxy/cwlead/suspect.go
@@ -6,13 +6,13 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 )
 
-// doubtPrimary takes that the primary has not answered a statement for long, and
+// suspectPrimary records that the primary has not answered a statement for long, and
 // asks the replicas whether they still hear it.
 //
 // The failure: a primary is lost, and the question whether its replicas hear it
 // is asked only once a fresh connection has failed, too: writes stand still for
 // 0.3 s longer.
-func (g *Group) doubtPrimary(id cwgroup.MemberID, sent time.Time) {
+func (g *Group) suspectPrimary(id cwgroup.MemberID, sent time.Time) {
 	g.mu.Lock()
 	p, ok := g.sup.View().Primary()
 	if !ok || p.Member != id || p.At.After(sent) {
--- a/internal/proxy/cwlead/doubt_test.go
+++ b/internal/proxy/cwlead/suspect_test.go
@@ -15,7 +15,7 @@
 // replicas are asked whether they still hear it only once a fresh connection has
 // failed, too, and only then does the time begin that they must not have heard it
 // for. It begins with the first statement that waited for too long.
-func TestReplicasAreAskedWithTheFirstDoubt(t *testing.T) {
+func TestReplicasAreAskedWithTheFirstSuspicion(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
 		received cwgroup.Position
@@ -26,7 +26,7 @@
 			b.tell("a", cwgroup.RolePrimary, 1, 100)
 			b.tell("c", cwgroup.RoleReplica, 1, 100)
 			b.clock.Advance(time.Second)
-			b.doubtPrimary("a", b.clock.Now())
+			b.suspectPrimary("a", b.clock.Now())
 			b.clock.Advance(cwfailover.StreamLost + time.Millisecond)
 			b.tell("c", cwgroup.RoleReplica, 1, tc.received)
 			qt.Assert(t, b.upstreamLost("c"), qt.Equals, tc.lost)
@@ -34,14 +34,14 @@
 	}
 }
 
-// The primary was only slow. Its answer ends the doubt, and the replicas have
+// The primary was only slow. Its answer ends the suspicion, and the replicas have
 // nothing to make up for.
-func TestAnswerOfThePrimaryEndsTheDoubt(t *testing.T) {
+func TestAnswerOfThePrimaryEndsTheSuspicion(t *testing.T) {
 	b := newTestGroup(t)
 	b.tell("a", cwgroup.RolePrimary, 1, 100)
 	b.tell("c", cwgroup.RoleReplica, 1, 100)
 	b.clock.Advance(time.Second)
-	b.doubtPrimary("a", b.clock.Now())
+	b.suspectPrimary("a", b.clock.Now())
 	b.clock.Advance(time.Millisecond)
 	b.tell("a", cwgroup.RolePrimary, 1, 100)
 	b.clock.Advance(time.Second)
--- a/internal/proxy/cwlog/writer.go
+++ b/internal/proxy/cwlog/writer.go
@@ -1,6 +1,6 @@
 // Package cwlog carries log lines to an output that may be slow or stopped.
 //
-// A Writer never blocks whoever logs. Lines wait in a bounded buffer; what does
+// A Writer never blocks its callers. Lines wait in a bounded buffer; what does
 // not fit, or exceeds the budget of its kind, is left out and counted, and a
 // line says so. Failures and changes of what the process believes have a budget
 // of their own each, so that many lines of one kind cannot crowd out another.
--- a/internal/proxy/cwtargets/dial.go
+++ b/internal/proxy/cwtargets/dial.go
@@ -22,7 +22,7 @@
 	}
 }
 
-// runDial opens one connection and gives it to whoever waits.
+// runDial opens one connection and gives it to the next that waits.
 func (p *Pool) runDial() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -45,7 +45,7 @@
 	p.mu.Unlock()
 }
 
-// dialFailed takes that one connection could not be opened. The caller holds
+// dialFailed records that one connection could not be opened. The caller holds
 // mu.
 func (p *Pool) dialFailed(err error, now time.Time) {
 	p.open--
@@ -58,7 +58,7 @@
 			return
 		}
 	}
-	// Whoever waits may go elsewhere; those whom an open connection can still
+	// Statements that wait may go elsewhere; those that an open connection can still
 	// serve stay.
 	keep := 0
 	if p.open > 0 {
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -4,8 +4,8 @@
 // bounded number of connections from all proxies together, and no proxy knows
 // how many the others hold; so a pool opens one only when somebody waits, takes
 // a refusal by the target as the sign that its share is used up, and closes
-// what rests. Whoever waits is served in the order of their deadlines, and
-// whoever cannot be served in time is refused at once.
+// what rests. Those that wait are served in the order of their deadlines, and
+// what cannot be served in time is refused at once.
 package cwtargets
 
 import (
@@ -182,14 +182,14 @@
 	p.gate.SetLimit(p.pace.Limit(), p.clock.Now())
 }
 
-// Load describes a pool to whoever places statements.
+// Load describes a pool for placing statements.
 type Load struct {
 	// Busy is the number of statements in progress, Waiting how many wait for
 	// their turn or a connection, Open the number of connections.
 	Busy, Waiting, Open int
 	// Latency is how long the target took for a statement lately.
 	Latency time.Duration
-	// Expect is how long whoever comes now would wait.
+	// Expect is how long a statement that comes now would wait.
 	Expect time.Duration
 }
 
--- a/internal/proxy/cwtargets/pool_test.go
+++ b/internal/proxy/cwtargets/pool_test.go
@@ -79,8 +79,8 @@
 	qt.Assert(t, p.Load().Open, qt.Equals, 0)
 }
 
-// Whoever cannot be served in time is refused at once, with when to come back.
-func TestWhoeverCannotMakeItIsRefusedAtOnce(t *testing.T) {
+// A statement that cannot be served in time is refused at once, with when to come back.
+func TestLateStatementsAreRefusedAtOnce(t *testing.T) {
 	p, _, _, clock := newPool(t)
 	p.SetCeiling(1)
 	c, err := acquire(p, clock)
--- a/internal/proxy/cwwatch/group.go
+++ b/internal/proxy/cwwatch/group.go
@@ -227,7 +227,7 @@
 	g.cfg.Pools.Cull(id)
 }
 
-// notify wakes whoever waits for a change. The caller holds mu.
+// notify wakes those that wait for a change. The caller holds mu.
 func (g *Group) notify() {
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/internal/standin/cwdatabase/member.go
+++ b/internal/standin/cwdatabase/member.go
@@ -122,7 +122,7 @@
 	return m, nil
 }
 
-// notify wakes whoever waits for a change. The caller holds mu.
+// notify wakes those that wait for a change. The caller holds mu.
 func (m *Member) notify() {
 	close(m.changed)
 	m.changed = make(chan struct{})
--- a/internal/tool/cwcommand/catalogue.go
+++ b/internal/tool/cwcommand/catalogue.go
@@ -43,7 +43,7 @@
 	return checkSettings(cmd, func(s *settings) {
 		s.url("platform")
 		if changes {
-			s.notEmpty("who", "the name of whoever makes this change")
+			s.notEmpty("who", "the name of the person who makes this change")
 		}
 	})
 }
