members, directory: who belongs to a group is remembered in the table

Change: the first holder of a group writes the members that it counts when they change; an instance that starts counts those until the store has said for 2.5 s that they are not back. Ruled out: waiting 2.5 s at every start.

--- a/internal/proxy/cwdirectory/ask.go
+++ b/internal/proxy/cwdirectory/ask.go
@@ -57,6 +57,9 @@
 			lapsed = false
 			continue
 		}
+		if t == cwport.Targets && !d.awaitRemembered(ctx) {
+			return nil
+		}
 		d.take(t, b, fresh, confirmed)
 		fresh = false
 		if b.Changed() {
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -98,6 +98,11 @@
 	Decoder cwport.Decoder
 	Stale   Stale
 
+	// Remembered returns the targets that counted before this instance started;
+	// nil if nobody remembers any. It is asked once the product's own rows are
+	// known.
+	Remembered func() []cwport.Listing
+
 	// Counts may be its zero value; then nothing is counted.
 	Counts Counts
 
@@ -124,6 +129,8 @@
 	// went.
 	known    map[cwgroup.MemberID]cwport.Listing
 	vanished map[cwgroup.MemberID]time.Time
+	// recalled are the vanished targets whose entries this instance never saw.
+	recalled map[cwgroup.MemberID]bool
 	// unreadable are the rows that are logged as such already.
 	unreadable map[rowName]bool
 }
@@ -183,6 +190,7 @@
 	}
 	d.known = make(map[cwgroup.MemberID]cwport.Listing)
 	d.vanished = make(map[cwgroup.MemberID]time.Time)
+	d.recalled = make(map[cwgroup.MemberID]bool)
 	d.unreadable = make(map[rowName]bool)
 	d.turned, d.renewed = make(chan struct{}), make(chan struct{})
 }
@@ -239,7 +247,7 @@
 		s.confirmed = confirmed
 		d.noteBack(t)
 	}
-	if t == cwport.Desired || b.Changed() {
+	if t == cwport.Desired || whole || b.Changed() {
 		close(d.renewed)
 		d.renewed = make(chan struct{})
 	}
--- a/internal/proxy/cwdirectory/fleet_test.go
+++ b/internal/proxy/cwdirectory/fleet_test.go
@@ -418,3 +418,48 @@
 		c.Assert(time.Since(back) < 5*time.Second, qt.IsTrue, qt.Commentf("the list is told after %v", time.Since(back)))
 	})
 }
+
+// All instances are killed within a second or two of the store's return, which
+// none of them sees when it starts again. The entries of two of a group's members
+// are not back yet. The third, which had led until it was replaced behind a cut,
+// was taken for the whole group and led on.
+func TestMembersAreRememberedAcrossAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newTable()
+		store.put(cwport.Targets, "a", false)
+		store.put(cwport.Own, "members/s", false)
+		out := &sink{present: map[cwgroup.MemberID]bool{}}
+		ownRead := false
+		d := &Directory{
+			Waits: fleetWaits, GoneAfter: 8 * time.Second, Source: askedBy{store, "front-1"}, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard),
+			Sink: rowsSink{out, func() { ownRead = true }},
+			Remembered: func() []cwport.Listing {
+				c.Check(ownRead, qt.IsTrue, qt.Commentf("asked before the rows are known"))
+				return []cwport.Listing{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- d.Run(ctx) }()
+		defer func() {
+			cancel()
+			c.Check(<-done, qt.IsNil)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(out.has("a") && out.has("b") && out.has("c"), qt.IsTrue)
+		time.Sleep(1400 * time.Millisecond)
+		store.put(cwport.Targets, "b", false)
+		time.Sleep(7 * time.Second)
+		c.Assert(out.has("b"), qt.IsTrue)
+		c.Assert(out.has("c"), qt.IsFalse, qt.Commentf("its entry did not come back"))
+	})
+}
+
+// rowsSink is a sink that is told of rows.
+type rowsSink struct {
+	*sink
+	rows func()
+}
+
+func (s rowsSink) Rows([]cwport.Row, bool) { s.rows() }
--- a/internal/proxy/cwdirectory/gone.go
+++ b/internal/proxy/cwdirectory/gone.go
@@ -20,6 +20,7 @@
 	for _, l := range b.Listed {
 		d.known[l.ID] = l
 		delete(d.vanished, l.ID)
+		delete(d.recalled, l.ID)
 		d.Log.Info("targetListed", "target", l.ID, "service", l.Service, "address", l.Address, "dataCentre", l.DataCentre, "leaving", l.Leaving, "role", l.Role)
 	}
 	for _, id := range removed {
@@ -29,7 +30,7 @@
 		}
 	}
 	if first {
-		d.Sink.SetListings(b.Listed)
+		d.Sink.SetListings(append(b.Listed, d.recall(now)...))
 		return
 	}
 	if len(b.Listed) > 0 {
@@ -37,6 +38,63 @@
 	}
 }
 
+// awaitRemembered waits until the product's own rows are known, which tell what
+// Remembered returns. It returns false once ctx has ended.
+func (d *Directory) awaitRemembered(ctx context.Context) bool {
+	for d.Remembered != nil && !d.read(cwport.Own) {
+		d.mu.Lock()
+		renewed := d.renewed
+		d.mu.Unlock()
+		if d.read(cwport.Own) {
+			break
+		}
+		select {
+		case <-renewed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// recall returns the remembered targets that the first list lacks. They count
+// until it is sure that their entries stay away. The caller holds mu.
+//
+// The failure: an instance starts within seconds of an outage of the store, or
+// while a target is away. It has never seen the entries that lapsed, and takes
+// what is listed for whole groups: two of three members confirm and promote by
+// themselves, and what the third acknowledged with one of them is lost.
+func (d *Directory) recall(now time.Time) []cwport.Listing {
+	if d.Remembered == nil {
+		return nil
+	}
+	var out []cwport.Listing
+	for _, l := range d.Remembered() {
+		if _, ok := d.known[l.ID]; ok {
+			continue
+		}
+		d.Log.Info("targetRemembered", "target", l.ID, "service", l.Service, "address", l.Address)
+		d.known[l.ID], d.vanished[l.ID], d.recalled[l.ID] = l, now, true
+		out = append(out, l)
+	}
+	return out
+}
+
+// Counted returns the targets that count, by service; nil while the store does
+// not tell of them.
+func (d *Directory) Counted() map[string][]cwport.Listing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away || !d.topics[cwport.Targets].read {
+		return nil
+	}
+	out := make(map[string][]cwport.Listing)
+	for _, l := range d.known {
+		out[l.Service] = append(out[l.Service], l)
+	}
+	return out
+}
+
 // missing returns the known targets that a snapshot does not have. The caller
 // holds mu.
 func (d *Directory) missing(listed []cwport.Listing) []cwgroup.MemberID {
@@ -92,12 +150,13 @@
 	now := d.Clock.Now()
 	var gone []cwgroup.MemberID
 	for id, at := range d.vanished {
-		if !d.staysAway(at, now) {
+		if !d.staysAway(id, at, now) {
 			continue
 		}
 		d.Log.Info("targetGone", "target", id)
 		gone = append(gone, id)
 		delete(d.vanished, id)
+		delete(d.recalled, id)
 		delete(d.known, id)
 	}
 	if len(gone) > 0 {
@@ -111,8 +170,13 @@
 // The failure: the store falls silent right after it told that entries lapsed.
 // No question to it has failed yet when the time is up, and living targets count
 // as gone. So the store must have said, late enough, that they are not back.
-func (d *Directory) staysAway(vanished, now time.Time) bool {
-	if d.away || now.Sub(vanished) < max(d.GoneAfter, MinGoneAfter) {
+func (d *Directory) staysAway(id cwgroup.MemberID, vanished, now time.Time) bool {
+	after := max(d.GoneAfter, MinGoneAfter)
+	if d.recalled[id] {
+		// Its entry went before this instance started.
+		after = MinGoneAfter
+	}
+	if d.away || now.Sub(vanished) < after {
 		return false
 	}
 	return d.topics[cwport.Targets].confirmed.Sub(vanished) >= MinGoneAfter
--- a/internal/proxy/cwengine/held.go
+++ b/internal/proxy/cwengine/held.go
@@ -221,6 +221,19 @@
 	e.cfg.Holders.Connect(name, d)
 }
 
+// Place returns this instance's place among the holders of a group, 0 where every
+// instance holds it; false if it is none of them.
+func (e *Engine) Place(group string) (int, bool) {
+	e.mu.RLock()
+	d, ok := e.demands[group]
+	e.mu.RUnlock()
+	if !ok || e.cfg.Holders == nil {
+		return 0, ok
+	}
+	place, held := e.cfg.Holders.Holds(group, d)
+	return place, held
+}
+
 // Rehold tells the groups anew whether this instance holds them.
 func (e *Engine) Rehold() {
 	e.mu.RLock()
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -22,6 +22,7 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwdirectory"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwengine"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwlead"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmembers"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpeers"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwhandover"
@@ -70,6 +71,7 @@
 	cfg     Config
 	engine  *cwengine.Engine
 	peers   *cwpeers.Peers
+	members *cwmembers.Record
 	path    *cwlead.Path
 	metrics *cwengine.Metrics
 }
@@ -82,6 +84,7 @@
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log,
 	}
 	in.peers.Changed = in.rehold
+	in.members = &cwmembers.Record{Table: cfg.Table, Clock: cfg.Clock, Log: cfg.Log, Place: in.place}
 	in.engine = cwengine.New(cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
 		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers, Path: in.path,
@@ -89,6 +92,9 @@
 	return in
 }
 
+// place returns this instance's place among the holders of a service's group.
+func (in *Instance) place(service string) (int, bool) { return in.engine.Place(service) }
+
 func (in *Instance) rehold() { in.engine.Rehold() }
 
 func dialPeer(ctx context.Context, name, address string) (cwpeers.Conn, error) {
@@ -128,9 +134,12 @@
 	dir := &cwdirectory.Directory{
 		Waits: in.cfg.Waits, GoneAfter: in.cfg.GoneAfter, Source: in.cfg.Source, Sink: in, Clock: in.cfg.Clock, Log: in.cfg.Log,
 		Feeders: in.peers, Decoder: in.cfg.Decoder, Stale: in.cfg.Stale,
-		Counts: cwdirectory.Counts{StoreQuestions: in.metrics.StoreQuestions, FeederAnswers: in.metrics.FeederAnswers, Told: in.metrics.NewsTold},
+		Remembered: in.members.Remembered,
+		Counts:     cwdirectory.Counts{StoreQuestions: in.metrics.StoreQuestions, FeederAnswers: in.metrics.FeederAnswers, Told: in.metrics.NewsTold},
 	}
+	in.members.Counted = dir.Counted
 	eg.Go(func() error { return dir.Run(run) })
+	eg.Go(func() error { return in.members.Run(run) })
 	eg.Go(func() error { return in.peers.Run(run) })
 	eg.Go(func() error { return (&cwhandover.Server{Handler: in.engine, News: dir}).Run(run, others) })
 	eg.Go(func() error { return in.engine.Serve(callers, in.cfg.Codec) })
@@ -186,6 +195,7 @@
 // Rows implements cwdirectory.Sink.
 func (in *Instance) Rows(rows []cwport.Row, whole bool) {
 	in.peers.Rows(rows, whole)
+	in.members.Rows(rows, whole)
 	for _, r := range rows {
 		service, ok := cwclaim.Service(r.Key)
 		if !ok || r.Removed {
