platform, pack, directory: a desired state of megabytes

The desired state is one row that grows with the fleet: reading it made five copies, and a root made sixteen messages with all of it at once. Change: values are decoded where they stand in the answer, rows above 16 KB are compressed once for all that ask. Found on the way: answers of the store were cut at 4 MB, so a desired state above 3 MB was never in force.

--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -106,6 +106,8 @@
 	// Counts may be its zero value; then nothing is counted.
 	Counts Counts
 
+	packs packs
+
 	// taking is held while a batch is taken, so that an older one never comes
 	// after a newer one. It is locked before mu.
 	taking sync.Mutex
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -190,6 +190,9 @@
 	// Garbled is true if the store's text of the value cannot be read; the value
 	// is empty then.
 	Garbled bool
+	// Packed is the value compressed for another instance, in place of Value;
+	// empty for small ones and outside messages.
+	Packed []byte
 }
 
 // Tag returns the row's tag for a condition of a change; empty if the row is not
--- a/internal/wire/cwhandover/handover_test.go
+++ b/internal/wire/cwhandover/handover_test.go
@@ -1,6 +1,7 @@
 package cwhandover
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/wire/cwpack"
 )
 
 func example() cwport.Handover {
@@ -88,7 +90,18 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, got, qt.DeepEquals, exampleNews())
 	})
+	t.Run("a packed row", func(t *testing.T) {
+		value := bytes.Repeat([]byte("route "), 10_000)
+		packed, err := cwpack.Pack(value)
+		qt.Assert(t, err, qt.IsNil)
+		n := exampleNews()
+		n.Topics[cwport.Desired].Rows = []cwport.Row{{Key: "config", Version: 7, Packed: packed}}
+		got, err := bodyOfNews(n).news()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.Topics[cwport.Desired].Rows, qt.DeepEquals, []cwport.Row{{Key: "config", Version: 7, Value: value}})
+	})
 	for _, tc := range []struct{ name, text string }{
+		{"a packed row that is none", `{"topics":[{"version":1,"rows":[{"key":"k","version":1,"packed":"AAAA"}]},{"version":1},{"version":1}]}`},
 		{"an age that would make old news young", `{"topics":[{"version":1,"ageUs":-5},{"version":1,"ageUs":0},{"version":1,"ageUs":0}]}`},
 		{"a hold that would, too", `{"topics":[{"version":1},{"version":1},{"version":1}],"heldUs":-1}`},
 		{"a topic too few", `{"topics":[{"version":1},{"version":1}]}`},
--- a/internal/wire/cwhandover/news.go
+++ b/internal/wire/cwhandover/news.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/wire/cwpack"
 )
 
 type askBody struct {
@@ -32,6 +33,7 @@
 	Version uint64 `json:"version"`
 	Removed bool   `json:"removed,omitempty"`
 	Garbled bool   `json:"garbled,omitempty"`
+	Packed  []byte `json:"packed,omitempty"`
 }
 
 func bodyOfQuestion(q cwport.NewsQuestion) askBody {
@@ -75,9 +77,26 @@
 		}
 		t := cwport.TopicNews{Version: tb.Version, Whole: tb.Whole, Age: micros(tb.AgeUS)}
 		for _, r := range tb.Rows {
-			t.Rows = append(t.Rows, cwport.Row(r))
+			row, err := r.row()
+			if err != nil {
+				return cwport.News{}, err
+			}
+			t.Rows = append(t.Rows, row)
 		}
 		n.Topics[i] = t
 	}
 	return n, nil
 }
+
+func (b rowBody) row() (cwport.Row, error) {
+	r := cwport.Row(b)
+	if len(r.Packed) == 0 {
+		return r, nil
+	}
+	value, err := cwpack.Unpack(r.Packed)
+	if err != nil {
+		return cwport.Row{}, &UnreadableError{What: "packed row " + r.Key + ": " + err.Error()}
+	}
+	r.Value, r.Packed = value, nil
+	return r, nil
+}
