--- a/internal/proxy/cwdirectory/fleet_test.go
+++ b/internal/proxy/cwdirectory/fleet_test.go
@@ -289,6 +289,47 @@
 	})
 }
 
+// All instances start at once. Each was two seconds without a feeder, since the
+// first question was held like any other while nothing changed.
+func TestFeederIsKnownAtOnce(t *testing.T) {
+	run(t, fleetSize, func(c *qt.C, fl *fleet) {
+		restarted := fl.names[0]
+		for _, name := range fl.names {
+			if _, root := (member{fl, name}).Feeder(); !root {
+				restarted = name
+			}
+		}
+		for range 5 {
+			d := &Directory{
+				Waits: fleetWaits, Stale: fleetStale, Source: askedBy{fl.store, restarted}, Decoder: decoder{},
+				Sink:    &sink{present: map[cwgroup.MemberID]bool{}},
+				Feeders: placedLater{member{fl, restarted}, time.Now().Add(50 * time.Millisecond)}, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard),
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error)
+			go func() { done <- d.Run(ctx) }()
+			time.Sleep(300 * time.Millisecond)
+			c.Check(d.newsSource(), qt.Equals, fromFeeder)
+			cancel()
+			c.Assert(<-done, qt.IsNil)
+		}
+	})
+}
+
+// placedLater is an instance that has no place in the tree before it has read the
+// list of instances.
+type placedLater struct {
+	member
+	from time.Time
+}
+
+func (p placedLater) Feeder() (cwport.Feeder, bool) {
+	if time.Now().Before(p.from) {
+		return nil, false
+	}
+	return p.member.Feeder()
+}
+
 // An operator's change is acknowledged while an instance that tells others
 // stands still, or does not reach the store. Those that it tells are well, and
 // owe their callers the new state in time.
--- a/internal/proxy/cwdirectory/follow.go
+++ b/internal/proxy/cwdirectory/follow.go
@@ -126,10 +126,16 @@
 	}
 }
 
+// newsQuestion asks for what has changed. The first question to a feeder is
+// answered at once: until it was, this instance looks for its place, and its
+// topics ask the store when they are stale.
 func (d *Directory) newsQuestion() cwport.NewsQuestion {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	q := cwport.NewsQuestion{Wait: d.Stale.ages(cwport.Desired).FollowWait()}
+	q := cwport.NewsQuestion{}
+	if d.source == fromFeeder {
+		q.Wait = d.Stale.ages(cwport.Desired).FollowWait()
+	}
 	for _, t := range cwport.Topics {
 		q.After[t] = d.topics[t].after
 	}
