--- a/internal/proxy/cwdirectory/ask.go
+++ b/internal/proxy/cwdirectory/ask.go
@@ -9,59 +9,35 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
+// poll is where the questions to the store about one topic stand.
+type poll struct {
+	topic cwport.Topic
+	// fresh is true if the next answer is a snapshot.
+	fresh bool
+	// away is true while the store does not answer; pause is the next wait.
+	away  bool
+	pause time.Duration
+	// lapsed is true if entries may have lapsed that no answer has shown yet.
+	lapsed bool
+}
+
 // loop asks the store about one topic whenever it is this instance's turn.
-//
-// The failure: an instance starts while the store is away. With the store's
-// return it reads a list without the members of a group whose entries lapsed
-// meanwhile and are not back yet; two of three members count as all of them, one
-// alone as a majority, and a read is served by a member that lacks what the
-// missing two acknowledged. Nobody else knows what this instance has never seen,
-// so the list counts once entries have had the time to come back.
 func (d *Directory) loop(ctx context.Context, t cwport.Topic) error {
-	fresh, away := true, false
-	// lapsed is true if entries may have lapsed that no answer has shown yet.
-	lapsed := false
-	pause := retryMin
-	for d.awaitTurn(ctx, t, fresh) {
-		b, confirmed, err := d.ask(ctx, t, fresh, away)
-		var history *cwport.HistoryError
-		switch {
-		case ctx.Err() != nil:
+	p := &poll{topic: t, fresh: true, pause: retryMin}
+	for d.awaitTurn(ctx, t, p.fresh) {
+		b, confirmed, err := d.ask(ctx, p)
+		if ctx.Err() != nil {
 			return nil
-		case errors.As(err, &history):
-			d.Log.Warn("historyLost", "topic", t, "after", history.After)
-			fresh = true
-			// A store that drops its history again and again is not asked in a
-			// busy loop.
-			d.sleep(ctx, retryMin)
-			continue
-		case err != nil:
-			if !away {
-				d.Log.Warn("storeLost", "topic", t, "cause", err)
-			}
-			d.setAway(t, true)
-			lapsed = lapsed || t == cwport.Targets && !d.read(t)
-			d.awaitStore(ctx, t, pause, !away, fresh)
-			away = true
-			pause = min(pause*2, retryMax)
-			continue
 		}
-		if away {
-			d.Log.Info("storeRegained", "topic", t, "version", b.Version)
-		}
-		d.setAway(t, false)
-		away, pause = false, retryMin
-		if lapsed {
-			d.Log.Info("targetsAwaited", "listed", len(b.Listed), "waitMs", MinGoneAfter.Milliseconds())
-			d.sleep(ctx, MinGoneAfter)
-			lapsed = false
+		if err != nil {
+			d.unanswered(ctx, p, err)
 			continue
 		}
-		if t == cwport.Targets && !d.awaitRemembered(ctx) {
-			return nil
+		if !d.answered(ctx, p, b) {
+			continue
 		}
-		d.take(t, b, fresh, confirmed)
-		fresh = false
+		d.take(t, b, p.fresh, confirmed)
+		p.fresh = false
 		if b.Changed() {
 			d.sleep(ctx, settle(t))
 		}
@@ -69,23 +45,70 @@
 	return nil
 }
 
+// unanswered notes a question without an answer, and waits before the next.
+func (d *Directory) unanswered(ctx context.Context, p *poll, err error) {
+	var history *cwport.HistoryError
+	if errors.As(err, &history) {
+		d.Log.Warn("historyLost", "topic", p.topic, "after", history.After)
+		p.fresh = true
+		// A store that drops its history again and again is not asked in a busy
+		// loop.
+		d.sleep(ctx, retryMin)
+		return
+	}
+	if !p.away {
+		d.Log.Warn("storeLost", "topic", p.topic, "cause", err)
+	}
+	d.setAway(p.topic, true)
+	p.lapsed = p.lapsed || p.topic == cwport.Targets && !d.read(p.topic)
+	d.awaitStore(ctx, p)
+	p.away = true
+	p.pause = min(p.pause*2, retryMax)
+}
+
+// answered notes an answer, and reports whether it counts.
+//
+// The failure: an instance starts while the store is away. With the store's
+// return it reads a list without the members of a group whose entries lapsed
+// meanwhile and are not back yet; two of three members count as all of them, one
+// alone as a majority, and a read is served by a member that lacks what the
+// missing two acknowledged. Nobody else knows what this instance has never seen,
+// so the list is read anew once entries have had the time to come back.
+func (d *Directory) answered(ctx context.Context, p *poll, b cwport.Batch) bool {
+	if p.away {
+		d.Log.Info("storeRegained", "topic", p.topic, "version", b.Version)
+	}
+	d.setAway(p.topic, false)
+	p.away, p.pause = false, retryMin
+	if p.lapsed {
+		d.Log.Info("targetsAwaited", "listed", len(b.Listed), "waitMs", MinGoneAfter.Milliseconds())
+		d.sleep(ctx, MinGoneAfter)
+		p.lapsed = false
+		return false
+	}
+	if p.topic == cwport.Targets {
+		d.awaitRemembered(ctx)
+	}
+	return true
+}
+
 // ask asks for a snapshot or for changes, and tells when the store certainly had
 // nothing more than the answer.
 //
 // The failure: the store comes back just after a long question was sent into
 // its silence, and the instance notices only once that has timed out. While the
 // store is away questions are therefore short.
-func (d *Directory) ask(ctx context.Context, t cwport.Topic, fresh, away bool) (cwport.Batch, time.Time, error) {
-	sent := d.Clock.Now()
+func (d *Directory) ask(ctx context.Context, p *poll) (cwport.Batch, time.Time, error) {
+	t, sent := p.topic, d.Clock.Now()
 	inc(d.Counts.StoreQuestions)
-	if fresh {
+	if p.fresh {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		b, err := d.Source.Snapshot(ctx, t)
 		return b, sent, err
 	}
 	wait, timeout := d.wait(t), d.wait(t)+pollSlack
-	if away || wait == 0 {
+	if p.away || wait == 0 {
 		wait, timeout = 0, awayTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -132,8 +155,9 @@
 // all instances may make. Only one topic asks often, the others wait for it; and
 // an instance that has a feeder hears of the store's return from it. Nobody tells
 // one that has not read its snapshot yet.
-func (d *Directory) awaitStore(ctx context.Context, t cwport.Topic, pause time.Duration, first, fresh bool) {
-	follower := d.newsSource() != fromStore && !fresh
+func (d *Directory) awaitStore(ctx context.Context, p *poll) {
+	t, pause, first := p.topic, p.pause, !p.away
+	follower := d.newsSource() != fromStore && !p.fresh
 	switch {
 	case t == cwport.Desired && follower && !first:
 		pause = followerRetry
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -206,7 +206,12 @@
 	if news {
 		d.apply(t, b, whole)
 	}
-	d.note(t, b, whole && news, confirmed)
+	if whole && !news {
+		// All rows as of an earlier version than the known one: some of them may be
+		// gone since, and must not be told to others as new.
+		b, whole = cwport.Batch{Version: b.Version}, false
+	}
+	d.note(t, b, whole, confirmed)
 }
 
 // onlyNew drops what is known already; news is false if that is all.
--- a/internal/proxy/cwdirectory/fleet_test.go
+++ b/internal/proxy/cwdirectory/fleet_test.go
@@ -417,10 +417,48 @@
 	d.mu.Lock()
 	c.Assert(d.vanished["a"].IsZero(), qt.IsFalse, qt.Commentf("the entry is gone, and nothing newer says that it is back"))
 	d.mu.Unlock()
-	d.take(cwport.Targets, decoder{}.Decode(cwport.Targets, 8, row(6, false)), true, now)
+	older := append(row(6, false), cwport.Row{Key: "b", Version: 5})
+	d.take(cwport.Targets, decoder{}.Decode(cwport.Targets, 8, older), true, now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c.Assert(d.vanished["a"].IsZero(), qt.IsFalse)
+	rows, _ := d.topics[cwport.Targets].history.Since(0)
+	c.Assert(rows, qt.HasLen, 0, qt.Commentf("b was gone by version 9, and is told to nobody"))
+}
+
+// The store answers about the list of targets and not about the product's own
+// rows, where the members of groups are remembered. Callers are served all the
+// same.
+func TestListCountsWithoutTheOwnRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newTable()
+		store.put(cwport.Targets, "a", false)
+		out := &sink{present: map[cwgroup.MemberID]bool{}}
+		d := &Directory{
+			Waits: fleetWaits, Source: withoutOwn{askedBy{store, "front-1"}}, Sink: out, Remembered: func() []cwport.Listing { return nil },
+			Clock: clockwork.NewRealClock(), Log: log.New(io.Discard),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- d.Run(ctx) }()
+		defer func() {
+			cancel()
+			c.Check(<-done, qt.IsNil)
+		}()
+		time.Sleep(3 * time.Second)
+		c.Assert(out.has("a"), qt.IsTrue)
+	})
+}
+
+// withoutOwn is a store that does not answer about the product's own rows.
+type withoutOwn struct{ askedBy }
+
+func (s withoutOwn) Snapshot(ctx context.Context, t cwport.Topic) (cwport.Batch, error) {
+	if t == cwport.Own {
+		return cwport.Batch{}, errAway
+	}
+	return s.askedBy.Snapshot(ctx, t)
 }
 
 // A replacement starts while the store is away. When the store returns, one of a
--- a/internal/proxy/cwdirectory/gone.go
+++ b/internal/proxy/cwdirectory/gone.go
@@ -38,23 +38,35 @@
 	}
 }
 
+// rememberedWait bounds the wait for the product's own rows before the first list
+// of targets counts without them. The store answers about both at the same time;
+// where it tells of one table and not of the other, callers are served all the
+// same.
+const rememberedWait = 2 * time.Second
+
 // awaitRemembered waits until the product's own rows are known, which tell what
-// Remembered returns. It returns false once ctx has ended.
-func (d *Directory) awaitRemembered(ctx context.Context) bool {
-	for d.Remembered != nil && !d.read(cwport.Own) {
+// Remembered returns.
+func (d *Directory) awaitRemembered(ctx context.Context) {
+	if d.Remembered == nil || d.read(cwport.Targets) {
+		return
+	}
+	end := d.Clock.After(rememberedWait)
+	for {
 		d.mu.Lock()
-		renewed := d.renewed
+		known, renewed := d.topics[cwport.Own].read, d.renewed
 		d.mu.Unlock()
-		if d.read(cwport.Own) {
-			break
+		if known {
+			return
 		}
 		select {
 		case <-renewed:
+		case <-end:
+			d.Log.Warn("membersNotRemembered", "waitedMs", rememberedWait.Milliseconds())
+			return
 		case <-ctx.Done():
-			return false
+			return
 		}
 	}
-	return true
 }
 
 // recall returns the remembered targets that the first list lacks. They count
