--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -206,11 +206,6 @@
 	if news {
 		d.apply(t, b, whole)
 	}
-	if whole && !news {
-		// All rows as of an earlier version than the known one: some of them may be
-		// gone since, and must not be told to others as new.
-		b, whole = cwport.Batch{Version: b.Version}, false
-	}
 	d.note(t, b, whole, confirmed)
 }
 
--- a/internal/proxy/cwdirectory/follow.go
+++ b/internal/proxy/cwdirectory/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
@@ -138,6 +139,13 @@
 	}
 	for _, t := range cwport.Topics {
 		q.After[t] = d.topics[t].after
+		if !d.topics[t].read {
+			// The failure: an instance that the store turns away since its start asks
+			// its feeder in a busy loop, which always has all rows of the topic for
+			// it. They do not count here before the first snapshot, so none are asked
+			// for.
+			q.After[t] = math.MaxUint64
+		}
 	}
 	return q
 }
--- a/internal/proxy/cwdirectory/start_test.go
+++ b/internal/proxy/cwdirectory/start_test.go
@@ -132,3 +132,40 @@
 }
 
 func (s rowsSink) Rows([]cwport.Row, bool) { s.rows() }
+
+// An instance starts while the store is away from it and not from its feeder, where
+// the entry of a member has lapsed. The feeder goes on counting that member and
+// cannot tell it; what it tells must not pass for the whole list. Asked for it all the
+// same, the feeder always had news, and was asked again at once without an end.
+func TestFirstListNeverComesFromAFeeder(t *testing.T) {
+	run(t, fleetSize, func(c *qt.C, fl *fleet) {
+		fl.store.put(cwport.Targets, "a", false)
+		time.Sleep(5 * time.Second)
+		started := fl.names[0]
+		for _, name := range fl.names {
+			if _, root := (member{fl, name}).Feeder(); !root {
+				started = name
+			}
+		}
+		out := &sink{present: map[cwgroup.MemberID]bool{}}
+		d := &Directory{
+			Stale: fleetStale, Source: withoutTargets{askedBy{fl.store, started}}, Decoder: decoder{}, Sink: out,
+			Feeders: member{fl, started},
+		}
+		runAlone(t, d, func(c *qt.C) {
+			time.Sleep(10 * time.Second)
+			c.Assert(d.newsSource(), qt.Equals, fromFeeder)
+			c.Assert(out.has("a"), qt.IsFalse)
+		})
+	})
+}
+
+// withoutTargets is a store that does not answer about the list of targets.
+type withoutTargets struct{ askedBy }
+
+func (s withoutTargets) Snapshot(ctx context.Context, t cwport.Topic) (cwport.Batch, error) {
+	if t == cwport.Targets {
+		return cwport.Batch{}, errAway
+	}
+	return s.askedBy.Snapshot(ctx, t)
+}
--- a/internal/proxy/cwpeers/feeder_test.go
+++ b/internal/proxy/cwpeers/feeder_test.go
@@ -86,6 +86,8 @@
 	time.AfterFunc(50*time.Millisecond, cancel)
 	_, err := first.TellNews(ctx, cwport.NewsQuestion{Wait: time.Hour})
 	c.Assert(err, qt.ErrorAs, new(*cwport.LostError))
+	again, _ := p.Feeder()
+	c.Assert(again == nil || again.Name() != first.Name(), qt.IsTrue, qt.Commentf("it is asked once more"))
 	eventually(c, clock, func() bool {
 		f, root := p.Feeder()
 		return root || f != nil && f.Name() != first.Name()
