engine, targets, meter: keys, workspaces and quotas, the whole path kept thin

Change: the desired state's tenants become workspaces with digests of keys and a quota. A quota is split into shards, two a data centre, each a token bucket at one instance; whoever begins an operation asks a shard.

--- a/internal/core/cwcatalogue/catalogue.go
+++ b/internal/core/cwcatalogue/catalogue.go
@@ -138,6 +138,8 @@
 	Owner    string
 	Contract Contract
 	Groups   []Group
+	// Public is true if callers need no key.
+	Public bool
 }
 
 // Group returns the entry's group with the name.
@@ -174,6 +176,9 @@
 	Links       []Link
 	Entries     []Entry
 	Stops       []Stop
+	// Keyed is true if callers show by a key to which workspace they belong.
+	Keyed      bool
+	Workspaces []Workspace
 }
 
 // Entry returns the entry of the service.
--- a/internal/core/cwholder/holder.go
+++ b/internal/core/cwholder/holder.go
@@ -39,16 +39,16 @@
 	// statement that a target runs at once: one for the statement that runs, one
 	// for a transaction that rests between two of its own.
 	connectionsPerSlot = 2
-	// minPerDataCentre is the least number of holders in a data centre: while
+	// MinPerDataCentre is the least number of holders in a data centre: while
 	// one is restarted, the other one serves without a detour through another
 	// data centre.
-	minPerDataCentre = 2
+	MinPerDataCentre = 2
 )
 
 // perDataCentre returns how many holders a group has in each data centre.
 func (d Demand) perDataCentre(dataCentres int) int {
 	wanted := max(1, d.Slots*connectionsPerSlot)
-	return max(minPerDataCentre, d.Connections/wanted/max(1, dataCentres))
+	return max(MinPerDataCentre, d.Connections/wanted/max(1, dataCentres))
 }
 
 // Holders returns the group's holders among all instances. Where a data centre
--- a/internal/core/cwholder/holder_test.go
+++ b/internal/core/cwholder/holder_test.go
@@ -37,8 +37,8 @@
 	t.Run("many instances before few connections", func(t *testing.T) {
 		all := instances(20, "a", "b", "c", "d")
 		holders := Holders("g", all, scarce)
-		qt.Assert(t, holders, qt.HasLen, 4*minPerDataCentre)
-		qt.Assert(t, inCentre(holders, "a"), qt.Equals, minPerDataCentre)
+		qt.Assert(t, holders, qt.HasLen, 4*MinPerDataCentre)
+		qt.Assert(t, inCentre(holders, "a"), qt.Equals, MinPerDataCentre)
 	})
 	t.Run("more connections, more holders", func(t *testing.T) {
 		all := instances(20, "a", "b", "c", "d")
@@ -46,7 +46,7 @@
 		qt.Assert(t, holders, qt.HasLen, 4*5)
 	})
 	t.Run("nothing is known of the targets", func(t *testing.T) {
-		qt.Assert(t, Holders("g", instances(3, "a"), Demand{}), qt.HasLen, minPerDataCentre)
+		qt.Assert(t, Holders("g", instances(3, "a"), Demand{}), qt.HasLen, MinPerDataCentre)
 	})
 }
 
--- a/internal/core/cwstatement/statement.go
+++ b/internal/core/cwstatement/statement.go
@@ -146,13 +146,15 @@
 	Malformed
 	// NoDatabase means that the catalogue has no such entry.
 	NoDatabase
+	// Unauthorised means that the caller's key is not known.
+	Unauthorised
 	// OtherCode is a code that this program doesn't know. It promises nothing.
 	OtherCode
 )
 
 var codeNames = [...]string{
 	"ok", "busy", "aborted", "behind", "notPrimary", "wrongTarget", "tooManyConnections",
-	"notPrepared", "runFailed", "timedOut", "unresolved", "malformed", "noDatabase", "other",
+	"notPrepared", "runFailed", "timedOut", "unresolved", "malformed", "noDatabase", "unauthorised", "other",
 }
 
 // String names the code for logs and metrics.
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -183,6 +183,14 @@
 	return eg.Wait()
 }
 
+// Confirmed returns a time at which the store certainly had no newer desired
+// state than the one that the sink was given; zero before the first.
+func (d *Directory) Confirmed() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.topics[cwport.Desired].confirmed
+}
+
 // prepare makes what the zero value lacks. Another instance may ask before Run.
 func (d *Directory) prepare() {
 	d.mu.Lock()
--- a/internal/proxy/cwengine/away.go
+++ b/internal/proxy/cwengine/away.go
@@ -60,7 +60,7 @@
 // handover describes a statement to a holder.
 func (s *session) handover(entry cwcatalogue.Entry, st cwstatement.Statement, began time.Time) cwport.Handover {
 	h := cwport.Handover{
-		Entry: entry, Statement: st, Values: s.values, Seen: s.wrote[entry.Groups[0].Name],
+		Entry: entry, Workspace: s.workspace, Statement: st, Values: s.values, Seen: s.wrote[entry.Groups[0].Name],
 		Elapsed: s.engine.cfg.Clock.Since(began),
 	}
 	if p, ok := s.prepared[st.Name]; ok && st.Verb == cwstatement.Execute {
@@ -268,7 +268,7 @@
 	if t.holder == nil {
 		return
 	}
-	h := cwport.Handover{Transaction: t.name, Entry: t.entry, Statement: cwstatement.Statement{Verb: cwstatement.Rollback}}
+	h := cwport.Handover{Transaction: t.name, Entry: t.entry, Workspace: s.workspace, Statement: cwstatement.Statement{Verb: cwstatement.Rollback}}
 	go s.runDrop(t.holder, h)
 }
 
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -62,6 +62,13 @@
 	Holders cwport.Holders
 	// Path is what the groups share; nil if each has its own.
 	Path *cwlead.Path
+	// KeyBound is how soon nothing may run any more with a key that was taken
+	// away; zero sets no bound. Confirmed returns a time at which the store had
+	// certainly nothing newer than the catalogue in force.
+	KeyBound  time.Duration
+	Confirmed func() time.Time
+	// Meter keeps the quotas of workspaces; nil if there are none.
+	Meter cwport.Meter
 }
 
 // Engine serves sessions. Make one with New.
@@ -72,6 +79,7 @@
 	// revision never falls.
 	revision cwcatalogue.Revision
 	entries  map[string]cwcatalogue.Entry
+	access   access
 	listings map[cwgroup.MemberID]cwport.Listing
 	groups   map[string]*runningGroup
 	sessions map[*session]struct{}
@@ -126,6 +134,9 @@
 func (e *Engine) Ready() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
+	if e.access.keyed && e.keysStale(e.cfg.Clock.Now()) {
+		return false
+	}
 	return e.revision > 0 && e.listed.Load() && !e.draining.Load() && !e.isolated.Load() && !e.cfg.Path.Suspected()
 }
 
@@ -152,7 +163,11 @@
 	for _, entry := range c.Entries {
 		e.entries[entry.Service] = entry
 	}
+	before := e.access
+	e.access = accessOf(c)
+	e.logAccess(before)
 	e.regroup()
+	e.sendRevokedAway()
 }
 
 // SetListings replaces the whole list of targets.
@@ -257,22 +272,24 @@
 	return entry, g.Group, true
 }
 
-// admit answers whether a caller may use a database.
+// admit answers whether a caller may use what it names.
 //
 // The failure: an instance has just started, or the store is away, and callers
 // who come before its first catalogue are told that their database does not
 // exist; they take that as final. Nobody knows yet, so they wait for the
 // catalogue, and are sent away with the time to come back if there is none.
-func (e *Engine) admit(database string) cwstatement.Answer {
+func (e *Engine) admit(st cwport.Startup) cwstatement.Answer {
 	select {
 	case <-e.informed:
 	case <-e.cfg.Clock.After(catalogueWait):
 		return cwstatement.RetryLater(cwstatement.Aborted, "the instance has no catalogue yet", catalogueRetry)
 	}
-	if _, _, ok := e.entry(database); !ok {
-		return noDatabase(database)
+	entry, _, ok := e.entry(st.Database)
+	if !ok {
+		return noDatabase(st.Database)
 	}
-	return cwstatement.Answer{}
+	_, a := e.workspaceOf(entry, st.Key, e.cfg.Clock.Now())
+	return a
 }
 
 // groupName returns the group that serves what a caller names, for logs; empty if
--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -142,11 +142,16 @@
 	gone chan struct{}
 	once sync.Once
 
+	// key is the caller's.
+	key cwcatalogue.KeyDigest
+
 	mu   sync.Mutex
 	wake chan struct{}
 }
 
-func (tc *testCaller) Startup() (string, error)        { return testDatabase, nil }
+func (tc *testCaller) Startup() (cwport.Startup, error) {
+	return cwport.Startup{Database: testDatabase, Key: tc.key}, nil
+}
 func (tc *testCaller) Accept() error                   { return nil }
 func (tc *testCaller) Refuse(cwstatement.Answer) error { return nil }
 
--- a/internal/proxy/cwengine/held.go
+++ b/internal/proxy/cwengine/held.go
@@ -125,7 +125,7 @@
 // take takes what the caller's instance says of the session.
 func (s *session) take(h cwport.Handover) {
 	group := h.Entry.Groups[0].Name
-	s.values = h.Values
+	s.workspace, s.values = h.Workspace, h.Values
 	s.prepared = nil
 	if h.Prepared != nil {
 		p := h.Prepared
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -271,7 +271,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := place.Pool.Acquire(context.Background(), t.limits.offer, t.session.values)
+	c, err := place.Pool.Acquire(context.Background(), t.limits.offer, t.session.workspace, t.session.values)
 	if err != nil {
 		turn.Drop()
 		return nil, err
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -46,7 +46,11 @@
 	engine *Engine
 	caller cwport.Caller
 
-	database string
+	// database and key are what the caller said of itself; workspace is what the
+	// key stood for at the latest statement.
+	database  string
+	key       cwcatalogue.KeyDigest
+	workspace string
 	// given is set for a session that another instance has handed over.
 	given *given
 	// values is replaced, not changed, when the caller sets one.
@@ -85,7 +89,7 @@
 		s.engine.cfg.Metrics.Statement.Update(took.Seconds())
 		if a.Code != cwstatement.OK {
 			s.engine.cfg.Log.Info("statementFailed", "id", st.ID, "verb", st.Verb, "database", s.database,
-				"group", s.engine.groupName(s.database), "revision", s.engine.Revision(),
+				"group", s.engine.groupName(s.database), "workspace", s.workspace, "revision", s.engine.Revision(),
 				"code", a.Code, "why", a.Detail, "tookMs", took.Milliseconds())
 		}
 		if err := s.caller.Reply(a); err != nil {
@@ -99,14 +103,16 @@
 	if err := s.caller.SetReadTimeout(startupTimeout); err != nil {
 		return false
 	}
-	database, err := s.caller.Startup()
+	st, err := s.caller.Startup()
 	if err != nil {
 		s.engine.cfg.Log.Debug("startupFailed", "cause", err)
 		return false
 	}
-	s.database = database
-	if a := s.engine.admit(database); a.Code != cwstatement.OK {
-		s.engine.cfg.Log.Info("sessionRefused", "database", database, "code", a.Code, "why", a.Detail)
+	s.mu.Lock()
+	s.database, s.key = st.Database, st.Key
+	s.mu.Unlock()
+	if a := s.engine.admit(st); a.Code != cwstatement.OK {
+		s.engine.cfg.Log.Info("sessionRefused", "database", s.database, "code", a.Code, "why", a.Detail)
 		// The answer ends the session; whether it arrives changes nothing.
 		_ = s.caller.Refuse(a)
 		return false
@@ -201,6 +207,12 @@
 
 // handle serves one statement that came at began.
 func (s *session) handle(st cwstatement.Statement, began time.Time) cwstatement.Answer {
+	if a := s.authorise(st, began); a.Code != cwstatement.OK {
+		return a
+	}
+	if a := s.meter(st, began); a.Code != cwstatement.OK {
+		return a
+	}
 	if s.tx != nil {
 		return s.handleInTransaction(st, began)
 	}
--- a/internal/proxy/cwengine/start_test.go
+++ b/internal/proxy/cwengine/start_test.go
@@ -8,6 +8,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
 // All instances lose power and start again, and callers come back at once. They
@@ -18,7 +19,7 @@
 		w := newWorld(t, cwcatalogue.ReadOwnWrites)
 		e := New(Config{Clock: w.clock})
 		got := make(chan cwstatement.Answer, 1)
-		go func() { got <- e.admit("no such database") }()
+		go func() { got <- e.admit(cwport.Startup{Database: "no such database"}) }()
 		w.clock.Sleep(catalogueWait / 2)
 		qt.Assert(t, len(got), qt.Equals, 0, qt.Commentf("nobody knows yet"))
 		close(e.informed)
@@ -29,7 +30,7 @@
 		w := newWorld(t, cwcatalogue.ReadOwnWrites)
 		e := New(Config{Clock: w.clock})
 		began := w.clock.Now()
-		a := e.admit(testDatabase)
+		a := e.admit(cwport.Startup{Database: testDatabase})
 		qt.Assert(t, a.Code.Promises(), qt.IsTrue, qt.Commentf("%v", a))
 		qt.Assert(t, a.Detail, qt.Contains, "retryAfterMs=")
 		qt.Assert(t, w.clock.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("callers give up after two seconds"))
@@ -38,6 +39,6 @@
 		w := newWorld(t, cwcatalogue.ReadOwnWrites)
 		e := w.engine("front-1")
 		w.settled(e)
-		qt.Assert(t, e.admit(testDatabase).Code, qt.Equals, cwstatement.OK)
+		qt.Assert(t, e.admit(cwport.Startup{Database: testDatabase}).Code, qt.Equals, cwstatement.OK)
 	})
 }
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -23,6 +23,7 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwengine"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwlead"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwmembers"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmeter"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpeers"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwhandover"
@@ -64,6 +65,14 @@
 	Seed string
 	// Peers is where other instances hand statements over, IP:port.
 	Peers string
+	// KeyBound is how soon nothing may run any more with a key that was taken
+	// away; zero sets no bound.
+	KeyBound time.Duration
+	// DataCentres is how many data centres there are, Quota how exactly quotas
+	// are kept, and FirstStart true if no instance was there before.
+	DataCentres int
+	Quota       cwcatalogue.QuotaRule
+	FirstStart  bool
 }
 
 // Instance is one running proxy. Make one with New.
@@ -74,6 +83,8 @@
 	members *cwmembers.Record
 	path    *cwlead.Path
 	metrics *cwengine.Metrics
+	dir     *cwdirectory.Directory
+	meter   *cwmeter.Meter
 }
 
 // New returns an instance that is not running.
@@ -85,13 +96,42 @@
 	}
 	in.peers.Changed = in.rehold
 	in.members = &cwmembers.Record{Table: cfg.Table, Clock: cfg.Clock, Log: cfg.Log, Place: in.place}
-	in.engine = cwengine.New(cwengine.Config{
+	in.dir = &cwdirectory.Directory{
+		Waits: cfg.Waits, GoneAfter: cfg.GoneAfter, Source: cfg.Source, Sink: in, Clock: cfg.Clock, Log: cfg.Log,
+		Feeders: in.peers, Decoder: cfg.Decoder, Stale: cfg.Stale,
+		Remembered: in.members.Remembered,
+		Counts:     cwdirectory.Counts{StoreQuestions: in.metrics.StoreQuestions, FeederAnswers: in.metrics.FeederAnswers, Told: in.metrics.NewsTold},
+	}
+	in.members.Counted = in.dir.Counted
+	engine := cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
 		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers, Path: in.path,
-	})
+		KeyBound: cfg.KeyBound, Confirmed: in.dir.Confirmed,
+	}
+	if cfg.Quota.Window > 0 {
+		in.meter = &cwmeter.Meter{
+			Rule: cfg.Quota, Peers: in.peers, Clock: cfg.Clock, Log: cfg.Log, Quota: in.quota,
+			DataCentres: cfg.DataCentres, FirstStart: cfg.FirstStart,
+		}
+		engine.Meter = in.meter
+	}
+	in.engine = cwengine.New(engine)
 	return in
 }
 
+// quotas returns who answers for the quotas kept here; nil if there are none.
+func (in *Instance) quotas() cwport.QuotaTeller {
+	if in.meter == nil {
+		return nil
+	}
+	return in.meter
+}
+
+// quota returns the quota of a workspace by the catalogue in force.
+func (in *Instance) quota(workspace string) (cwcatalogue.Quota, bool) {
+	return in.engine.Quota(workspace)
+}
+
 // place returns this instance's place among the holders of a service's group.
 func (in *Instance) place(service string) (int, bool) { return in.engine.Place(service) }
 
@@ -124,6 +164,9 @@
 	defer stop()
 	eg, run := errgroup.WithContext(run)
 	in.engine.Start(run, eg)
+	if in.meter != nil {
+		in.meter.Start()
+	}
 	probes := []*http.Server{in.server(in.cfg.Ready, in.cfg.ReadyPath, in.ready)}
 	if in.cfg.Metrics != "" {
 		probes = append(probes, in.server(in.cfg.Metrics, "/metrics", in.writeMetrics))
@@ -131,17 +174,12 @@
 	for _, p := range probes {
 		eg.Go(func() error { return serveHTTP(p) })
 	}
-	dir := &cwdirectory.Directory{
-		Waits: in.cfg.Waits, GoneAfter: in.cfg.GoneAfter, Source: in.cfg.Source, Sink: in, Clock: in.cfg.Clock, Log: in.cfg.Log,
-		Feeders: in.peers, Decoder: in.cfg.Decoder, Stale: in.cfg.Stale,
-		Remembered: in.members.Remembered,
-		Counts:     cwdirectory.Counts{StoreQuestions: in.metrics.StoreQuestions, FeederAnswers: in.metrics.FeederAnswers, Told: in.metrics.NewsTold},
-	}
-	in.members.Counted = dir.Counted
-	eg.Go(func() error { return dir.Run(run) })
+	eg.Go(func() error { return in.dir.Run(run) })
 	eg.Go(func() error { return in.members.Run(run) })
 	eg.Go(func() error { return in.peers.Run(run) })
-	eg.Go(func() error { return (&cwhandover.Server{Handler: in.engine, News: dir}).Run(run, others) })
+	eg.Go(func() error {
+		return (&cwhandover.Server{Handler: in.engine, News: in.dir, Quotas: in.quotas()}).Run(run, others)
+	})
 	eg.Go(func() error { return in.engine.Serve(callers, in.cfg.Codec) })
 	in.cfg.Log.Info("started", "instance", in.cfg.Name, "dataCentre", in.cfg.DataCentre, "listen", in.cfg.Callers)
 	select {
--- a/internal/proxy/cwlead/ask.go
+++ b/internal/proxy/cwlead/ask.go
@@ -60,7 +60,7 @@
 	at := g.cfg.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	t, err := g.cfg.Dialer.Dial(ctx, m.Pool.Endpoint())
+	t, err := g.cfg.Dialer.Dial(ctx, m.Pool.Endpoint(), "")
 	if refusedForNow(err) {
 		return
 	}
--- a/internal/proxy/cwlead/restart_test.go
+++ b/internal/proxy/cwlead/restart_test.go
@@ -111,9 +111,11 @@
 	return cwplatform.Row{Key: key, Value: r.value, ETag: "7"}, nil
 }
 
-func (r *rowTable) List(context.Context, string) ([]cwplatform.Row, error)    { return nil, nil }
-func (r *rowTable) Commit(context.Context, cwplatform.Change) error           { return errAway }
-func (noDialer) Dial(context.Context, cwport.Endpoint) (cwport.Target, error) { return nil, errAway }
+func (r *rowTable) List(context.Context, string) ([]cwplatform.Row, error) { return nil, nil }
+func (r *rowTable) Commit(context.Context, cwplatform.Change) error        { return errAway }
+func (noDialer) Dial(context.Context, cwport.Endpoint, string) (cwport.Target, error) {
+	return nil, errAway
+}
 
 type noDialer struct{}
 
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -61,10 +61,21 @@
 // usable reports whether statements can be handed over now, and lets a
 // connection be opened if there is none.
 func (l *link) usable(now time.Time) bool {
+	if !l.connected(now) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !now.Before(l.avoidUntil)
+}
+
+// connected reports whether there is a connection, and lets one be opened if
+// there is none.
+func (l *link) connected(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != nil {
-		return !now.Before(l.avoidUntil)
+		return true
 	}
 	if !l.dialing && !l.closed && !now.Before(l.redialAt) {
 		l.dialing = true
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -48,6 +48,7 @@
 type Conn interface {
 	Hand(ctx context.Context, h cwport.Handover) (cwport.Handed, error)
 	cwport.NewsTeller
+	AskQuota(ctx context.Context, workspace string) (cwport.Verdict, error)
 	// Ping probes the other end.
 	Ping(ctx context.Context) error
 	// Done is closed once the connection has ended.
@@ -78,7 +79,10 @@
 	// orders are the holders of each group, as long as neither the rows nor the
 	// group's demand change.
 	orders map[string]order
-	links  map[string]*link
+	// keepers are those of each workspace's quota, in the order in which this
+	// instance asks them, as long as the rows do not change.
+	keepers map[string][]cwholder.Instance
+	links   map[string]*link
 	// helpers is who was last asked to run a group's statements that this
 	// instance could not; who did is asked again first.
 	helpers map[string]string
@@ -139,6 +143,7 @@
 	}
 	if p.dirty {
 		clear(p.orders)
+		clear(p.keepers)
 		p.unlink()
 	}
 }
@@ -331,8 +336,9 @@
 }
 
 var (
-	_ cwport.Holders = (*Peers)(nil)
-	_ cwport.Feeders = (*Peers)(nil)
+	_ cwport.Holders      = (*Peers)(nil)
+	_ cwport.Feeders      = (*Peers)(nil)
+	_ cwport.QuotaKeepers = (*Peers)(nil)
 )
 
 // errSilent is why a connection on which nothing comes is closed.
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -101,6 +101,10 @@
 	return cwport.News{}, c.net.newsErr
 }
 
+func (c *conn) AskQuota(ctx context.Context, _ string) (cwport.Verdict, error) {
+	return cwport.Verdict{Allowed: true}, c.wait(ctx)
+}
+
 func (c *conn) Ping(ctx context.Context) error { return c.wait(ctx) }
 func (c *conn) Done() <-chan struct{}          { return c.done }
 
--- /dev/null
+++ b/internal/proxy/cwpeers/quota.go
@@ -0,0 +1,68 @@
+package cwpeers
+
+import (
+	"context"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// quotaKey is what the keepers of a workspace's quota are hashed with, so that
+// they differ from the holders of a group of the same name.
+const quotaKey = "quota of "
+
+// QuotaKeepers implements cwport.QuotaKeepers. Keepers without a connection are
+// left out, and connected in the background. Those of other data centres are
+// hardly ever asked, so they are connected only when they are.
+func (p *Peers) QuotaKeepers(workspace string, far bool) []cwport.QuotaKeeper {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	var out []cwport.QuotaKeeper
+	for _, i := range p.quotaKeepers(workspace) {
+		if far != (i.DataCentre != p.Self.DataCentre) {
+			continue
+		}
+		if i == p.Self {
+			out = append(out, cwport.QuotaKeeper{Name: i.ID})
+			continue
+		}
+		if l := p.link(i); l.connected(now) {
+			out = append(out, cwport.QuotaKeeper{Name: i.ID, Ask: l.askQuota})
+		}
+	}
+	return out
+}
+
+// quotaKeepers returns the keepers of a workspace's quota. The caller holds mu.
+func (p *Peers) quotaKeepers(workspace string) []cwholder.Instance {
+	if k, ok := p.keepers[workspace]; ok {
+		return k
+	}
+	all := make([]cwholder.Instance, 0, len(p.instances))
+	for _, i := range p.instances {
+		all = append(all, i)
+	}
+	key := quotaKey + workspace
+	k := cwholder.Order(p.Self, key, cwholder.Holders(key, all, cwholder.Demand{}))
+	if p.keepers == nil {
+		p.keepers = make(map[string][]cwholder.Instance)
+	}
+	p.keepers[workspace] = k
+	return k
+}
+
+// askQuota asks the instance for one operation of a workspace.
+func (l *link) askQuota(ctx context.Context, workspace string) (cwport.Verdict, error) {
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn == nil {
+		return cwport.Verdict{}, &cwport.LostError{Holder: l.to.ID, NotSent: true, Cause: errSilent}
+	}
+	v, err := conn.AskQuota(ctx, workspace)
+	if err == nil {
+		l.hear()
+	}
+	return v, err
+}
--- a/internal/proxy/cwport/handover.go
+++ b/internal/proxy/cwport/handover.go
@@ -21,7 +21,10 @@
 	Begin cwstatement.Verb
 	// Entry is what the caller's own instance knows of the entry, so that a
 	// holder with an older catalogue serves it no other way. It has one group.
-	Entry     cwcatalogue.Entry
+	Entry cwcatalogue.Entry
+	// Workspace is the caller's, which its own instance knows by its key; empty
+	// if it has none.
+	Workspace string
 	Statement cwstatement.Statement
 	// Prepared is what an Execute names; nil for others.
 	Prepared *Prepared
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -15,8 +15,8 @@
 
 // Caller is the connection of one caller's session.
 type Caller interface {
-	// Startup reads which database the caller wants.
-	Startup() (database string, err error)
+	// Startup reads what the caller wants.
+	Startup() (Startup, error)
 	// Accept answers a startup that succeeded.
 	Accept() error
 	// Refuse answers a startup that failed.
@@ -32,6 +32,14 @@
 	Close() error
 }
 
+// Startup is what a caller says of itself.
+type Startup struct {
+	// Database is the entry that it wants.
+	Database string
+	// Key shows to which workspace it belongs.
+	Key cwcatalogue.KeyDigest
+}
+
 // Endpoint says where a target is and who is expected there.
 type Endpoint struct {
 	// ID is checked by the target, since addresses are used again.
@@ -70,7 +78,10 @@
 // Dialer opens connections to targets. A refusal by the target is a
 // *RefusedError.
 type Dialer interface {
-	Dial(ctx context.Context, to Endpoint) (Target, error)
+	// Dial opens a connection on which statements of one workspace run, or
+	// those of the product itself and of callers without a workspace if it is
+	// empty. A target does not change what a connection was opened for.
+	Dial(ctx context.Context, to Endpoint, workspace string) (Target, error)
 }
 
 // RefusedError reports a target that refused a connection or an order.
--- /dev/null
+++ b/internal/proxy/cwport/quota.go
@@ -0,0 +1,45 @@
+package cwport
+
+import (
+	"context"
+	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+)
+
+// Meter keeps the quotas of workspaces over all instances.
+type Meter interface {
+	// Take asks for one operation of a workspace.
+	Take(workspace string, q cwcatalogue.Quota) Verdict
+}
+
+// Verdict is whether an operation is within its workspace's quota.
+type Verdict struct {
+	Allowed bool
+	// RetryAfter is when there is quota again, if there is none now.
+	RetryAfter time.Duration
+	// Unknown is true if nobody could tell.
+	Unknown bool
+}
+
+// QuotaKeeper is an instance that keeps a part of a workspace's quota.
+type QuotaKeeper struct {
+	Name string
+	// Ask asks it for one operation; nil if it is this instance. An error means
+	// that there is no answer; the operation may be counted all the same.
+	Ask func(ctx context.Context, workspace string) (Verdict, error)
+}
+
+// QuotaKeepers tells who keeps quotas.
+type QuotaKeepers interface {
+	// QuotaKeepers returns the keepers of a workspace's quota that can be asked
+	// now, in the order in which this instance asks them: those of its own data
+	// centre, or the others if far is true.
+	QuotaKeepers(workspace string, far bool) []QuotaKeeper
+}
+
+// QuotaTeller answers for the part of a workspace's quota that this instance
+// keeps.
+type QuotaTeller interface {
+	TellQuota(workspace string) Verdict
+}
--- a/internal/proxy/cwtargets/pool.go
+++ b/internal/proxy/cwtargets/pool.go
@@ -63,6 +63,9 @@
 // Conn is a connection to a target with what is known of its session there.
 type Conn struct {
 	cwport.Target
+	// Workspace is whose statements may run on it; empty for those of the
+	// product itself and of callers without a workspace. It never changes.
+	Workspace string
 	// Values holds the settings that the target's session has.
 	Values map[string]string
 	// Prepared holds the names of the prepared statements.
@@ -119,7 +122,10 @@
 	limit, ceiling int
 	// open counts the connections, those being opened included; 0 <= open.
 	open, dialing int
-	refusedAt     time.Time
+	// dials counts the connections being opened, by workspace; they add up to
+	// dialing.
+	dials     map[string]int
+	refusedAt time.Time
 	// redialAt is when a connection may be tried again, redial the next pause,
 	// and dialErr why the last one failed.
 	redialAt time.Time
@@ -142,7 +148,10 @@
 // waiter is somebody who waits for a connection. Its channel takes one result.
 type waiter struct {
 	deadline time.Time
-	// first is true for orders and questions, which go before all others.
+	// workspace is whose connection it needs.
+	workspace string
+	// first is true for orders and questions, which go before all others and
+	// take any connection.
 	first  bool
 	result chan lent
 }
@@ -155,7 +164,7 @@
 // NewPool returns a pool without connections. The target takes ceiling
 // connections from all proxies together.
 func NewPool(to cwport.Endpoint, ceiling int, d cwport.Dialer, clock clockwork.Clock, ev Events) *Pool {
-	p := &Pool{to: to, dialer: d, clock: clock, events: ev}
+	p := &Pool{to: to, dialer: d, clock: clock, events: ev, dials: make(map[string]int)}
 	p.gate.QueueLimit = queueLimit
 	p.SetCeiling(ceiling)
 	return p
@@ -215,11 +224,11 @@
 	return hold * time.Duration(len(p.waiting)+1) / time.Duration(max(1, p.open))
 }
 
-// Acquire lends a connection. It waits until the deadline at most, and not at
-// all if it expects to wait for longer. The connection whose settings are like
-// values is preferred.
-func (p *Pool) Acquire(ctx context.Context, deadline time.Time, values map[string]string) (*Conn, error) {
-	return p.acquire(ctx, &waiter{deadline: deadline, result: make(chan lent, 1)}, values)
+// Acquire lends a connection of the workspace. It waits until the deadline at
+// most, and not at all if it expects to wait for longer. The connection whose
+// settings are like values is preferred.
+func (p *Pool) Acquire(ctx context.Context, deadline time.Time, workspace string, values map[string]string) (*Conn, error) {
+	return p.acquire(ctx, &waiter{deadline: deadline, workspace: workspace, result: make(chan lent, 1)}, values)
 }
 
 // AcquireFirst lends a connection before everybody who waits.
@@ -240,7 +249,7 @@
 		p.mu.Unlock()
 		return nil, &ClosedError{}
 	}
-	if c := p.takeIdle(values); c != nil {
+	if c := p.takeIdle(w, values); c != nil {
 		p.lend(c, now)
 		p.mu.Unlock()
 		return c, nil
@@ -299,11 +308,14 @@
 	p.waiting = slices.Insert(p.waiting, i, w)
 }
 
-// takeIdle returns an idle connection that still works, or nil. The caller
-// holds mu.
-func (p *Pool) takeIdle(values map[string]string) *Conn {
-	for len(p.idle) > 0 {
-		i := p.bestIdle(values)
+// takeIdle returns an idle connection that w can use and that still works, or
+// nil. The caller holds mu.
+func (p *Pool) takeIdle(w *waiter, values map[string]string) *Conn {
+	for {
+		i := p.bestIdle(w, values)
+		if i < 0 {
+			return nil
+		}
 		c := p.idle[i]
 		p.idle = slices.Delete(p.idle, i, i+1)
 		// The failure: the target closed the connection, a write is sent into
@@ -316,18 +328,29 @@
 		p.open--
 		_ = c.Close()
 	}
-	return nil
 }
 
-// bestIdle prefers a connection that needs no settings, then the one used last.
-// The caller holds mu.
-func (p *Pool) bestIdle(values map[string]string) int {
+// fits reports whether the connection may be lent to w.
+//
+// The failure: a statement runs on a connection that was opened for another
+// workspace; the target takes it for one of that workspace's, and nothing on the
+// connection can change that later.
+func (w *waiter) fits(c *Conn) bool { return w.first || w.workspace == c.Workspace }
+
+// bestIdle prefers a connection that needs no settings, then the one used last;
+// -1 if none fits. The caller holds mu.
+func (p *Pool) bestIdle(w *waiter, values map[string]string) int {
+	last := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
+		if !w.fits(p.idle[i]) {
+			continue
+		}
 		if sameValues(p.idle[i].Values, values) {
 			return i
 		}
+		last = max(last, i)
 	}
-	return len(p.idle) - 1
+	return last
 }
 
 func sameValues(a, b map[string]string) bool {
--- a/internal/proxy/cwtargets/pool_test.go
+++ b/internal/proxy/cwtargets/pool_test.go
@@ -20,9 +20,9 @@
 	n atomic.Int64
 }
 
-func (d *counting) Dial(ctx context.Context, to cwport.Endpoint) (cwport.Target, error) {
+func (d *counting) Dial(ctx context.Context, to cwport.Endpoint, workspace string) (cwport.Target, error) {
 	d.n.Add(1)
-	return d.Dialer.Dial(ctx, to)
+	return d.Dialer.Dial(ctx, to, workspace)
 }
 
 type noEvents struct{}
@@ -40,7 +40,7 @@
 }
 
 func acquire(p *Pool, clock clockwork.Clock) (*Conn, error) {
-	return p.Acquire(context.Background(), clock.Now().Add(time.Second), nil)
+	return p.Acquire(context.Background(), clock.Now().Add(time.Second), "", nil)
 }
 
 // A database that takes no more connections is tried again for each request of
@@ -48,7 +48,7 @@
 // than connections, and each refused try keeps the database from its work.
 func TestFullTargetIsNotTriedForEachRequest(t *testing.T) {
 	p, g, d, clock := newPool(t)
-	other, err := g.From("y").Dial(context.Background(), cwport.Endpoint{ID: "a"})
+	other, err := g.From("y").Dial(context.Background(), cwport.Endpoint{ID: "a"}, "")
 	qt.Assert(t, err, qt.IsNil)
 	g.LimitConnections("a", 1)
 	for range 100 {
@@ -85,7 +85,7 @@
 	p.SetCeiling(1)
 	c, err := acquire(p, clock)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = p.Acquire(context.Background(), clock.Now().Add(time.Millisecond), nil)
+	_, err = p.Acquire(context.Background(), clock.Now().Add(time.Millisecond), "", nil)
 	var full *FullError
 	qt.Assert(t, errors.As(err, &full), qt.IsTrue)
 	qt.Assert(t, full.RetryAfter > 0, qt.IsTrue)
@@ -108,7 +108,7 @@
 	statements, orders := make(chan *Conn, 3), make(chan *Conn, 1)
 	for range 3 {
 		go func() {
-			c, _ := p.Acquire(context.Background(), clock.Now().Add(time.Minute), nil)
+			c, _ := p.Acquire(context.Background(), clock.Now().Add(time.Minute), "", nil)
 			statements <- c
 		}()
 	}
--- a/internal/standin/cwreplica/conn.go
+++ b/internal/standin/cwreplica/conn.go
@@ -15,6 +15,8 @@
 	group    *Group
 	member   *Member
 	instance string
+	// workspace is what the session was opened for.
+	workspace string
 
 	queue    []cwstatement.Command
 	state    cwstatement.State
@@ -72,7 +74,7 @@
 
 func (c *conn) run(cmd cwstatement.Command) cwstatement.Answer {
 	if cmd.ID != "" {
-		c.group.ran = append(c.group.ran, Context{ID: cmd.ID, Values: maps.Clone(c.values)})
+		c.group.ran = append(c.group.ran, Context{ID: cmd.ID, Workspace: c.workspace, Values: maps.Clone(c.values)})
 	}
 	if c.state == cwstatement.Failed && cmd.Verb != cwstatement.Commit && cmd.Verb != cwstatement.Rollback {
 		return cwstatement.Failure(cwstatement.Malformed, "failed")
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -70,10 +70,12 @@
 	clock clockwork.Clock
 }
 
-// Context is under which settings a statement of a caller ran.
+// Context is under which settings, and for which workspace, a statement of a
+// caller ran.
 type Context struct {
-	ID     string
-	Values map[string]string
+	ID        string
+	Workspace string
+	Values    map[string]string
 }
 
 // Contexts returns the callers' statements that were run, in order.
@@ -333,7 +335,7 @@
 }
 
 // Dial implements cwport.Dialer.
-func (d dialer) Dial(ctx context.Context, to cwport.Endpoint) (cwport.Target, error) {
+func (d dialer) Dial(ctx context.Context, to cwport.Endpoint, workspace string) (cwport.Target, error) {
 	g := d.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -351,7 +353,10 @@
 		return nil, &cwport.RefusedError{Code: cwstatement.TooManyConnections}
 	}
 	m.opened++
-	return &conn{group: g, member: m, instance: d.instance, values: map[string]string{}, prepared: map[string]string{}}, nil
+	return &conn{
+		group: g, member: m, instance: d.instance, workspace: workspace,
+		values: map[string]string{}, prepared: map[string]string{},
+	}, nil
 }
 
 // cutError reports a path that is cut.
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -97,6 +97,11 @@
 		Clock:      clock,
 		Log:        logger,
 		Seed:       fmt.Sprintf("%x-%d", time.Now().UnixNano(), os.Getpid()),
+
+		KeyBound:    s.KeyBound,
+		DataCentres: len(s.DataCentres),
+		Quota:       s.Quota,
+		FirstStart:  s.FirstStart,
 	}
 	if metricsPort != "" {
 		host, _, err := net.SplitHostPort(s.Ready)
@@ -119,7 +124,7 @@
 // made up for within the platform's bounds.
 func waits(s platform.Settings) cwdirectory.Waits {
 	return cwdirectory.Waits{
-		Desired: max(minWait, s.StableAfter-lostAnswerMargin),
+		Desired: max(minWait, keyed(s, s.StableAfter-lostAnswerMargin, keyWaitShare)),
 		Targets: max(minWait, s.DrainBound-2*lostAnswerMargin),
 	}
 }
@@ -128,12 +133,30 @@
 // bound is for a question to the store that is lost, and a second one.
 func stale(s platform.Settings) cwdirectory.Stale {
 	return cwdirectory.Stale{
-		Desired: s.ConfigBound * staleShare / 100,
+		Desired: keyed(s, s.ConfigBound*staleShare/100, keyStaleShare),
 		Targets: max(minWait, s.DrainBound-2*lostAnswerMargin),
 	}
 }
 
+// keyed shortens a time to a share, in percent, of the bound in which a key that
+// was taken away must be out of use, where there is one.
+//
+// The failure: an answer about the desired state is lost or late, the age of
+// what an instance knows passes that bound though the store is there, and all
+// its callers are refused. Within the share there is time to ask again.
+func keyed(s platform.Settings, d time.Duration, share time.Duration) time.Duration {
+	if s.KeyBound == 0 {
+		return d
+	}
+	return min(d, s.KeyBound*share/100)
+}
+
 const (
+	// keyWaitShare and keyStaleShare are such shares for the wait of a question
+	// to the store, and for the age at which another instance's word is no longer
+	// relied on.
+	keyWaitShare  = 45
+	keyStaleShare = 60
 	// staleShare is the share of the time in which a desired state must be in
 	// force, in percent, that an instance relies on others alone.
 	staleShare = 70
--- a/internal/tool/cwsoak/caller.go
+++ b/internal/tool/cwsoak/caller.go
@@ -60,7 +60,7 @@
 func (c *caller) session(ctx context.Context) {
 	p := c.world.instances[c.rand.IntN(len(c.world.instances))]
 	kind := rules[c.rand.IntN(len(rules))]
-	t, err := c.world.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: kind.prefix + c.group.Service, Address: p.callers})
+	t, err := c.world.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: kind.prefix + c.group.Service, Address: p.callers}, "")
 	if err != nil {
 		return
 	}
--- a/internal/tool/cwsoak/world.go
+++ b/internal/tool/cwsoak/world.go
@@ -278,7 +278,7 @@
 func (w *world) connect(ctx context.Context, p *process, database string) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	t, err := w.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: database, Address: p.callers})
+	t, err := w.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: database, Address: p.callers}, "")
 	if err != nil {
 		return err
 	}
@@ -318,7 +318,7 @@
 func (w *world) writes(ctx context.Context, p *process, g *group) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	t, err := w.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: "newest-" + g.Service, Address: p.callers})
+	t, err := w.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: "newest-" + g.Service, Address: p.callers}, "")
 	if err != nil {
 		return false
 	}
--- a/internal/wire/cwhandover/conn.go
+++ b/internal/wire/cwhandover/conn.go
@@ -37,6 +37,8 @@
 	Handler Handler
 	// News may be nil; then nothing is told.
 	News cwport.NewsTeller
+	// Quotas may be nil; then this instance keeps none.
+	Quotas cwport.QuotaTeller
 }
 
 // Run accepts connections until ctx ends.
@@ -52,8 +54,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-		if req.Method == methodNews {
+		switch req.Method {
+		case methodNews:
 			return s.tell(ctx, req)
+		case methodQuota:
+			return s.tellQuota(req)
 		}
 		return s.handle(bounded, req)
 	}
--- a/internal/wire/cwhandover/handover.go
+++ b/internal/wire/cwhandover/handover.go
@@ -3,9 +3,10 @@
 //
 // An instance hands a caller's statement to a holder of the group and gets the
 // answer, or the sign that the holder has not run it. Many statements are under
-// way on one connection. There are three calls: hand; ping, by which the calling
-// side tells a connection that went silent from a statement that takes long; and
-// news, which asks what the platform's store has told.
+// way on one connection. There are four calls: hand; ping, by which the calling
+// side tells a connection that went silent from a statement that takes long;
+// news, which asks what the platform's store has told; and quota, which asks for
+// one operation of a workspace.
 package cwhandover
 
 import (
@@ -23,12 +24,15 @@
 	methodHand = "hand"
 	methodPing = "ping"
 	methodNews = "news"
+	// methodQuota asks for one operation of a workspace.
+	methodQuota = "quota"
 )
 
 type handBody struct {
 	Transaction string            `json:"transaction,omitempty"`
 	Begin       string            `json:"begin,omitempty"`
 	Entry       entryBody         `json:"entry"`
+	Workspace   string            `json:"workspace,omitempty"`
 	ID          string            `json:"id"`
 	Verb        string            `json:"verb"`
 	Text        string            `json:"text,omitempty"`
@@ -96,7 +100,7 @@
 			MaxAgeUS: c.MaxAge.Microseconds(), AimUS: c.Aim.Microseconds(), Priority: c.Priority,
 			Synchronous: c.Synchronous, IdleUS: c.IdleTransaction.Microseconds(),
 		},
-		ID: h.Statement.ID, Verb: h.Statement.Verb.String(), Text: h.Statement.Text, Name: h.Statement.Name, Rest: h.Statement.Rest,
+		Workspace: h.Workspace, ID: h.Statement.ID, Verb: h.Statement.Verb.String(), Text: h.Statement.Text, Name: h.Statement.Name, Rest: h.Statement.Rest,
 		Values: h.Values, Seen: bodyOfMark(h.Seen), ElapsedUS: h.Elapsed.Microseconds(),
 	}
 	if h.Prepared != nil {
@@ -123,7 +127,7 @@
 		return cwport.Handover{}, &UnreadableError{What: "no prepared statement"}
 	}
 	h := cwport.Handover{
-		Transaction: b.Transaction, Begin: begin, Entry: entryOf(b.Entry),
+		Transaction: b.Transaction, Begin: begin, Entry: entryOf(b.Entry), Workspace: b.Workspace,
 		Statement: cwstatement.Statement{ID: b.ID, Verb: verb, Text: b.Text, Name: b.Name, Rest: b.Rest},
 		Values:    b.Values, Seen: markOf(b.Seen), Elapsed: micros(b.ElapsedUS),
 	}
