engine, targets, meter, platform: tests of keys, workspaces and quotas

Each failure has a test with its story: a key that was taken away from an open session or transaction, an instance that has not heard of it for too long, a connection lent to another workspace, workspaces that shut each other out of few connections, a spent or silent keeper of a quota.

--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -74,16 +74,23 @@
 
 // engineWith starts an engine that hands statements to holders.
 func (w *world) engineWith(name string, h cwport.Holders) *Engine {
+	return w.engineOf(name, func(cfg *Config) { cfg.Holders = h })
+}
+
+// engineOf starts an engine whose settings are changed first.
+func (w *world) engineOf(name string, change func(*Config)) *Engine {
 	logger, path := log.New(io.Discard), &cwlead.Path{}
-	e := New(Config{
-		Clock: w.clock, Log: logger, Grace: 6 * time.Second, Name: name, Holders: h, Path: path,
+	cfg := Config{
+		Clock: w.clock, Log: logger, Grace: 6 * time.Second, Name: name, Path: path,
 		NewGroup: func(service string) *cwlead.Group {
 			return cwlead.New(cwlead.Config{
 				Self: cwfailover.InstanceID(name), DataCentre: "dc-a", Service: service, Clock: w.clock,
 				Log: logger, Dialer: w.group.From(name), Table: w.table, Promoter: w.group, Seed: "test", Path: path,
 			})
 		},
-	})
+	}
+	change(&cfg)
+	e := New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	eg, ctx := errgroup.WithContext(ctx)
 	e.Start(ctx, eg)
@@ -101,8 +108,11 @@
 }
 
 // session opens a caller's session.
-func (w *world) session(e *Engine) *testCaller {
-	tc := &testCaller{c: w.c, in: make(chan cwstatement.Statement), out: make(chan cwstatement.Answer, 1), gone: make(chan struct{})}
+func (w *world) session(e *Engine) *testCaller { return w.sessionFor(e, "") }
+
+// sessionFor opens a session of a caller with a key.
+func (w *world) sessionFor(e *Engine, key string) *testCaller {
+	tc := &testCaller{c: w.c, key: cwcatalogue.DigestOf(key), in: make(chan cwstatement.Statement), out: make(chan cwstatement.Answer, 1), gone: make(chan struct{})}
 	s := &session{engine: e, caller: tc}
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
