--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -131,13 +131,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dirty = p.dirty || whole
+	before := p.instances
 	if p.instances == nil || whole {
 		p.instances, p.version = make(map[string]cwholder.Instance), ""
 	}
 	p.listed = p.listed || whole
 	for _, r := range rows {
 		if name, ok := strings.CutPrefix(r.Key, KeyPrefix); ok {
-			p.row(name, r)
+			p.row(name, r, before)
 			p.dirty = true
 		}
 	}
@@ -148,8 +149,9 @@
 	}
 }
 
-// row takes one instance's row. The caller holds mu.
-func (p *Peers) row(name string, r cwport.Row) {
+// row takes one instance's row; before are the instances that were known. The
+// caller holds mu.
+func (p *Peers) row(name string, r cwport.Row, before map[string]cwholder.Instance) {
 	if name == p.Self.ID {
 		p.version = r.Tag()
 	}
@@ -163,7 +165,7 @@
 		return
 	}
 	i := cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}
-	if p.instances[name] != i {
+	if before[name] != i {
 		p.Log.Info("instanceListed", "instance", name, "dataCentre", i.DataCentre, "address", i.Address)
 	}
 	p.instances[name] = i
