engine: who hands statements over makes no group

Change: a session looks up its entry only; the group is made where a statement runs. A test fails without it.

--- a/internal/proxy/cwengine/access.go
+++ b/internal/proxy/cwengine/access.go
@@ -130,7 +130,7 @@
 	if s.given != nil || !needsKey(st.Verb) || s.tx != nil && s.tx.failed {
 		return cwstatement.Answer{}
 	}
-	entry, _, ok := s.lookup()
+	entry, ok := s.lookup()
 	if !ok {
 		return cwstatement.Answer{}
 	}
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -175,16 +175,6 @@
 	return e.entries.Entry(name)
 }
 
-// entry returns the entry that a caller names, and its group.
-func (e *Engine) entry(name string) (cwcatalogue.Entry, *cwlead.Group, bool) {
-	entry, ok := e.entryNamed(name)
-	if !ok {
-		return cwcatalogue.Entry{}, nil, false
-	}
-	g, ok := e.use(entry.Groups[0].Name)
-	return entry, g, ok
-}
-
 // demand returns what the group's targets take.
 func (e *Engine) demand(group string) cwholder.Demand {
 	e.mu.RLock()
--- a/internal/proxy/cwengine/groups_test.go
+++ b/internal/proxy/cwengine/groups_test.go
@@ -47,3 +47,28 @@
 	_, made = front.Group("other1")
 	w.c.Assert(made, qt.IsFalse)
 }
+
+// Callers come to an instance for hundreds of groups that others hold. It hands their
+// statements over and needs to know none of those groups itself.
+func TestHandingOverMakesNoGroup(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	h := &holder{name: "holder", engine: w.engine("holder")}
+	w.settled(h.engine)
+	front := w.engineWith("front", &holders{list: []*holder{h}})
+	c := cwcatalogue.Catalogue{Revision: 2}
+	for i := range 2 * manyGroups {
+		e := w.entry
+		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
+		c.Entries = append(c.Entries, e)
+	}
+	front.SetCatalogue(c)
+	c.Revision, c.Entries = 3, append(c.Entries, w.entry)
+	front.SetCatalogue(c)
+	s := w.session(front)
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	succeeds(w.c, s.ask(cwstatement.Begin, "BEGIN"))
+	succeeds(w.c, s.ask(cwstatement.Write, "WRITE i 2"))
+	succeeds(w.c, s.ask(cwstatement.Commit, "COMMIT"))
+	_, made := front.Group(testService)
+	w.c.Assert(made, qt.IsFalse)
+}
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -59,7 +59,7 @@
 
 // runAlone runs a statement outside a transaction.
 func (s *session) runAlone(st cwstatement.Statement, began time.Time) cwstatement.Answer {
-	entry, group, ok := s.lookup()
+	entry, ok := s.lookup()
 	if !ok {
 		return noDatabase(s.database)
 	}
@@ -73,6 +73,10 @@
 			return offered.answer
 		}
 	}
+	group, ok := s.groupHere(entry)
+	if !ok {
+		return noDatabase(s.database)
+	}
 	t := &try{session: s, id: st.ID, entry: entry, group: group, limits: limitsOf(entry.Contract, began), began: began}
 	a := s.runHere(t, w)
 	if !a.Code.Promises() {
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -197,12 +197,22 @@
 	}
 }
 
-// lookup returns the entry that the session uses, and its group.
-func (s *session) lookup() (cwcatalogue.Entry, *cwlead.Group, bool) {
+// lookup returns the entry that the session uses.
+func (s *session) lookup() (cwcatalogue.Entry, bool) {
 	if s.given != nil {
-		return s.given.entry, s.given.group, true
+		return s.given.entry, true
 	}
-	return s.engine.entry(s.database)
+	return s.engine.entryNamed(s.database)
+}
+
+// groupHere returns the group of an entry for a statement that runs here. Callers
+// come for far more groups than run here, and one that only hands their statements
+// over needs none.
+func (s *session) groupHere(entry cwcatalogue.Entry) (*cwlead.Group, bool) {
+	if s.given != nil {
+		return s.given.group, true
+	}
+	return s.engine.use(entry.Groups[0].Name)
 }
 
 // handle serves one statement that came at began.
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -30,13 +30,17 @@
 // so that a caller that thinks in between holds no connection; but what is
 // known not to work is refused now.
 func (s *session) begin(st cwstatement.Statement) cwstatement.Answer {
-	entry, group, ok := s.lookup()
+	entry, ok := s.lookup()
 	if !ok {
 		return noDatabase(s.database)
 	}
 	if s.beginAway(entry, st) {
 		return cwstatement.Answer{State: cwstatement.Open}
 	}
+	group, ok := s.groupHere(entry)
+	if !ok {
+		return noDatabase(s.database)
+	}
 	tx := &transaction{session: s, entry: entry, group: group, reads: st.Verb == cwstatement.BeginRead}
 	if !tx.reads {
 		if _, err := group.Primary(); err != nil {
