--- a/internal/proxy/cwtargets/workspace_test.go
+++ b/internal/proxy/cwtargets/workspace_test.go
@@ -9,8 +9,14 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// patience bounds a wait in real time, since the pool's clock stands still: a test
+// whose guard is gone fails instead of hanging.
+const patience = 5 * time.Second
+
 func acquireFor(p *Pool, clock clockwork.Clock, workspace string) (*Conn, error) {
-	return p.Acquire(context.Background(), clock.Now().Add(time.Minute), workspace, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return p.Acquire(ctx, clock.Now().Add(time.Minute), workspace, nil)
 }
 
 func mustAcquire(t *testing.T, p *Pool, clock clockwork.Clock, workspace string) *Conn {
@@ -65,6 +71,7 @@
 	waiting(t, p, 1)
 	p.Release(a)
 	c := <-got
+	qt.Assert(t, c, qt.IsNotNil)
 	qt.Assert(t, c.Workspace, qt.Equals, "b")
 	qt.Assert(t, p.Load().Open, qt.Equals, 1)
 }
