--- a/internal/proxy/cwengine/access_test.go
+++ b/internal/proxy/cwengine/access_test.go
@@ -196,7 +196,7 @@
 // meter allows so many operations.
 type meter struct{ left atomic.Int64 }
 
-func (m *meter) Take(string, cwcatalogue.Quota) cwport.Verdict {
+func (m *meter) Take(string) cwport.Verdict {
 	if m.left.Add(-1) < 0 {
 		return cwport.Verdict{RetryAfter: time.Second}
 	}
--- a/internal/proxy/cwengine/quota.go
+++ b/internal/proxy/cwengine/quota.go
@@ -1,18 +1,14 @@
 package cwengine
 
-import (
-	"time"
-
-	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
-)
+import "cicadawalk.example/cicadawalk/internal/core/cwstatement"
 
 // begins reports whether a statement outside a transaction begins an operation.
 func begins(v cwstatement.Verb) bool { return needsKey(v) && v != cwstatement.Commit }
 
-// meter counts an operation against the quota of its workspace, or refuses it.
+// meter counts the operation that a statement begins against the quota of its workspace, or refuses it.
 // The statements of a transaction after the first count no more, and those that
 // another instance has handed over were counted there.
-func (s *session) meter(st cwstatement.Statement, _ time.Time) cwstatement.Answer {
+func (s *session) meter(st cwstatement.Statement) cwstatement.Answer {
 	e := s.engine
 	if e.cfg.Meter == nil || s.given != nil || s.inTransaction() || s.workspace == "" || !begins(st.Verb) {
 		return cwstatement.Answer{}
@@ -21,7 +17,7 @@
 	if !ok || !q.Limited() {
 		return cwstatement.Answer{}
 	}
-	v := e.cfg.Meter.Take(s.workspace, q)
+	v := e.cfg.Meter.Take(s.workspace)
 	switch {
 	case v.Allowed:
 		return cwstatement.Answer{}
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -220,7 +220,7 @@
 	if a := s.authorise(st, began); a.Code != cwstatement.OK {
 		return a
 	}
-	if a := s.meter(st, began); a.Code != cwstatement.OK {
+	if a := s.meter(st); a.Code != cwstatement.OK {
 		return a
 	}
 	if s.tx != nil {
--- a/internal/proxy/cwmeter/meter.go
+++ b/internal/proxy/cwmeter/meter.go
@@ -1,5 +1,5 @@
 // Package cwmeter asks the issuers of a workspace's quota for its operations, and
-// answers others where this instance is one. How a quota is split and what a
+// answers others where this instance is one. How a quota is split and what an
 // issuer gives is decided by cwquota.
 package cwmeter
 
@@ -73,7 +73,7 @@
 func (m *Meter) Start() { m.once.Do(func() { m.started = m.Clock.Now() }) }
 
 // Take implements cwport.Meter.
-func (m *Meter) Take(workspace string, _ cwcatalogue.Quota) cwport.Verdict {
+func (m *Meter) Take(workspace string) cwport.Verdict {
 	m.Start()
 	end := m.Clock.Now().Add(patience)
 	for {
@@ -92,11 +92,11 @@
 // operation.
 func (m *Meter) round(workspace string, far bool) cwport.Verdict {
 	out := cwport.Verdict{Unknown: true, RetryAfter: unknownRetry}
-	for _, k := range m.Peers.QuotaIssuers(workspace, far) {
-		b, ok := m.blockedBy(question{workspace, k.Name})
+	for _, issuer := range m.Peers.QuotaIssuers(workspace, far) {
+		b, ok := m.blockedBy(question{workspace, issuer.Name})
 		v := cwport.Verdict{Unknown: b.silent, RetryAfter: b.until.Sub(m.Clock.Now())}
 		if !ok {
-			v = m.ask(workspace, k)
+			v = m.ask(workspace, issuer)
 		}
 		if out = sooner(out, v); out.Allowed {
 			return out
@@ -143,17 +143,17 @@
 }
 
 // ask asks one issuer.
-func (m *Meter) ask(workspace string, k cwport.QuotaIssuer) cwport.Verdict {
-	if k.Ask == nil {
+func (m *Meter) ask(workspace string, issuer cwport.QuotaIssuer) cwport.Verdict {
+	if issuer.Ask == nil {
 		return m.TellQuota(workspace)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	v, err := k.Ask(ctx, workspace)
-	q := question{workspace, k.Name}
+	v, err := issuer.Ask(ctx, workspace)
+	q := question{workspace, issuer.Name}
 	switch {
 	case err != nil:
-		m.Log.Debug("quotaNotAsked", "workspace", workspace, "issuer", k.Name, "cause", err)
+		m.Log.Debug("quotaNotAsked", "workspace", workspace, "issuer", issuer.Name, "cause", err)
 		m.block(q, silentFor, true)
 		return cwport.Verdict{Unknown: true}
 	case !v.Allowed:
--- a/internal/proxy/cwmeter/meter_test.go
+++ b/internal/proxy/cwmeter/meter_test.go
@@ -65,7 +65,7 @@
 		m, _ := newMeter(f)
 		f.near = []cwport.QuotaIssuer{f.issuer("a", spent, nil), f.issuer("b", allowed, nil)}
 		f.far = []cwport.QuotaIssuer{f.issuer("c", allowed, nil)}
-		qt.Assert(t, m.Take(workspace, cwcatalogue.Quota{}).Allowed, qt.IsTrue)
+		qt.Assert(t, m.Take(workspace).Allowed, qt.IsTrue)
 		qt.Assert(t, f.asked, qt.DeepEquals, map[string]int{"a": 1, "b": 1})
 	})
 	t.Run("another data centre's, where the own is spent", func(t *testing.T) {
@@ -73,13 +73,13 @@
 		m, _ := newMeter(f)
 		f.near = []cwport.QuotaIssuer{f.issuer("a", spent, nil)}
 		f.far = []cwport.QuotaIssuer{f.issuer("c", allowed, nil)}
-		qt.Assert(t, m.Take(workspace, cwcatalogue.Quota{}).Allowed, qt.IsTrue)
+		qt.Assert(t, m.Take(workspace).Allowed, qt.IsTrue)
 	})
 	t.Run("its own", func(t *testing.T) {
 		f := &fleet{near: []cwport.QuotaIssuer{{Name: "self"}}}
 		m, clock := newMeter(f)
 		clock.Advance(time.Minute)
-		qt.Assert(t, m.Take(workspace, cwcatalogue.Quota{}).Allowed, qt.IsTrue)
+		qt.Assert(t, m.Take(workspace).Allowed, qt.IsTrue)
 	})
 }
 
@@ -91,13 +91,13 @@
 	m, clock := newMeter(f)
 	f.near, f.far = []cwport.QuotaIssuer{f.issuer("a", spent, nil)}, []cwport.QuotaIssuer{f.issuer("c", spent, nil)}
 	for range 100 {
-		v := m.Take(workspace, cwcatalogue.Quota{})
+		v := m.Take(workspace)
 		qt.Assert(t, v.Allowed || v.Unknown, qt.IsFalse)
 		qt.Assert(t, v.RetryAfter, qt.Equals, spent.RetryAfter)
 	}
 	qt.Assert(t, f.asked, qt.DeepEquals, map[string]int{"a": 1, "c": 1})
 	clock.Advance(spent.RetryAfter)
-	m.Take(workspace, cwcatalogue.Quota{})
+	m.Take(workspace)
 	qt.Assert(t, f.asked["a"], qt.Equals, 2)
 }
 
@@ -108,11 +108,11 @@
 	m, clock := newMeter(f)
 	f.near = []cwport.QuotaIssuer{f.issuer("a", cwport.Verdict{}, errSilent), f.issuer("b", allowed, nil)}
 	for range 10 {
-		qt.Assert(t, m.Take(workspace, cwcatalogue.Quota{}).Allowed, qt.IsTrue)
+		qt.Assert(t, m.Take(workspace).Allowed, qt.IsTrue)
 	}
 	qt.Assert(t, f.asked, qt.DeepEquals, map[string]int{"a": 1, "b": 10})
 	clock.Advance(silentFor)
-	m.Take(workspace, cwcatalogue.Quota{})
+	m.Take(workspace)
 	qt.Assert(t, f.asked["a"], qt.Equals, 2)
 }
 
@@ -122,7 +122,7 @@
 	f := &fleet{}
 	m, clock := newMeter(f)
 	got := make(chan cwport.Verdict, 1)
-	go func() { got <- m.Take(workspace, cwcatalogue.Quota{}) }()
+	go func() { got <- m.Take(workspace) }()
 	for {
 		select {
 		case v := <-got:
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -36,20 +36,20 @@
 
 // quotaIssuers returns the issuers of a workspace's quota. The caller holds mu.
 func (p *Peers) quotaIssuers(workspace string) []cwholder.Instance {
-	if k, ok := p.issuers[workspace]; ok {
-		return k
+	if list, ok := p.issuers[workspace]; ok {
+		return list
 	}
 	all := make([]cwholder.Instance, 0, len(p.instances))
 	for _, i := range p.instances {
 		all = append(all, i)
 	}
 	key := quotaKey + workspace
-	k := cwholder.Order(p.Self, key, cwholder.Holders(key, all, cwholder.Demand{}))
+	list := cwholder.Order(p.Self, key, cwholder.Holders(key, all, cwholder.Demand{}))
 	if p.issuers == nil {
 		p.issuers = make(map[string][]cwholder.Instance)
 	}
-	p.issuers[workspace] = k
-	return k
+	p.issuers[workspace] = list
+	return list
 }
 
 // askQuota asks the instance for one operation of a workspace.
--- a/internal/proxy/cwport/quota.go
+++ b/internal/proxy/cwport/quota.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"time"
-
-	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 )
 
 // Meter keeps the quotas of workspaces over all instances.
 type Meter interface {
 	// Take asks for one operation of a workspace.
-	Take(workspace string, q cwcatalogue.Quota) Verdict
+	Take(workspace string) Verdict
 }
 
 // Verdict is whether an operation is within its workspace's quota.
