platform, directory: the store's era, and answers that are left out, in logs and metrics

Sight for the incident of a desired state that was not in force.

Now: storeRestored and answerOutdated (topic, era, version, known, revision), counters of both, gauges of the era and of the desired state in force.

--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -120,6 +120,10 @@
 	renewed chan struct{}
 	// askedAt is when another instance last asked for news.
 	askedAt time.Time
+	// era is the newest era of the store that was seen; eraKnown is true once
+	// one was.
+	era      uint64
+	eraKnown bool
 	// away is true while the store does not answer about targets.
 	away bool
 	// back is closed with the next confirmation of the desired state; nil if nobody
@@ -140,6 +144,10 @@
 	// StoreQuestions are those to the store, FeederAnswers the answers of a
 	// feeder, Told those to other instances.
 	StoreQuestions, FeederAnswers, Told *metrics.Counter
+	// Restores are the times that the store was seen to have come back from an
+	// older copy, Outdated the answers that were left out since what was known
+	// was newer.
+	Restores, Outdated *metrics.Counter
 }
 
 func inc(c *metrics.Counter) {
@@ -208,6 +216,7 @@
 func (d *Directory) take(t cwport.Topic, b cwport.Batch, whole bool, confirmed time.Time) {
 	d.taking.Lock()
 	defer d.taking.Unlock()
+	d.noteEra(t, b)
 	b, news := d.onlyNew(t, b, whole)
 	if news {
 		d.apply(t, b, whole)
@@ -223,6 +232,9 @@
 	d.mu.Lock()
 	after := d.topics[t].after
 	d.mu.Unlock()
+	if whole && b.Version < after {
+		d.noteOutdated(t, b, after)
+	}
 	if whole {
 		return b, b.Version >= after
 	}
@@ -239,6 +251,36 @@
 	return b, b.Changed() || len(b.Faults) > 0
 }
 
+// noteOutdated notes all rows of a topic that were left out.
+func (d *Directory) noteOutdated(t cwport.Topic, b cwport.Batch, known uint64) {
+	inc(d.Counts.Outdated)
+	var revision cwcatalogue.Revision
+	if b.Catalogue != nil {
+		revision = b.Catalogue.Revision
+	}
+	d.Log.Warn("answerOutdated", "topic", t, "era", b.Era, "version", b.Version, "known", known, "rows", len(b.Raw), "revision", revision)
+}
+
+// noteEra notes that the store has come back from an older copy.
+func (d *Directory) noteEra(t cwport.Topic, b cwport.Batch) {
+	d.mu.Lock()
+	before, known := d.era, d.eraKnown
+	d.era, d.eraKnown = max(before, b.Era), true
+	d.mu.Unlock()
+	if !known || b.Era <= before {
+		return
+	}
+	inc(d.Counts.Restores)
+	d.Log.Warn("storeRestored", "topic", t, "era", b.Era, "before", before, "version", b.Version)
+}
+
+// Era returns the newest era of the store that is known; zero if it does not tell.
+func (d *Directory) Era() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.era
+}
+
 // note notes up to where a topic is known, and wakes those who asked.
 func (d *Directory) note(t cwport.Topic, b cwport.Batch, whole bool, confirmed time.Time) {
 	entries := d.entriesOf(b.Raw)
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -20,6 +20,10 @@
 	// FeederAnswers the answers of another instance in their place, and NewsTold
 	// the answers to other instances.
 	StoreQuestions, FeederAnswers, NewsTold *metrics.Counter
+	// StoreRestores counts the times that the store was seen to have come back
+	// from an older copy, StoreOutdated its answers that were left out since what
+	// was known was newer.
+	StoreRestores, StoreOutdated *metrics.Counter
 	// QuotaRefused counts operations beyond the quota of their workspace,
 	// QuotaUnknown those whose quota could not be checked, and Unauthorised
 	// statements and sessions with a key that is not known.
@@ -44,6 +48,8 @@
 		StoreQuestions: set.NewCounter("cicadawalk_store_questions_total"),
 		FeederAnswers:  set.NewCounter("cicadawalk_feeder_answers_total"),
 		NewsTold:       set.NewCounter("cicadawalk_news_told_total"),
+		StoreRestores:  set.NewCounter("cicadawalk_store_restores_total"),
+		StoreOutdated:  set.NewCounter("cicadawalk_store_answers_outdated_total"),
 
 		QuotaRefused: set.NewCounter("cicadawalk_quota_refused_total"),
 		QuotaUnknown: set.NewCounter("cicadawalk_quota_unknown_total"),
@@ -60,6 +66,15 @@
 	m.set.NewGauge("cicadawalk_desired_state_age_seconds", age)
 }
 
+// ShowRevision shows the desired state in force, so that instances can be
+// compared.
+func (m *Metrics) ShowRevision(revision func() float64) {
+	m.set.NewGauge("cicadawalk_desired_revision", revision)
+}
+
+// ShowEra shows the newest era of the platform's store that is known.
+func (m *Metrics) ShowEra(era func() float64) { m.set.NewGauge("cicadawalk_store_era", era) }
+
 // answered counts the answer to a statement.
 func (m *Metrics) answered(v cwstatement.Verb, c cwstatement.Code) {
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -100,7 +100,10 @@
 		Waits: cfg.Waits, GoneAfter: cfg.GoneAfter, Source: cfg.Source, Sink: in, Clock: cfg.Clock, Log: cfg.Log,
 		Feeders: in.peers, Decoder: cfg.Decoder, Stale: cfg.Stale,
 		Remembered: in.members.Remembered,
-		Counts:     cwdirectory.Counts{StoreQuestions: in.metrics.StoreQuestions, FeederAnswers: in.metrics.FeederAnswers, Told: in.metrics.NewsTold},
+		Counts: cwdirectory.Counts{
+			StoreQuestions: in.metrics.StoreQuestions, FeederAnswers: in.metrics.FeederAnswers, Told: in.metrics.NewsTold,
+			Restores: in.metrics.StoreRestores, Outdated: in.metrics.StoreOutdated,
+		},
 	}
 	in.members.Counted = in.dir.Counted
 	engine := cwengine.Config{
@@ -117,6 +120,8 @@
 	}
 	in.engine = cwengine.New(engine)
 	in.metrics.ShowAge(in.age)
+	in.metrics.ShowRevision(func() float64 { return float64(in.engine.Revision()) })
+	in.metrics.ShowEra(func() float64 { return float64(in.dir.Era()) })
 	return in
 }
 
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -156,6 +156,10 @@
 type Batch struct {
 	// Version is where to go on from.
 	Version uint64
+	// Era is how often the store has come back from an older copy of its data,
+	// which lacks what was acknowledged after the copy was made; zero if it does
+	// not tell.
+	Era uint64
 	// Catalogue is the newest desired state, if the batch has one.
 	Catalogue *cwcatalogue.Catalogue
 	// Listed are targets that are new or changed.
