feed, platform, directory: versions are ordered by the store's era first

What callers saw: the state of an operator's change, as the store had confirmed it, was not in force three seconds later, at any instance, for up to a quarter of a minute.

Cause: versions were compared by the store's counter alone, on the word of its page that it loses nothing it has acknowledged. That term has changed: after a restore from an older copy the counter goes back. Then all rows that are read look older than what is known and are left out (410 for the known version, all rows, 410 again); and once the counter has passed the known version, what was given a lower number is never told.

Change: a version is the era and the counter together (cwfeed.Version), made in the adapter from the header of each answer. It never falls and is never given out twice, so what compares versions holds again as it stands: directory, history of feeders, followers, the fencing token of a change of primary (the version of the claim's row). An answer with changes from another era than the question's is a lost history; pages of one reading must be of one era. The first topic that learns of a new era ends the questions of the others, which would last up to ten seconds.

Ruled out: going back to lower versions after a 410 (it does not come once the counter has passed, and an answer of before the restore that is held up would be taken for the newer one); one counter of our own for answers as they come (feeders need to compare).

--- a/internal/core/cwfeed/feed_test.go
+++ b/internal/core/cwfeed/feed_test.go
@@ -110,9 +110,9 @@
 		var store History[Entry[int]]
 		store.Replace(1, nil)
 		feeders := make([]History[Entry[int]], 3)
-		seen := make([]uint64, len(feeders))
+		seen := make([]Version, len(feeders))
 		var asker History[Entry[int]]
-		version := uint64(1)
+		version := Version(1)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
@@ -150,7 +150,7 @@
 }
 
 // tell brings one history up to date by another one, all anew if fresh.
-func tell(from, to *History[Entry[int]], after *uint64, fresh bool) {
+func tell(from, to *History[Entry[int]], after *Version, fresh bool) {
 	ask := *after
 	if fresh {
 		ask = 0
@@ -188,7 +188,7 @@
 func TestHistoryIsBounded(t *testing.T) {
 	var h History[int]
 	h.Replace(1, nil)
-	for v := uint64(2); v < 10*maxRemoved; v++ {
+	for v := Version(2); v < 10*maxRemoved; v++ {
 		h.Add(v, []Entry[int]{{Key: fmt.Sprint(v), Version: v, Removed: true}})
 	}
 	qt.Assert(t, len(h.entries) <= maxRemoved, qt.IsTrue)
--- a/internal/core/cwfeed/history.go
+++ b/internal/core/cwfeed/history.go
@@ -12,9 +12,8 @@
 // Entry is the newest state of one row.
 type Entry[R any] struct {
 	Key string
-	// Version is that of the change that made the row what it is. Versions come
-	// from one counter for all rows.
-	Version uint64
+	// Version is that of the change that made the row what it is.
+	Version Version
 	// Removed is true if the row is gone.
 	Removed bool
 	Row     R
@@ -28,18 +27,18 @@
 	entries map[string]Entry[R]
 	// version is up to where everything is known, floor the version from which
 	// on changes can be told. floor never exceeds version.
-	version, floor uint64
+	version, floor Version
 	// changed is the newest version of a row.
-	changed uint64
+	changed Version
 	known   bool
 	removed int
 }
 
 // Version returns up to where everything is known; false if nothing is.
-func (h *History[R]) Version() (uint64, bool) { return h.version, h.known }
+func (h *History[R]) Version() (Version, bool) { return h.version, h.known }
 
 // Replace takes all rows as of a version.
-func (h *History[R]) Replace(version uint64, rows []Entry[R]) {
+func (h *History[R]) Replace(version Version, rows []Entry[R]) {
 	if h.known && version < h.version {
 		return
 	}
@@ -53,7 +52,7 @@
 }
 
 // Add takes the changes up to a version.
-func (h *History[R]) Add(version uint64, rows []Entry[R]) {
+func (h *History[R]) Add(version Version, rows []Entry[R]) {
 	if !h.known {
 		return
 	}
@@ -101,12 +100,12 @@
 
 // HasSince reports whether there is anything to tell who knows all up to a
 // version.
-func (h *History[R]) HasSince(after uint64) bool { return after < h.changed || after < h.floor }
+func (h *History[R]) HasSince(after Version) bool { return after < h.changed || after < h.floor }
 
 // Since returns the rows that changed after a version, oldest change first; whole
 // is true if these are all rows there are, because the changes alone are no
 // longer known.
-func (h *History[R]) Since(after uint64) (rows []R, whole bool) {
+func (h *History[R]) Since(after Version) (rows []R, whole bool) {
 	whole = after < h.floor
 	var changed []Entry[R]
 	for _, e := range h.entries {
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -158,8 +158,11 @@
 
 // topicState is what is known of one topic.
 type topicState struct {
+	// endPoll ends the question to the store that is being asked; nil if there is
+	// none.
+	endPoll context.CancelFunc
 	// after is up to where it is known; it never falls.
-	after uint64
+	after cwfeed.Version
 	// read is true once a snapshot was taken.
 	read bool
 	// confirmed is a time at which what is known was all there was, by the
@@ -252,26 +255,41 @@
 }
 
 // noteOutdated notes all rows of a topic that were left out.
-func (d *Directory) noteOutdated(t cwport.Topic, b cwport.Batch, known uint64) {
+func (d *Directory) noteOutdated(t cwport.Topic, b cwport.Batch, known cwfeed.Version) {
 	inc(d.Counts.Outdated)
 	var revision cwcatalogue.Revision
 	if b.Catalogue != nil {
 		revision = b.Catalogue.Revision
 	}
-	d.Log.Warn("answerOutdated", "topic", t, "era", b.Era, "version", b.Version, "known", known, "rows", len(b.Raw), "revision", revision)
+	d.Log.Warn("answerOutdated", "topic", t, "version", b.Version, "known", known, "rows", len(b.Raw), "revision", revision)
 }
 
-// noteEra notes that the store has come back from an older copy.
+// noteEra notes that the store has come back from an older copy. Questions that
+// began before it are ended: all topics are read anew at once.
 func (d *Directory) noteEra(t cwport.Topic, b cwport.Batch) {
+	era := b.Version.Era()
 	d.mu.Lock()
 	before, known := d.era, d.eraKnown
-	d.era, d.eraKnown = max(before, b.Era), true
+	d.era, d.eraKnown = max(before, era), true
+	restored := known && era > before
+	if restored {
+		d.endPolls()
+	}
 	d.mu.Unlock()
-	if !known || b.Era <= before {
+	if !restored {
 		return
 	}
 	inc(d.Counts.Restores)
-	d.Log.Warn("storeRestored", "topic", t, "era", b.Era, "before", before, "version", b.Version)
+	d.Log.Warn("storeRestored", "topic", t, "era", era, "before", before, "version", b.Version)
+}
+
+// endPolls ends all questions to the store. The caller holds mu.
+func (d *Directory) endPolls() {
+	for i := range d.topics {
+		if end := d.topics[i].endPoll; end != nil {
+			end()
+		}
+	}
 }
 
 // Era returns the newest era of the store that is known; zero if it does not tell.
--- a/internal/proxy/cwdirectory/directory_test.go
+++ b/internal/proxy/cwdirectory/directory_test.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -38,7 +39,7 @@
 	return cwport.Batch{Version: 1}, nil
 }
 
-func (s *source) Changes(ctx context.Context, t cwport.Topic, _ uint64, wait time.Duration) (cwport.Batch, error) {
+func (s *source) Changes(ctx context.Context, t cwport.Topic, _ cwfeed.Version, wait time.Duration) (cwport.Batch, error) {
 	switch t {
 	case cwport.Desired:
 		s.mu.Lock()
@@ -218,13 +219,13 @@
 	var lines lockedBuffer
 	out := startWith(t, src, log.New(&lines))
 	eventually(t, "the list is known", func() bool { return out.has("a") })
-	foreign := func(v uint64) cwport.Batch {
+	foreign := func(v cwfeed.Version) cwport.Batch {
 		return cwport.Batch{
 			Version: v, Removed: []cwgroup.MemberID{"a", "x"},
 			Faults: []cwport.RowFault{{Key: "a", Version: v, Cause: errForeign}, {Key: "x", Version: v, Cause: errForeign}},
 		}
 	}
-	for v := range uint64(2) {
+	for v := range cwfeed.Version(2) {
 		src.targets <- foreign(v + 2)
 	}
 	qt.Assert(t, out.has("a"), qt.IsTrue)
@@ -264,7 +265,7 @@
 	src := &source{targets: make(chan cwport.Batch, 20)}
 	out := start(t, src)
 	for i := range 20 {
-		src.targets <- cwport.Batch{Version: uint64(i + 2), Listed: []cwport.Listing{{ID: cwgroup.MemberID(rune('c' + i))}}}
+		src.targets <- cwport.Batch{Version: cwfeed.Version(i + 2), Listed: []cwport.Listing{{ID: cwgroup.MemberID(rune('c' + i))}}}
 	}
 	eventually(t, "the first of them is listed", func() bool { return out.has("c") })
 	time.Sleep(targetsSettle * 3 / 2)
--- a/internal/proxy/cwdirectory/fleet_test.go
+++ b/internal/proxy/cwdirectory/fleet_test.go
@@ -32,7 +32,7 @@
 // their keys, the desired state is its revision.
 type table struct {
 	mu      sync.Mutex
-	version uint64
+	version cwfeed.Version
 	history [cwport.TopicCount]cwfeed.History[cwport.Row]
 	changed chan struct{}
 	calls   int
@@ -57,6 +57,22 @@
 	s.changed = make(chan struct{})
 }
 
+// restore goes back to an empty copy, in a later era, where the desired state has
+// been written again.
+func (s *table) restore(c *qt.C) {
+	c.Helper()
+	s.mu.Lock()
+	version, err := cwfeed.At(s.version.Era()+1, 1)
+	c.Assert(err, qt.IsNil)
+	s.version = version
+	for i := range s.history {
+		s.history[i] = cwfeed.History[cwport.Row]{}
+		s.history[i].Replace(version, nil)
+	}
+	s.mu.Unlock()
+	s.put(cwport.Desired, "config", false)
+}
+
 func (s *table) setAway(f func(name string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,7 +95,7 @@
 	return s.answer(ctx, t, 0, true)
 }
 
-func (s askedBy) Changes(ctx context.Context, t cwport.Topic, after uint64, wait time.Duration) (cwport.Batch, error) {
+func (s askedBy) Changes(ctx context.Context, t cwport.Topic, after cwfeed.Version, wait time.Duration) (cwport.Batch, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -87,7 +103,11 @@
 	for {
 		s.mu.Lock()
 		changed, news, away := s.changed, s.history[t].HasSince(after), s.away(s.name)
+		restored := s.version.Era() > after.Era()
 		s.mu.Unlock()
+		if restored && !away {
+			return cwport.Batch{}, &cwport.HistoryError{After: after}
+		}
 		if news || away {
 			return s.answer(ctx, t, after, false)
 		}
@@ -103,7 +123,7 @@
 
 // answer answers at once; an instance that the store does not answer hears
 // nothing until its time is up.
-func (s askedBy) answer(ctx context.Context, t cwport.Topic, after uint64, whole bool) (cwport.Batch, error) {
+func (s askedBy) answer(ctx context.Context, t cwport.Topic, after cwfeed.Version, whole bool) (cwport.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if whole {
@@ -122,7 +142,7 @@
 // decoder reads the rows of table.
 type decoder struct{}
 
-func (decoder) Decode(t cwport.Topic, version uint64, rows []cwport.Row) cwport.Batch {
+func (decoder) Decode(t cwport.Topic, version cwfeed.Version, rows []cwport.Row) cwport.Batch {
 	b := cwport.Batch{Version: version, Raw: rows}
 	for _, r := range rows {
 		switch {
--- /dev/null
+++ b/internal/proxy/cwdirectory/restore_test.go
@@ -0,0 +1,94 @@
+package cwdirectory
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// A desired state is not in force at the instances that hear of it from others. The
+// store came back from an older copy; the roots read all anew, and what they tell
+// looks older than what the others know.
+func TestRestoreReachesEveryInstance(t *testing.T) {
+	run(t, fleetSize, func(c *qt.C, fl *fleet) {
+		for range 50 {
+			fl.store.put(cwport.Targets, "a", false)
+		}
+		time.Sleep(10 * time.Second)
+		for range 2 {
+			fl.store.restore(c)
+			took := fl.change(c)
+			c.Assert(took < configBound, qt.IsTrue, qt.Commentf("in force after %v", took))
+		}
+		before := fl.store.count()
+		time.Sleep(time.Minute)
+		calls := fl.store.count() - before
+		c.Assert(calls <= 120, qt.IsTrue, qt.Commentf("%d calls in a minute", calls))
+		for _, name := range fl.names {
+			c.Assert(fl.dirs[name].Era(), qt.Equals, uint64(2), qt.Commentf("%s", name))
+		}
+	})
+}
+
+// restoredSource is a store that came back from an older copy while questions were
+// on their way. It answers about the desired state, and holds the other questions.
+type restoredSource struct {
+	restored  atomic.Bool
+	snapshots atomic.Int64
+}
+
+func (s *restoredSource) version() cwfeed.Version {
+	if !s.restored.Load() {
+		return 40
+	}
+	v, err := cwfeed.At(1, 3)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func (s *restoredSource) Snapshot(_ context.Context, t cwport.Topic) (cwport.Batch, error) {
+	if t == cwport.Own {
+		s.snapshots.Add(1)
+	}
+	return cwport.Batch{Version: s.version()}, nil
+}
+
+func (s *restoredSource) Changes(ctx context.Context, t cwport.Topic, after cwfeed.Version, wait time.Duration) (cwport.Batch, error) {
+	if t != cwport.Desired {
+		<-ctx.Done()
+		return cwport.Batch{}, ctx.Err()
+	}
+	if after.Era() != s.version().Era() {
+		return cwport.Batch{}, &cwport.HistoryError{After: after}
+	}
+	select {
+	case <-time.After(min(wait, 100*time.Millisecond)):
+	case <-ctx.Done():
+	}
+	return cwport.Batch{Version: s.version()}, ctx.Err()
+}
+
+// An instance goes on for ten seconds with claims and members that the store has
+// lost: a question about them was on its way when the store came back from an older
+// copy, and only the answer to another question showed that.
+func TestRestoreEndsQuestionsThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &restoredSource{}
+		runAlone(t, &Directory{Source: src, Sink: &sink{}}, func(c *qt.C) {
+			time.Sleep(time.Second)
+			c.Assert(src.snapshots.Load(), qt.Equals, int64(1))
+			src.restored.Store(true)
+			time.Sleep(time.Second)
+			c.Assert(src.snapshots.Load(), qt.Equals, int64(2))
+		})
+	})
+}
--- a/internal/proxy/cwdirectory/start_test.go
+++ b/internal/proxy/cwdirectory/start_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -22,7 +23,7 @@
 	out := &sink{present: map[cwgroup.MemberID]bool{}}
 	d := &Directory{Sink: out, Decoder: decoder{}, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
 	d.prepare()
-	row := func(v uint64, removed bool) []cwport.Row {
+	row := func(v cwfeed.Version, removed bool) []cwport.Row {
 		return []cwport.Row{{Key: "a", Version: v, Removed: removed}}
 	}
 	now := time.Now()
--- a/internal/proxy/cwmembers/members_test.go
+++ b/internal/proxy/cwmembers/members_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -38,7 +37,7 @@
 	switch {
 	case s.away:
 		return &cwplatform.UnavailableError{Cause: io.EOF}
-	case c.Expect[0].ETag != "" && c.Expect[0].ETag != strconv.FormatUint(s.row.Version, 10),
+	case c.Expect[0].ETag != "" && c.Expect[0].ETag != s.row.Tag(),
 		c.Expect[0].ETag == "" && s.row.Version > 0:
 		return &cwplatform.ConflictError{Key: c.Expect[0].Key}
 	}
--- a/internal/proxy/cwport/feed.go
+++ b/internal/proxy/cwport/feed.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 )
 
 // Topics lists all topics.
@@ -14,7 +16,7 @@
 // NewsQuestion asks another instance what the platform's store has told.
 type NewsQuestion struct {
 	// After is the version up to which the asker knows each topic.
-	After [TopicCount]uint64
+	After [TopicCount]cwfeed.Version
 	// Wait is how long the answer may be held while there is nothing to tell.
 	Wait time.Duration
 }
@@ -32,7 +34,7 @@
 // TopicNews is what an instance has learnt of one topic.
 type TopicNews struct {
 	// Version is up to where the rows go.
-	Version uint64
+	Version cwfeed.Version
 	// Whole is true if these are all rows there are, not changes alone.
 	Whole bool
 	Rows  []Row
@@ -84,5 +86,5 @@
 type Decoder interface {
 	// Decode reads rows of a topic. One that cannot be read is a fault of the
 	// batch.
-	Decode(t Topic, version uint64, rows []Row) Batch
+	Decode(t Topic, version cwfeed.Version, rows []Row) Batch
 }
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 )
@@ -155,11 +156,7 @@
 // Batch is news of one topic.
 type Batch struct {
 	// Version is where to go on from.
-	Version uint64
-	// Era is how often the store has come back from an older copy of its data,
-	// which lacks what was acknowledged after the copy was made; zero if it does
-	// not tell.
-	Era uint64
+	Version cwfeed.Version
 	// Catalogue is the newest desired state, if the batch has one.
 	Catalogue *cwcatalogue.Catalogue
 	// Listed are targets that are new or changed.
@@ -179,12 +176,12 @@
 // RowFault is a row that could not be read.
 type RowFault struct {
 	Key     string
-	Version uint64
+	Version cwfeed.Version
 	Cause   error
 }
 
 func (f RowFault) Error() string {
-	return "row " + f.Key + " version " + strconv.FormatUint(f.Version, 10) + ": " + f.Cause.Error()
+	return "row " + f.Key + " version " + f.Version.String() + ": " + f.Cause.Error()
 }
 
 // Unwrap returns the cause.
@@ -199,7 +196,7 @@
 type Row struct {
 	Key     string
 	Value   []byte
-	Version uint64
+	Version cwfeed.Version
 	// Removed is true if the table no longer has it.
 	Removed bool
 	// Garbled is true if the store's text of the value cannot be read; the value
@@ -216,7 +213,7 @@
 	if r.Removed {
 		return ""
 	}
-	return strconv.FormatUint(r.Version, 10)
+	return strconv.FormatUint(uint64(r.Version), 10)
 }
 
 // Source tells about topics.
@@ -225,13 +222,14 @@
 	Snapshot(ctx context.Context, t Topic) (Batch, error)
 	// Changes returns what changed after a version, as soon as there is
 	// anything, or an empty batch after wait. The error is a *HistoryError if a
-	// new snapshot is needed.
-	Changes(ctx context.Context, t Topic, after uint64, wait time.Duration) (Batch, error)
+	// new snapshot is needed: the changes are no longer kept, or the store is in a
+	// later era.
+	Changes(ctx context.Context, t Topic, after cwfeed.Version, wait time.Duration) (Batch, error)
 }
 
 // HistoryError reports that the changes asked for are no longer kept.
-type HistoryError struct{ After uint64 }
+type HistoryError struct{ After cwfeed.Version }
 
 func (e *HistoryError) Error() string {
-	return "the changes after version " + strconv.FormatUint(e.After, 10) + " are no longer kept"
+	return "the changes after version " + e.After.String() + " are no longer kept"
 }
--- a/internal/wire/cwhandover/handover_test.go
+++ b/internal/wire/cwhandover/handover_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
@@ -74,7 +75,7 @@
 
 func TestNewsCodec(t *testing.T) {
 	t.Run("a question", func(t *testing.T) {
-		want := cwport.NewsQuestion{After: [cwport.TopicCount]uint64{1, 2, 3}, Wait: 1500 * time.Millisecond}
+		want := cwport.NewsQuestion{After: [cwport.TopicCount]cwfeed.Version{1, 2, 3}, Wait: 1500 * time.Millisecond}
 		b, err := json.Marshal(bodyOfQuestion(want))
 		qt.Assert(t, err, qt.IsNil)
 		got, err := questionOf(b)
@@ -217,7 +218,7 @@
 
 func TestNewsOverAConnection(t *testing.T) {
 	h := &handler{left: make(chan any, 16), answer: func(cwport.Handover) cwport.Handed { return cwport.Handed{} }}
-	question := cwport.NewsQuestion{After: [cwport.TopicCount]uint64{4, 5, 6}, Wait: time.Second}
+	question := cwport.NewsQuestion{After: [cwport.TopicCount]cwfeed.Version{4, 5, 6}, Wait: time.Second}
 	ask := func(c *qt.C, f cwport.NewsTeller) (*Conn, cwport.News, error) {
 		conn, err := Dial(context.Background(), "feeder", serveNews(c, h, f))
 		c.Assert(err, qt.IsNil)
--- a/internal/wire/cwhandover/news.go
+++ b/internal/wire/cwhandover/news.go
@@ -4,14 +4,15 @@
 	"encoding/json"
 	"time"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwpack"
 )
 
 type askBody struct {
 	// After has the version of each topic, in the order of cwport.Topics.
-	After  []uint64 `json:"after"`
-	WaitMS int64    `json:"waitMs,omitempty"`
+	After  []cwfeed.Version `json:"after"`
+	WaitMS int64            `json:"waitMs,omitempty"`
 }
 
 type newsBody struct {
@@ -21,19 +22,19 @@
 }
 
 type topicBody struct {
-	Version uint64    `json:"version"`
-	Whole   bool      `json:"whole,omitempty"`
-	Rows    []rowBody `json:"rows,omitempty"`
-	AgeUS   int64     `json:"ageUs"`
+	Version cwfeed.Version `json:"version"`
+	Whole   bool           `json:"whole,omitempty"`
+	Rows    []rowBody      `json:"rows,omitempty"`
+	AgeUS   int64          `json:"ageUs"`
 }
 
 type rowBody struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Version uint64 `json:"version"`
-	Removed bool   `json:"removed,omitempty"`
-	Garbled bool   `json:"garbled,omitempty"`
-	Packed  []byte `json:"packed,omitempty"`
+	Key     string         `json:"key"`
+	Value   []byte         `json:"value,omitempty"`
+	Version cwfeed.Version `json:"version"`
+	Removed bool           `json:"removed,omitempty"`
+	Garbled bool           `json:"garbled,omitempty"`
+	Packed  []byte         `json:"packed,omitempty"`
 }
 
 func bodyOfQuestion(q cwport.NewsQuestion) askBody {
@@ -49,7 +50,7 @@
 	if len(b.After) != cwport.TopicCount || b.WaitMS < 0 {
 		return cwport.NewsQuestion{}, &UnreadableError{What: "question for news"}
 	}
-	return cwport.NewsQuestion{After: [cwport.TopicCount]uint64(b.After), Wait: time.Duration(b.WaitMS) * time.Millisecond}, nil
+	return cwport.NewsQuestion{After: [cwport.TopicCount]cwfeed.Version(b.After), Wait: time.Duration(b.WaitMS) * time.Millisecond}, nil
 }
 
 func bodyOfNews(n cwport.News) newsBody {
