directory: a failing test of an age that answers renew though they are left out

Keys that were taken away are trusted by that age, and an instance asks the store itself by it.

TestAnswerThatIsLeftOutConfirmsNothing fails on the code as it is, also without a restore: an older answer of all rows that comes late does the same.

--- a/internal/proxy/cwdirectory/restore_test.go
+++ b/internal/proxy/cwdirectory/restore_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
@@ -92,3 +95,22 @@
 		})
 	})
 }
+
+// Callers run statements with a key that was taken away, at an instance that says its
+// desired state is a hundredth of a second old; an operator who looks for the
+// instance that is behind finds none. An answer that was left out because what is
+// known is newer counted as a confirmation of it.
+func TestAnswerThatIsLeftOutConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	d := &Directory{Sink: &sink{}, Decoder: decoder{}, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
+	d.prepare()
+	at := time.Unix(1000, 0)
+	later := at.Add(time.Minute)
+	d.take(cwport.Desired, cwport.Batch{Version: 9}, true, at)
+	d.take(cwport.Desired, cwport.Batch{Version: 8}, true, later)
+	c.Assert(d.Confirmed(), qt.Equals, at)
+	d.take(cwport.Desired, cwport.Batch{Version: 8}, false, later)
+	c.Assert(d.Confirmed(), qt.Equals, at)
+	d.take(cwport.Desired, cwport.Batch{Version: 9}, true, later)
+	c.Assert(d.Confirmed(), qt.Equals, later)
+}
