directory: an answer that is left out confirms nothing

What operators saw: instances that were three desired states behind said that theirs was below a tenth of a second old. Keys are trusted by the same age.

Cause: what was told was left out as older than what is known, and its time was noted all the same. Within an era that is true enough; across a restore, or with an answer from a store that tells what is some seconds old, it is not.

Change: an answer whose version is below what is known has no time of confirmation, be it the store's or a feeder's; the feeder's own rule for this is gone, being the same. A fake store in a test told version 0 with empty answers, which no store does; it tells the version that it was asked for now.

Before: TestAnswerThatIsLeftOutConfirmsNothing red. After: ./internal/proxy/cwdirectory passes.

--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -220,6 +220,13 @@
 	d.taking.Lock()
 	defer d.taking.Unlock()
 	d.noteEra(t, b)
+	if b.Version < d.after(t) {
+		// The failure: what is told is left out as older than what is known, and
+		// counts all the same as the store's word that there is nothing newer. An
+		// instance that is behind for good says that it is not, and goes on to
+		// trust keys that were taken away.
+		confirmed = time.Time{}
+	}
 	b, news := d.onlyNew(t, b, whole)
 	if news {
 		d.apply(t, b, whole)
--- a/internal/proxy/cwdirectory/directory_test.go
+++ b/internal/proxy/cwdirectory/directory_test.go
@@ -39,7 +39,7 @@
 	return cwport.Batch{Version: 1}, nil
 }
 
-func (s *source) Changes(ctx context.Context, t cwport.Topic, _ cwfeed.Version, wait time.Duration) (cwport.Batch, error) {
+func (s *source) Changes(ctx context.Context, t cwport.Topic, after cwfeed.Version, wait time.Duration) (cwport.Batch, error) {
 	switch t {
 	case cwport.Desired:
 		s.mu.Lock()
@@ -58,7 +58,7 @@
 		case b := <-s.targets:
 			return b, nil
 		case <-time.After(wait):
-			return cwport.Batch{}, nil
+			return cwport.Batch{Version: after}, nil
 		case <-ctx.Done():
 			return cwport.Batch{}, ctx.Err()
 		}
--- a/internal/proxy/cwdirectory/follow.go
+++ b/internal/proxy/cwdirectory/follow.go
@@ -114,12 +114,7 @@
 			continue
 		}
 		answer := cwfeed.FeederAnswer{Sent: sent, Held: n.Held, Age: tn.Age}
-		confirmed := answer.Confirmed()
-		if tn.Version < q.After[t] {
-			// The feeder is behind; what it knows was confirmed is less.
-			confirmed = time.Time{}
-		}
-		d.take(t, d.Decoder.Decode(t, tn.Version, tn.Rows), tn.Whole, confirmed)
+		d.take(t, d.Decoder.Decode(t, tn.Version, tn.Rows), tn.Whole, answer.Confirmed())
 		changed = changed || len(tn.Rows) > 0
 	}
 	if changed {
--- a/internal/proxy/cwdirectory/restore_test.go
+++ b/internal/proxy/cwdirectory/restore_test.go
@@ -99,7 +99,8 @@
 // Callers run statements with a key that was taken away, at an instance that says its
 // desired state is a hundredth of a second old; an operator who looks for the
 // instance that is behind finds none. An answer that was left out because what is
-// known is newer counted as a confirmation of it.
+// known is newer counted as a confirmation of it: in a recorded incident the age was
+// below a tenth of a second while three newer states were not in force.
 func TestAnswerThatIsLeftOutConfirmsNothing(t *testing.T) {
 	c := qt.New(t)
 	d := &Directory{Sink: &sink{}, Decoder: decoder{}, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
