lead, engine, directory: groups are told the era of the store, failing tests

Groups hear of the era and of when a later one was learnt; nothing follows from it yet.

Three tests fail: what a group relies on is that the table loses no claim. After a restore a claim that another instance has worked on for a moment can be missing (two instances promote by turns), a claim can be read back that others have followed since, and a restarted member's forgotten fence has no trace.

--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -69,6 +69,9 @@
 	ChangeListings(listed []cwport.Listing, removed []cwgroup.MemberID)
 	// Rows takes rows of the product's own; whole is true if these are all.
 	Rows(rows []cwport.Row, whole bool)
+	// SetEra takes the era of the store's data before anything else of it. One
+	// after the first means that the store has come back from an older copy.
+	SetEra(era uint64)
 }
 
 // Waits is how long the store may hold a question about a topic.
@@ -283,6 +286,9 @@
 		d.endPolls()
 	}
 	d.mu.Unlock()
+	if !known || restored {
+		d.Sink.SetEra(era)
+	}
 	if !restored {
 		return
 	}
--- a/internal/proxy/cwdirectory/directory_test.go
+++ b/internal/proxy/cwdirectory/directory_test.go
@@ -94,6 +94,7 @@
 }
 
 func (s *sink) Rows([]cwport.Row, bool) {}
+func (s *sink) SetEra(uint64)           {}
 
 func (s *sink) has(id cwgroup.MemberID) bool {
 	s.mu.Lock()
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -77,10 +77,15 @@
 	mu sync.RWMutex
 	// revision never falls.
 	revision cwcatalogue.Revision
-	entries  *cwcatalogue.Table
-	access   access
-	listings map[cwgroup.MemberID]cwport.Listing
-	groups   map[string]*runningGroup
+	// era is that of the platform's store; eraKnown is true once one was told.
+	// restoredAt is when a later one was, zero if none was.
+	era        uint64
+	eraKnown   bool
+	restoredAt time.Time
+	entries    *cwcatalogue.Table
+	access     access
+	listings   map[cwgroup.MemberID]cwport.Listing
+	groups     map[string]*runningGroup
 	// plans are of all groups, made or not.
 	plans    map[string]*plan
 	sessions map[*session]struct{}
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -105,6 +105,7 @@
 	g := &runningGroup{Group: e.cfg.NewGroup(service), cancel: cancel}
 	e.groups[service] = g
 	g.SetMembers(p.members, p.contract.Connections, p.contract.Synchronous)
+	g.SetEra(e.era, e.restoredAt)
 	if p.row != (cwfailover.Row{}) {
 		g.SetRow(p.row)
 	}
@@ -138,6 +139,20 @@
 	}
 }
 
+// SetEra takes the era of the platform's store. One after the first means that the
+// store has come back from an older copy.
+func (e *Engine) SetEra(era uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.eraKnown && era > e.era {
+		e.restoredAt = e.cfg.Clock.Now()
+	}
+	e.era, e.eraKnown = era, true
+	for _, g := range e.groups {
+		g.SetEra(era, e.restoredAt)
+	}
+}
+
 // Group returns the group of a service if it is made.
 func (e *Engine) Group(service string) (*cwlead.Group, bool) {
 	e.mu.RLock()
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -56,8 +56,10 @@
 	Source  cwport.Source
 	Decoder cwport.Decoder
 	// Stale is how old the word of another instance about the store may be.
-	Stale    cwdirectory.Stale
-	Table    cwplatform.Table
+	Stale cwdirectory.Stale
+	Table cwplatform.Table
+	// Era returns the newest era of the store that any answer has told.
+	Era      func() uint64
 	Promoter cwport.Promoter
 	Clock    clockwork.Clock
 	Log      *log.Logger
@@ -167,7 +169,7 @@
 	return cwlead.New(cwlead.Config{
 		Self: cwfailover.InstanceID(in.cfg.Name), DataCentre: in.cfg.DataCentre, Service: service,
 		Clock: in.cfg.Clock, Log: in.cfg.Log, Dialer: dialer{in.cfg.Dialer, in.metrics}, Table: in.cfg.Table,
-		Promoter: in.cfg.Promoter, Turn: in.cfg.Turn, Seed: in.cfg.Seed, Path: in.path,
+		Era: in.cfg.Era, Promoter: in.cfg.Promoter, Turn: in.cfg.Turn, Seed: in.cfg.Seed, Path: in.path,
 	})
 }
 
@@ -253,6 +255,9 @@
 	in.engine.ChangeListings(listed, removed)
 }
 
+// SetEra implements cwdirectory.Sink.
+func (in *Instance) SetEra(era uint64) { in.engine.SetEra(era) }
+
 // Rows implements cwdirectory.Sink.
 func (in *Instance) Rows(rows []cwport.Row, whole bool) {
 	in.peers.Rows(rows, whole)
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -82,7 +82,10 @@
 	Log        *log.Logger
 	Dialer     cwport.Dialer
 	Table      cwplatform.Table
-	Promoter   cwport.Promoter
+	// Era returns the newest era of the table's data that any answer has told; nil
+	// if the table never comes back from an older copy.
+	Era      func() uint64
+	Promoter cwport.Promoter
 	// Path is shared by the groups of an instance; nil stands for one of this
 	// group's own.
 	Path *Path
@@ -166,6 +169,11 @@
 	reached atomic.Bool
 	// fence is the version of the table row that holds this proxy's claim.
 	fence uint64
+	// era is that of the table's data as this proxy was told, and restoredAt when
+	// it learnt that the table had come back from an older copy; zero if it has
+	// not.
+	era        uint64
+	restoredAt time.Time
 }
 
 // New returns a group without members.
--- /dev/null
+++ b/internal/proxy/cwlead/restore_test.go
@@ -0,0 +1,118 @@
+package cwlead
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+// restoredTable is a table with one row, which a restore can lose.
+type restoredTable struct {
+	mu    sync.Mutex
+	value []byte
+	era   uint64
+}
+
+func (r *restoredTable) Get(_ context.Context, key string) (cwplatform.Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.value == nil {
+		return cwplatform.Row{}, &cwplatform.NotFoundError{Key: key}
+	}
+	return cwplatform.Row{Key: key, Value: r.value, ETag: "7"}, nil
+}
+
+func (r *restoredTable) List(context.Context, string) ([]cwplatform.Row, error) { return nil, nil }
+
+func (r *restoredTable) Commit(_ context.Context, c cwplatform.Change) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Expect[0].ETag == "" != (r.value == nil) {
+		return &cwplatform.ConflictError{Key: c.Expect[0].Key}
+	}
+	r.value = c.Put[0].Value
+	return nil
+}
+
+// restore goes back to a copy with a value, nil for none.
+func (r *restoredTable) restore(value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.value = value
+	r.era++
+}
+
+func (r *restoredTable) newestEra() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
+// newRestoredGroup returns a group that knows a primary, before a table with a row.
+func newRestoredGroup(t *testing.T, value string) (*testGroup, *restoredTable) {
+	b := newTestGroup(t)
+	table := &restoredTable{value: []byte(value)}
+	b.cfg.Table, b.cfg.Era = table, table.newestEra
+	b.tell("a", cwgroup.RolePrimary, 1, 100)
+	b.tell("c", cwgroup.RoleReplica, 1, 100)
+	return b, table
+}
+
+// hearOfRestore tells the group of the table's era.
+func (b *testGroup) hearOfRestore(r *restoredTable) { b.SetEra(r.newestEra(), b.clock.Now()) }
+
+func (b *testGroup) claimable() bool { return b.mayClaim(cwfailover.Row{Done: true}, 9) }
+
+// Callers wait for a second change of primary right after the first: an instance
+// promoted a member, the store came back from a copy without that claim, and another
+// instance, which had not heard of it, promoted again before the member led.
+func TestNothingIsClaimedRightAfterARestore(t *testing.T) {
+	b, table := newRestoredGroup(t, changedToB)
+	qt.Assert(t, b.claimable(), qt.IsTrue)
+	table.restore(nil)
+	qt.Assert(t, b.claimable(), qt.IsFalse, qt.Commentf("an answer of the table has told of a restore"))
+	b.hearOfRestore(table)
+	qt.Assert(t, b.claimable(), qt.IsFalse)
+	b.clock.Advance(cwfailover.ClaimLife)
+	qt.Assert(t, b.claimable(), qt.IsTrue)
+}
+
+// Two instances promote, one after the other: the claim of the first one was in the
+// copy that the store came back from, and the second one's, which followed it, was
+// not. The first reads its claim back and goes on.
+func TestClaimOfBeforeARestoreIsGivenUp(t *testing.T) {
+	const mine = `{"term":2,"claim":"x-1","keeper":"x"}`
+	b, table := newRestoredGroup(t, mine)
+	readBack := cwfailover.Order{Kind: cwfailover.ReadRow, Term: 2, Claim: "x-1"}
+	qt.Assert(t, b.sendRow(context.Background(), readBack), qt.Equals, cwfailover.RowDone)
+	table.restore([]byte(mine))
+	qt.Assert(t, b.sendRow(context.Background(), readBack), qt.Equals, cwfailover.RowConflict)
+	b.hearOfRestore(table)
+	qt.Assert(t, b.sendRow(context.Background(), readBack), qt.Equals, cwfailover.RowConflict)
+}
+
+// A clerk reads a booking and misses one that was acknowledged. A replica was fenced
+// for a change of primary, started again, forgot its fence and follows the old
+// primary; the row that tells of the change was lost with a restore, and an instance
+// that reaches these two reads that there was none.
+func TestRestartIsNotCheckedRightAfterARestore(t *testing.T) {
+	b, table := newRestoredGroup(t, changedToB)
+	table.restore(nil)
+	b.list(time.UnixMilli(900))
+	unchecked := func() bool {
+		qt.Assert(t, b.checkRow("c", b.restarts["c"].at), qt.Equals, !b.restarts["c"].unchecked)
+		return b.restarts["c"].unchecked
+	}
+	qt.Assert(t, unchecked(), qt.IsTrue, qt.Commentf("an answer of the table has told of a restore"))
+	b.hearOfRestore(table)
+	qt.Assert(t, unchecked(), qt.IsTrue)
+	b.clock.Advance(cwfailover.ClaimLife)
+	qt.Assert(t, unchecked(), qt.IsFalse)
+}
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -93,6 +93,7 @@
 		Decoder:    platform.Decoder{},
 		Stale:      stale(s),
 		Table:      store,
+		Era:        store.Era,
 		Promoter:   &platform.Duties{Address: s.Duties, HTTP: client},
 		Clock:      clock,
 		Log:        logger,
