lead: nothing is claimed, and no claim counts, right after a restore

What callers would see: two changes of primary, one right after the other, or a read that misses an acknowledged record. Found by listing what relies on the changed term.

Cause: a group takes a row that is missing, or its own claim that is there, for the truth, since the table lost nothing. After a restore a claim of a moment ago can be gone, and an older one of its own back.

Change: for 2 s (the life of a claim) after an instance learns of a restore, and from the moment that any answer of the table tells it, a group is not claimed, a claim that is read back is given up, and a restarted member is not taken as unfenced. A change of primary that falls into that time waits as long.

Ruled out: a hold at each start of an instance, which cannot know when the present era began: every failover after a loss of power would wait 2 s for it.

After: ./internal/proxy/cwlead and ./internal/proxy/cwengine pass.

--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -114,7 +114,7 @@
 	g.observeAcks(now)
 	c := cwfailover.Conditions{
 		Listed: watchers, Rank: g.rank, RowTerm: g.row.Term,
-		Pending: g.pending(now) || g.changing(now) && !g.sup.Keeping(),
+		Pending: g.pending(now) || g.rowMayBeLost(now) || g.changing(now) && !g.sup.Keeping(),
 	}
 	orders := g.sup.Tick(now, c)
 	result, ended := g.sup.Ended(now, c)
@@ -251,8 +251,12 @@
 		return cwfailover.RowUnavailable
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rowMayBeLost(g.cfg.Clock.Now()) {
+		g.cfg.Log.Warn("claimFromBeforeRestore", "group", g.cfg.Service, "term", o.Term, "claim", o.Claim)
+		return cwfailover.RowConflict
+	}
 	g.fence = version
-	g.mu.Unlock()
 	return r.Outcome
 }
 
@@ -269,7 +273,7 @@
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
 	g.noteRow(row)
-	if g.pending(now) {
+	if g.pending(now) || g.rowMayBeLost(now) {
 		return false
 	}
 	if row.Done && row.Keeper != g.cfg.Self && row.Claim != "" && now.Sub(g.rowSeen) < g.cfg.Turn {
--- a/internal/proxy/cwlead/restart.go
+++ b/internal/proxy/cwlead/restart.go
@@ -58,8 +58,9 @@
 // its word, the primary is lost, and the majority that is fenced then lacks the
 // record. The guard: what the member said before counts no more; it counts
 // towards no confirmation and no acknowledgement until the group's row, read
-// after the restart, shows that no change of primary had fenced it; and its
-// fence counts once its log reaches what the primary had.
+// after the restart, shows that no change of primary had fenced it, and cannot be
+// one that the table lost with a restore; and its fence counts once its log reaches
+// what the primary had.
 func (g *Group) restarted(id cwgroup.MemberID, why string) {
 	now := g.cfg.Clock.Now()
 	rs := restart{at: now, unchecked: true, owed: g.restarts[id].owed}
@@ -153,7 +154,7 @@
 	if p, ok := g.sup.View().Primary(); ok {
 		leads = p.Member
 	}
-	if !row.Done || row.Primary != "" && row.Primary != leads {
+	if !row.Done || row.Primary != "" && row.Primary != leads || g.rowMayBeLost(g.cfg.Clock.Now()) {
 		return false
 	}
 	rs := g.restarts[id]
