lead, claim: a group's row that a restore has lost is written again

What callers would see: a read that misses an acknowledged record, at any time after a restore that had lost the row of a change of primary.

Change: while a row may be lost, a group that knows one looks once whether the table has it, its keeper first and the others by rank, and writes it again by compare-and-set. It leaves alone a claim that is worked on. The claim's number and the check of a restarted member hold again as they stand.

Cost: one reading of the row for each instance and group that has known a change of primary, for each restore; none otherwise.

--- a/internal/proxy/cwclaim/claim.go
+++ b/internal/proxy/cwclaim/claim.go
@@ -96,6 +96,27 @@
 	return Result{Outcome: c.commit(ctx, next, tag), Tag: tag}
 }
 
+// WriteAgain writes a row that is known if the table has lost it with a restore. The
+// outcome is RowConflict if it has not, or if another claim is worked on.
+func (c Claims) WriteAgain(ctx context.Context, known cwfailover.Row) cwfailover.RowOutcome {
+	row, tag, err := c.Read(ctx)
+	switch {
+	case err != nil:
+		return cwfailover.RowUnavailable
+	case !lost(row, known):
+		return cwfailover.RowConflict
+	}
+	return c.commit(ctx, known, tag)
+}
+
+// lost reports whether the table's row is one that came before the known one.
+func lost(row, known cwfailover.Row) bool {
+	if row.Claim == known.Claim {
+		return known.Done && !row.Done
+	}
+	return row.Done && row.Term < known.Term
+}
+
 // Read returns the group's row and its tag; a row that is not there is finished,
 // and its tag is empty.
 func (c Claims) Read(ctx context.Context) (cwfailover.Row, string, error) {
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -174,6 +174,10 @@
 	// not.
 	era        uint64
 	restoredAt time.Time
+	// rowRestored is true once it is known whether the row was lost then; checkRowAt
+	// is when to look.
+	rowRestored bool
+	checkRowAt time.Time
 }
 
 // New returns a group without members.
--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -107,6 +107,7 @@
 	g.recount(now)
 	g.noteCutOff(now)
 	g.readRow(now)
+	g.restoreRow(now)
 	if !g.watched(now) {
 		g.mu.Unlock()
 		return
--- a/internal/proxy/cwlead/restore.go
+++ b/internal/proxy/cwlead/restore.go
@@ -1,9 +1,11 @@
 package cwlead
 
 import (
+	"context"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
 )
 
 // restoreHold is how long after a restore of the table nobody claims a group. Any
@@ -17,9 +19,52 @@
 func (g *Group) SetEra(era uint64, restored time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !restored.Equal(g.restoredAt) {
+		g.rowRestored, g.checkRowAt = false, restored.Add(g.turn())
+	}
 	g.era, g.restoredAt = era, restored
 }
 
+// turn is how long this proxy waits until it looks whether a row was lost: whoever
+// wrote the row comes first, so that most others find it there. The caller holds mu.
+func (g *Group) turn() time.Duration {
+	if g.row.Keeper == g.cfg.Self {
+		return 0
+	}
+	return time.Duration(g.rank+1) * cwfailover.RankDelay
+}
+
+// restoreRow writes the group's row again if it is known here and the table has lost
+// it with a restore. The caller holds mu.
+//
+// The failure: the row tells that members were fenced for a change of primary, and
+// which number the next claim must exceed. A member that has forgotten its fence is
+// checked by it. Once it is lost, the member and the replaced primary are taken for a
+// majority, and reads miss what was acknowledged since. Nobody else writes it: while
+// it may be lost, no group is claimed.
+func (g *Group) restoreRow(now time.Time) {
+	if g.rowRestored || g.row.Claim == "" || !g.rowMayBeLost(now) || g.restoredAt.IsZero() || now.Before(g.checkRowAt) {
+		return
+	}
+	g.checkRowAt = now.Add(rowPause)
+	go g.runRestoreRow(g.row, g.restoredAt)
+}
+
+func (g *Group) runRestoreRow(row cwfailover.Row, restored time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), rowTimeout)
+	defer cancel()
+	outcome := cwclaim.Claims{Table: g.cfg.Table, Group: g.cfg.Service, Self: g.cfg.Self}.WriteAgain(ctx, row)
+	if outcome != cwfailover.RowConflict {
+		g.cfg.Log.Info("claimWrittenAgain", "group", g.cfg.Service, "term", row.Term, "claim", row.Claim, "keeper", row.Keeper, "done", row.Done, "row", outcome)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	done := outcome == cwfailover.RowDone || outcome == cwfailover.RowConflict
+	if done && restored.Equal(g.restoredAt) {
+		g.rowRestored = true
+	}
+}
+
 // rowMayBeLost reports whether the group's row may be an older one than the newest,
 // or missing, because the table has come back from an older copy a moment ago. The
 // caller holds mu.
