--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -276,6 +276,57 @@
 	})
 }
 
+// Statements on their way to a holder that started some seconds ago are cut off and
+// in doubt, all groups find new holders, and quotas new issuers, though every instance
+// lives: the store came back from a copy without the rows of those that had just
+// registered, and what it lacked was taken for gone.
+func TestRowsThatARestoreLostAreKeptForAWhile(t *testing.T) {
+	without := func(name string) (rest []cwport.Row) {
+		for _, other := range []string{"a", "b", "c", "d", "e"} {
+			if other != name {
+				rest = append(rest, row(instance(other, "z")))
+			}
+		}
+		return rest
+	}
+	t.Run("its instance writes it again", func(t *testing.T) {
+		c, p, _, clock := start(t)
+		first := holder(c, p, clock)
+		p.Rows(without(first.Name()), true)
+		clock.Sleep(2 * registerEvery)
+		p.Rows([]cwport.Row{row(instance(first.Name(), "z"))}, false)
+		for range 10 {
+			h, ok := p.Holder("g", scarce, nil)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(h.Name(), qt.Equals, first.Name())
+			_, err := hand(h, "s")
+			c.Assert(err, qt.IsNil)
+			clock.Sleep(registerEvery)
+		}
+	})
+	t.Run("its instance is gone", func(t *testing.T) {
+		c, p, _, clock := start(t)
+		first := holder(c, p, clock)
+		p.Rows(without(first.Name()), true)
+		h, ok := p.Holder("g", scarce, nil)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(h.Name(), qt.Equals, first.Name())
+		eventually(c, clock, func() bool {
+			h, ok := p.Holder("g", scarce, nil)
+			return !ok || h.Name() != first.Name()
+		})
+	})
+	t.Run("the own row is written again", func(t *testing.T) {
+		c, p, n, clock := start(t)
+		p.Rows(without(p.Self.ID), true)
+		eventually(c, clock, func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.rows[KeyPrefix+p.Self.ID] != nil
+		})
+	})
+}
+
 // Hundreds of instances start together, and the row of each reaches the others
 // by itself. Each of them worked out all holders for every single one.
 func TestRowsAreToldTogether(t *testing.T) {
