peers: an instance whose row is missing counts for a while

What callers would see: statements in doubt that were handed to an instance which had started seconds before a restore, and quotas that two instances answer for.

Cause: all rows replaced what was known. Nobody removes an instance's row, so the only way that one goes missing is a restore, and its instance lives.

Change: such an instance counts on for 4 s (until it hears of the loss, looks and writes), and the own row is written again at once. instanceRowLost and instanceGone tell of it.

After: ./internal/proxy/cwpeers passes.

--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -177,7 +177,7 @@
 	// rowRestored is true once it is known whether the row was lost then; checkRowAt
 	// is when to look.
 	rowRestored bool
-	checkRowAt time.Time
+	checkRowAt  time.Time
 }
 
 // New returns a group without members.
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -39,6 +39,10 @@
 	connectAhead = 2
 	// registerTimeout bounds one write of it.
 	registerTimeout = 2 * time.Second
+	// lostFor is how long an instance counts without a row: it hears of the loss
+	// within about a second, writes the row with the next look at it, and a write can
+	// take its whole time.
+	lostFor = registerEvery + registerTimeout + time.Second
 )
 
 // Dial connects to an instance.
@@ -74,6 +78,8 @@
 	// listed is true once the rows were read.
 	listed    bool
 	instances map[string]cwholder.Instance
+	// lost is since when the rows of known instances have been missing.
+	lost map[string]time.Time
 	// version is that of the own row.
 	version string
 	// centre has the names of the instances of this data centre, centres counts
@@ -146,11 +152,59 @@
 			p.dirty = true
 		}
 	}
+	if whole {
+		p.keepLost(before)
+	}
 	if p.dirty {
-		p.centre, p.centres = nil, 0
-		clear(p.orders)
-		clear(p.issuers)
-		p.unlink()
+		p.reorder()
+	}
+}
+
+// reorder forgets what follows from the rows. The caller holds mu.
+func (p *Peers) reorder() {
+	p.centre, p.centres = nil, 0
+	clear(p.orders)
+	clear(p.issuers)
+	p.unlink()
+}
+
+// keepLost keeps the instances that all rows lack. The caller holds mu.
+//
+// The failure: the store comes back from an older copy and lacks the rows of
+// instances that registered a moment ago. Taken for gone, the statements that were
+// handed to them are cut off and in doubt, and every group and quota changes hands
+// twice. Nobody removes the row of an instance from the store, so one that is missing
+// was lost, and the instance, if it lives, writes it again.
+func (p *Peers) keepLost(before map[string]cwholder.Instance) {
+	now := p.Clock.Now()
+	if p.lost == nil {
+		p.lost = make(map[string]time.Time)
+	}
+	for name, i := range before {
+		if _, ok := p.instances[name]; ok {
+			continue
+		}
+		p.instances[name] = i
+		if _, known := p.lost[name]; !known {
+			p.lost[name] = now
+			p.Log.Warn("instanceRowLost", "instance", name)
+		}
+	}
+}
+
+// dropLost drops the instances that have not written their rows again.
+func (p *Peers) dropLost() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, since := range p.lost {
+		if name == p.Self.ID || p.Clock.Since(since) < lostFor {
+			continue
+		}
+		p.Log.Info("instanceGone", "instance", name)
+		delete(p.lost, name)
+		delete(p.instances, name)
+		p.dirty = true
+		p.reorder()
 	}
 }
 
@@ -160,6 +214,7 @@
 	if name == p.Self.ID {
 		p.version = r.Tag()
 	}
+	delete(p.lost, name)
 	if r.Removed {
 		delete(p.instances, name)
 		return
@@ -196,6 +251,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		p.dropLost()
 		p.tell()
 		if p.unregistered() {
 			p.register(ctx)
@@ -218,7 +274,8 @@
 func (p *Peers) unregistered() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.listed && p.instances[p.Self.ID] != p.Self
+	_, lost := p.lost[p.Self.ID]
+	return p.listed && (lost || p.instances[p.Self.ID] != p.Self)
 }
 
 // register writes the own row. An answer that was lost is made up for by the
