directory: a desired state that is older than a known one confirms nothing

What callers would see: statements that run with a key which was taken away.

Cause: after a restore the store can tell an older desired state than the one in force. The instance keeps the newer one, and took the answer for the word that there is none newer, though what the store has lost may include one that it never read.

Change: while the store tells an older one, nothing is confirmed, the age grows, and keys are trusted up to the bound as with a store that is away. Followers of a feeder hold their questions to the store then, in place of asking without a pause.

Ruled out: no confirmation for a time after every restore; where nothing was lost it would refuse callers with good keys for nothing.

Before: TestOlderDesiredStateConfirmsNothing red. After: ./platform and ./internal/proxy/cwdirectory pass.

--- a/internal/proxy/cwdirectory/ask.go
+++ b/internal/proxy/cwdirectory/ask.go
@@ -168,7 +168,7 @@
 	defer d.mu.Unlock()
 	own := [cwport.TopicCount]time.Duration{cwport.Desired: d.Waits.Desired, cwport.Targets: d.Waits.Targets, cwport.Own: ownWait}[t]
 	switch {
-	case d.source != fromStore:
+	case d.source != fromStore && !d.older:
 		// A feeder is expected to tell again.
 		return 0
 	case t == cwport.Targets && len(d.vanished) > 0:
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -127,6 +127,10 @@
 	// one was.
 	era      uint64
 	eraKnown bool
+	// revision is that of the newest desired state that was told; older is true
+	// while the store tells an older one.
+	revision cwcatalogue.Revision
+	older    bool
 	// away is true while the store does not answer about targets.
 	away bool
 	// back is closed with the next confirmation of the desired state; nil if nobody
@@ -223,7 +227,8 @@
 	d.taking.Lock()
 	defer d.taking.Unlock()
 	d.noteEra(t, b)
-	if b.Version < d.after(t) {
+	outdated := b.Version < d.after(t)
+	if outdated || t == cwport.Desired && d.tellsOlder(b, whole) {
 		// The failure: what is told is left out as older than what is known, and
 		// counts all the same as the store's word that there is nothing newer. An
 		// instance that is behind for good says that it is not, and goes on to
@@ -237,6 +242,33 @@
 	d.note(t, b, whole, confirmed)
 }
 
+// tellsOlder takes which desired state the store has, and returns whether it is older
+// than the newest that was known.
+//
+// The failure: the store comes back from a copy with an older desired state. It has
+// lost what came after, of which this instance may not have read all: a key that
+// was taken away, say. That there is nothing newer is not true until the operator
+// has written again what was lost, and a key is not trusted by it.
+func (d *Directory) tellsOlder(b cwport.Batch, whole bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.older
+	switch {
+	case b.Catalogue != nil:
+		d.older = b.Catalogue.Revision < d.revision
+		d.revision = max(d.revision, b.Catalogue.Revision)
+	case whole:
+		d.older = d.revision > 0
+	}
+	if d.older && !before {
+		d.Log.Warn("desiredStateOlder", "version", b.Version, "known", d.revision)
+	}
+	if before && !d.older {
+		d.Log.Info("desiredStateBack", "version", b.Version, "revision", d.revision)
+	}
+	return d.older
+}
+
 // onlyNew drops what is known already; news is false if that is all.
 //
 // The failure: the answer of a feeder and one of the store come together, and
