soak: the store comes back from older copies

Now the stand-in store is copied every 0.5 s; restores are drawn beside the other faults, by a stream of their own so that the other faults of a seed stay; each run ends with one from the oldest copy, after which a desired state must be in force within 3 s (promise outdated).

--- a/cmd/cicadasoak/soak_test.go
+++ b/cmd/cicadasoak/soak_test.go
@@ -22,6 +22,9 @@
 	"1",
 	// Statements that crossed the end of a resting session counted as cut off.
 	"1001",
+	// A store that came back from an older copy: all that it told looked older than
+	// what was known, and no instance had the newest desired state.
+	"6",
 }
 
 // A few seconds of each seed, with the proxy as it is built from here.
--- a/internal/tool/cwsoak/faults.go
+++ b/internal/tool/cwsoak/faults.go
@@ -64,15 +64,22 @@
 	// length: two or three overlap.
 	beginEvery = 600 * time.Millisecond
 	lastFor    = 1500 * time.Millisecond
+	// restoreEvery is the mean pause between two restores of the store, and
+	// restoreLasts how long it is away for one.
+	restoreEvery = 5 * time.Second
+	restoreLasts = 700 * time.Millisecond
 )
 
 // faults plays faults until its time is up.
 type faults struct {
-	world  *world
-	rand   *rand.Rand
-	played int
+	world *world
+	rand  *rand.Rand
+	// restores draws the restores of the store, which come beside the other faults,
+	// so that a seed's other faults stay what they are.
+	restores *rand.Rand
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	played int
 	// active are the ends of the faults that go on, by what they harm.
 	active map[string]func()
 }
@@ -88,7 +95,6 @@
 }
 
 func (f *faults) loop(ctx context.Context) error {
-	f.active = make(map[string]func())
 	all := f.kinds()
 	for pause(ctx, time.Duration(f.rand.ExpFloat64()*float64(beginEvery))) {
 		k := all[f.rand.IntN(len(all))]
@@ -98,8 +104,31 @@
 	return nil
 }
 
+// loopRestores has the store go back to copies.
+func (f *faults) loopRestores(ctx context.Context) error {
+	for pause(ctx, time.Duration(f.restores.ExpFloat64()*float64(restoreEvery))) {
+		age := f.restores.IntN(copies)
+		after := time.Duration(f.restores.Int64N(int64(writeAgainWithin)))
+		length := time.Duration(f.restores.ExpFloat64() * float64(restoreLasts))
+		f.play(f.restored(age, after), length)
+	}
+	return nil
+}
+
+func (f *faults) restored(age int, after time.Duration) fault {
+	return fault{name: "storeRestored", begin: func() (string, func()) {
+		f.world.gate.set(func(g *storeGate) { g.down = true })
+		return "store", func() {
+			f.world.restore(age, after)
+			f.world.gate.set(func(g *storeGate) { g.down = false })
+		}
+	}}
+}
+
 func (f *faults) play(k fault, length time.Duration) {
+	f.mu.Lock()
 	f.played++
+	f.mu.Unlock()
 	if !k.planned {
 		f.world.disturb()
 	}
--- a/internal/tool/cwsoak/ledger.go
+++ b/internal/tool/cwsoak/ledger.go
@@ -37,6 +37,9 @@
 	Misbooked Kind = "misbooked"
 	// OverQuota is a window with more operations of a workspace than allowed.
 	OverQuota Kind = "overQuota"
+	// Outdated is an instance without a desired state that was acknowledged long
+	// enough before.
+	Outdated Kind = "outdated"
 	// NotRecovered is a database that is not served after all faults.
 	NotRecovered Kind = "notRecovered"
 )
--- a/internal/tool/cwsoak/soak.go
+++ b/internal/tool/cwsoak/soak.go
@@ -34,6 +34,10 @@
 	// Desire writes a desired state, with the keys of its workspaces.
 	Desire(c cwcatalogue.Catalogue, keys map[string][]string) error
 	DropHistory()
+	// Copy copies all rows. The result goes back to them and loses what came after,
+	// and its own result has the operator and the targets write again what they had
+	// written.
+	Copy() (restore func() (writeAgain func()))
 }
 
 // Addresses are what the settings of one instance name, IP:port.
@@ -81,6 +85,10 @@
 // lost is tried again within a second.
 const settleFor = 20 * time.Second
 
+// restoreStream is the stream of a seed that restores are drawn from; 0 is that of
+// the other faults, and callers have those that follow.
+const restoreStream = 1 << 32
+
 // Run plays one soak.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	w, err := newWorld(cfg)
@@ -98,14 +106,17 @@
 		c := &caller{world: w, id: i, rand: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1))}
 		eg.Go(func() error { return c.loop(run) })
 	}
-	f := &faults{world: w, rand: rand.New(rand.NewPCG(cfg.Seed, 0))}
+	f := &faults{world: w, rand: rand.New(rand.NewPCG(cfg.Seed, 0)), restores: rand.New(rand.NewPCG(cfg.Seed, restoreStream)), active: make(map[string]func())}
 	eg.Go(func() error { return f.loop(run) })
+	eg.Go(func() error { return f.loopRestores(run) })
 	eg.Go(func() error { return w.loopVersions(run) })
+	eg.Go(func() error { return w.loopCopies(run) })
 	if err := eg.Wait(); err != nil {
 		return Report{}, err
 	}
 	f.lift()
 	w.recover(ctx)
+	w.endRestored(ctx)
 	w.ledger.settle(w.groups)
 	w.checkAccess()
 	r := w.ledger.report()
--- a/internal/tool/cwsoak/world.go
+++ b/internal/tool/cwsoak/world.go
@@ -36,6 +36,15 @@
 	readyWithin = 20 * time.Second
 	// versionEvery is the pause between two desired states.
 	versionEvery = 1500 * time.Millisecond
+	// copyEvery is the pause between two copies of the store; copies is how many are
+	// kept, so that the oldest is some seconds old.
+	copyEvery = 500 * time.Millisecond
+	copies    = 6
+	// writeAgainWithin bounds how long the operator and the targets take to write
+	// again what the store has lost.
+	writeAgainWithin = 500 * time.Millisecond
+	// inForceWithin is how soon a desired state must be in force.
+	inForceWithin = 3 * time.Second
 )
 
 // group is a group of targets with the paths to them.
@@ -63,6 +72,8 @@
 	revision int
 	// disturbed is when a fault that was not planned last began or ended.
 	disturbed time.Time
+	// copies are the newest of the store, the oldest first.
+	copies []func() (writeAgain func())
 }
 
 // promoter hands an order to the group that it is about.
@@ -282,6 +293,59 @@
 	return nil
 }
 
+// loopCopies copies the store again and again.
+func (w *world) loopCopies(ctx context.Context) error {
+	for pause(ctx, copyEvery) {
+		c := w.store.Copy()
+		w.mu.Lock()
+		w.copies = append(w.copies, c)
+		if len(w.copies) > copies {
+			w.copies = w.copies[1:]
+		}
+		w.mu.Unlock()
+	}
+	return nil
+}
+
+// restore has the store go back to a copy, the newest for an age of zero. What others
+// than the system wrote is written again after a while.
+func (w *world) restore(age int, after time.Duration) {
+	w.mu.Lock()
+	if len(w.copies) == 0 {
+		w.mu.Unlock()
+		return
+	}
+	i := max(0, len(w.copies)-1-age)
+	restore := w.copies[i]
+	w.copies = w.copies[:i]
+	w.mu.Unlock()
+	writeAgain := restore()
+	time.AfterFunc(after, writeAgain)
+}
+
+// endRestored has the store go back to the oldest copy, and checks that the next
+// desired state is in force in time. While other faults come and go an instance may be
+// late; here it has no other reason to.
+func (w *world) endRestored(ctx context.Context) {
+	w.gate.set(func(g *storeGate) { g.down = true })
+	pause(ctx, copyEvery)
+	w.restore(copies, 0)
+	w.gate.set(func(g *storeGate) { g.down = false })
+	if err := w.desire(); err != nil {
+		w.ledger.fail(Outdated, "%v", err)
+		return
+	}
+	end := time.Now().Add(inForceWithin)
+	for _, p := range w.instances {
+		for !w.has(ctx, p, w.revision) {
+			if time.Now().After(end) || !pause(ctx, 20*time.Millisecond) {
+				w.ledger.fail(Outdated, "%s lacks desired state %d", p.name, w.revision)
+				break
+			}
+		}
+	}
+}
+
 // has and lacks ask an instance for a database that came with a revision. An
 // instance that does not answer neither has nor lacks it.
 func (w *world) has(ctx context.Context, p *process, revision int) bool {
