--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -83,6 +83,8 @@
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
 	switch {
+	case g.restoring(now):
+		return tick
 	case !g.watched(now):
 		return idleTick
 	case g.unsettled(now):
--- a/internal/proxy/cwlead/restore.go
+++ b/internal/proxy/cwlead/restore.go
@@ -23,6 +23,7 @@
 		g.rowRestored, g.checkRowAt = false, restored.Add(g.turn())
 	}
 	g.era, g.restoredAt = era, restored
+	g.wake()
 }
 
 // turn is how long this proxy waits until it looks whether a row was lost: whoever
@@ -43,13 +44,19 @@
 // majority, and reads miss what was acknowledged since. Nobody else writes it: while
 // it may be lost, no group is claimed.
 func (g *Group) restoreRow(now time.Time) {
-	if g.rowRestored || g.row.Claim == "" || !g.rowMayBeLost(now) || g.restoredAt.IsZero() || now.Before(g.checkRowAt) {
+	if !g.restoring(now) || now.Before(g.checkRowAt) {
 		return
 	}
 	g.checkRowAt = now.Add(rowPause)
 	go g.runRestoreRow(g.row, g.restoredAt)
 }
 
+// restoring reports whether it is still to be seen if the table has lost the row. The
+// caller holds mu.
+func (g *Group) restoring(now time.Time) bool {
+	return !g.rowRestored && g.row.Claim != "" && !g.restoredAt.IsZero() && g.rowMayBeLost(now)
+}
+
 func (g *Group) runRestoreRow(row cwfailover.Row, restored time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), rowTimeout)
 	defer cancel()
--- a/internal/proxy/cwlead/restore_test.go
+++ b/internal/proxy/cwlead/restore_test.go
@@ -163,6 +163,8 @@
 				table.restore([]byte(tc.after))
 			}
 			b.hearOfRestore(table)
+			b.SetHeld(0, false)
+			qt.Assert(t, b.pause(), qt.Equals, tick, qt.Commentf("also where others hold the group"))
 			b.passTime(cwfailover.ClaimLife)
 			want, err := cwclaim.Decode([]byte(tc.want))
 			qt.Assert(t, err, qt.IsNil)
