--- a/internal/tool/cwsoak/world.go
+++ b/internal/tool/cwsoak/world.go
@@ -338,7 +338,11 @@
 	end := time.Now().Add(inForceWithin)
 	for _, p := range w.instances {
 		for !w.has(ctx, p, w.revision) {
-			if time.Now().After(end) || !pause(ctx, 20*time.Millisecond) {
+			if !pause(ctx, 20*time.Millisecond) {
+				// The run was interrupted; nothing was found out.
+				return
+			}
+			if time.Now().After(end) {
 				w.ledger.fail(Outdated, "%s lacks desired state %d", p.name, w.revision)
 				break
 			}
