directory: a test of followers before a store with an older desired state

The guard against asking without a pause came with the age of the desired state and had no test: with it taken out TestStoreWithAnOlderDesiredStateIsAskedByFew does not end (each follower asks in a busy loop); with it, it passes. The fake store of the fleet told changes across a restore when a question's time was up, which the source's contract excludes; it says that the history is lost now.

--- a/internal/proxy/cwdirectory/fleet_test.go
+++ b/internal/proxy/cwdirectory/fleet_test.go
@@ -57,8 +57,7 @@
 	s.changed = make(chan struct{})
 }
 
-// restore goes back to an empty copy, in a later era, where the desired state has
-// been written again.
+// restore goes back to an empty copy, in a later era.
 func (s *table) restore(c *qt.C) {
 	c.Helper()
 	s.mu.Lock()
@@ -70,7 +69,6 @@
 		s.history[i].Replace(version, nil)
 	}
 	s.mu.Unlock()
-	s.put(cwport.Desired, "config", false)
 }
 
 func (s *table) setAway(f func(name string) bool) {
@@ -103,11 +101,7 @@
 	for {
 		s.mu.Lock()
 		changed, news, away := s.changed, s.history[t].HasSince(after), s.away(s.name)
-		restored := s.version.Era() > after.Era()
 		s.mu.Unlock()
-		if restored && !away {
-			return cwport.Batch{}, &cwport.HistoryError{After: after}
-		}
 		if news || away {
 			return s.answer(ctx, t, after, false)
 		}
@@ -135,6 +129,9 @@
 		s.mu.Lock()
 		return cwport.Batch{}, ctx.Err()
 	}
+	if !whole && s.version.Era() > after.Era() {
+		return cwport.Batch{}, &cwport.HistoryError{After: after}
+	}
 	rows, _ := s.history[t].Since(after)
 	return decoder{}.Decode(t, s.version, rows), nil
 }
--- a/internal/proxy/cwdirectory/restore_test.go
+++ b/internal/proxy/cwdirectory/restore_test.go
@@ -40,6 +40,23 @@
 	})
 }
 
+// The store came back from a copy without the desired state in force, and nobody has
+// written it again yet. Its word confirms nothing then, so that every instance finds
+// what its feeder knows too old and asks the store itself: without a pause, as
+// answers came at once.
+func TestStoreWithAnOlderDesiredStateIsAskedByFew(t *testing.T) {
+	run(t, fleetSize, func(c *qt.C, fl *fleet) {
+		fl.store.restore(c)
+		time.Sleep(20 * time.Second)
+		before := fl.store.count()
+		time.Sleep(20 * time.Second)
+		perSecond := float64(fl.store.count()-before) / 20
+		c.Assert(perSecond <= 18, qt.IsTrue, qt.Commentf("%.1f calls a second", perSecond))
+		took := fl.change(c)
+		c.Assert(took < configBound, qt.IsTrue, qt.Commentf("in force after %v", took))
+	})
+}
+
 // restoredSource is a store that came back from an older copy while questions were
 // on their way. It answers about the desired state, and holds the other questions.
 type restoredSource struct {
