directory, peers: names of questions that are cancelled, words of the field

The field endPoll and the method endPoll meant two things. Comments of the rows of instances say what callers see. No behaviour changes; both packages pass.

--- a/internal/proxy/cwdirectory/ask.go
+++ b/internal/proxy/cwdirectory/ask.go
@@ -118,7 +118,7 @@
 		return cwport.Batch{}, time.Time{}, &cwport.HistoryError{After: after}
 	}
 	b, err := d.Source.Changes(ctx, t, after, wait)
-	if d.endPoll(t, after) && err != nil {
+	if d.pollEnded(t, after) && err != nil {
 		err = &cwport.HistoryError{After: after}
 	}
 	answer := cwfeed.StoreAnswer{Sent: sent, Answered: d.Clock.Now(), Wait: wait, News: b.Changed()}
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -165,9 +165,9 @@
 
 // topicState is what is known of one topic.
 type topicState struct {
-	// endPoll ends the question to the store that is being asked; nil if there is
+	// cancelPoll ends the question to the store that is being asked; nil if there is
 	// none.
-	endPoll context.CancelFunc
+	cancelPoll context.CancelFunc
 	// after is up to where it is known; it never falls.
 	after cwfeed.Version
 	// read is true once a snapshot was taken.
--- a/internal/proxy/cwdirectory/restore.go
+++ b/internal/proxy/cwdirectory/restore.go
@@ -17,7 +17,7 @@
 	d.era, d.eraKnown = max(before, era), true
 	restored := known && era > before
 	if restored {
-		d.endPolls()
+		d.cancelPolls()
 	}
 	d.mu.Unlock()
 	if !known || restored {
@@ -30,11 +30,11 @@
 	d.Log.Warn("storeRestored", "topic", t, "era", era, "before", before, "version", b.Version)
 }
 
-// endPolls ends all questions to the store. The caller holds mu.
-func (d *Directory) endPolls() {
+// cancelPolls ends all questions to the store. The caller holds mu.
+func (d *Directory) cancelPolls() {
 	for i := range d.topics {
-		if end := d.topics[i].endPoll; end != nil {
-			end()
+		if cancel := d.topics[i].cancelPoll; cancel != nil {
+			cancel()
 		}
 	}
 }
@@ -46,28 +46,28 @@
 	return d.era
 }
 
-// beginPoll notes a question for what came after a version, and how to end it. It
+// beginPoll notes a question for what came after a version, and how to cancel it. It
 // returns false if the store is in a later era: then a snapshot is needed.
 //
 // The failure: one topic learns that the store has come back from an older copy,
 // and the others go on for as long as their questions last, ten seconds for the
 // product's own rows, with rows that the store has lost.
-func (d *Directory) beginPoll(t cwport.Topic, after cwfeed.Version, end context.CancelFunc) bool {
+func (d *Directory) beginPoll(t cwport.Topic, after cwfeed.Version, cancel context.CancelFunc) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.era > after.Era() {
 		return false
 	}
-	d.topics[t].endPoll = end
+	d.topics[t].cancelPoll = cancel
 	return true
 }
 
-// endPoll notes that a question has ended, and returns whether the store is known to
+// pollEnded notes that a question has ended, and returns whether the store is known to
 // be in a later era than the version that was asked for.
-func (d *Directory) endPoll(t cwport.Topic, after cwfeed.Version) bool {
+func (d *Directory) pollEnded(t cwport.Topic, after cwfeed.Version) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.topics[t].endPoll = nil
+	d.topics[t].cancelPoll = nil
 	return d.era > after.Era()
 }
 
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -276,8 +276,8 @@
 	})
 }
 
-// Statements on their way to a holder that started some seconds ago are cut off and
-// in doubt, all groups find new holders, and quotas new issuers, though every instance
+// Statements on their way to a holder that started some seconds ago are cut off with an
+// unknown outcome, and its groups and quotas move to others, though every instance
 // lives: the store came back from a copy without the rows of those that had just
 // registered, and what it lacked was taken for gone.
 func TestRowsThatARestoreLostAreKeptForAWhile(t *testing.T) {
