--- a/internal/proxy/cwlead/restore.go
+++ b/internal/proxy/cwlead/restore.go
@@ -61,13 +61,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), rowTimeout)
 	defer cancel()
 	outcome := cwclaim.Claims{Table: g.cfg.Table, Group: g.cfg.Service, Self: g.cfg.Self}.WriteAgain(ctx, row)
-	if outcome != cwfailover.RowConflict {
-		g.cfg.Log.Info("claimWrittenAgain", "group", g.cfg.Service, "term", row.Term, "claim", row.Claim, "keeper", row.Keeper, "done", row.Done, "row", outcome)
+	switch outcome {
+	case cwfailover.RowDone:
+		g.cfg.Log.Info("claimWrittenAgain", "group", g.cfg.Service, "term", row.Term, "claim", row.Claim, "keeper", row.Keeper, "done", row.Done)
+	case cwfailover.RowUnknown, cwfailover.RowUnavailable:
+		g.cfg.Log.Warn("claimNotWritten", "group", g.cfg.Service, "term", row.Term, "claim", row.Claim, "row", outcome)
+		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	done := outcome == cwfailover.RowDone || outcome == cwfailover.RowConflict
-	if done && restored.Equal(g.restoredAt) {
+	if restored.Equal(g.restoredAt) {
 		g.rowRestored = true
 	}
 }
