--- a/internal/proxy/cwpeers/rows.go
+++ b/internal/proxy/cwpeers/rows.go
@@ -92,8 +92,8 @@
 // The failure: the store comes back from an older copy and lacks the rows of
 // instances that registered a moment ago. Taken for gone, the statements that were
 // handed to them are cut off with an unknown outcome, and their groups and quotas move
-// to others and back. Nobody removes the row of an instance from the store, so one that is missing
-// was lost, and the instance, if it lives, writes it again.
+// to others and back. Nobody removes the row of an instance from the store, so one that
+// is missing was lost, and the instance, if it lives, writes it again.
 func (p *Peers) keepLost(before map[string]cwholder.Instance) {
 	now := p.Clock.Now()
 	if p.lost == nil {
