--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -32,6 +33,8 @@
 	Startups *metrics.Counter
 	// AckWait is how long commits waited for a second member, in seconds.
 	AckWait *metrics.Histogram
+	// ReadAge is how old the data of reads may have been, in seconds.
+	ReadAge *metrics.Histogram
 	// Statement is how long statements took, in seconds.
 	Statement *metrics.Histogram
 }
@@ -57,6 +60,7 @@
 		Startups:     set.NewCounter("cicadawalk_target_connections_total"),
 
 		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
+		ReadAge:   set.NewHistogram("cicadawalk_read_age_seconds"),
 		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
 	}
 }
@@ -80,5 +84,15 @@
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
 }
 
+// served counts a read, or a transaction that began, by what its place rested on.
+func (m *Metrics) served(primary bool, basis string, age time.Duration) {
+	role := "replica"
+	if primary {
+		role = "primary"
+	}
+	m.set.GetOrCreateCounter(`cicadawalk_reads_total{role="` + role + `",basis="` + basis + `"}`).Inc()
+	m.ReadAge.Update(age.Seconds())
+}
+
 // Write writes the metrics as text.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -159,6 +159,7 @@
 		return t.refused(l.place, r, w)
 	}
 	if !w.writes {
+		t.served(l.place)
 		return r.answer, false
 	}
 	return t.acknowledge(r.answer), false
@@ -191,6 +192,12 @@
 	t.group.Saw(place.ID, r.answer.Mark, led && place.Primary, r.at)
 }
 
+// served notes whose word a read that ran rested on.
+func (t *try) served(place cwlead.Place) {
+	t.group.Served(t.id, place)
+	t.session.engine.cfg.Metrics.served(place.Primary, string(place.Word.Basis), t.session.engine.cfg.Clock.Since(place.Word.Complete))
+}
+
 // lost closes a connection on which an answer did not come.
 func (t *try) lost(l *loan, r sent) {
 	l.discard()
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -208,6 +208,7 @@
 		return t.refused(l.place, r, work{})
 	}
 	tx.loan = l
+	t.served(l.place)
 	return r.answer, false
 }
 
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -109,6 +109,8 @@
 	lag     cwroute.LagMeter
 	tracker cwack.Tracker
 	streams map[cwgroup.MemberID]*stream
+	// served is what was last logged of reads, by the member that served them.
+	served map[cwgroup.MemberID]served
 	// restarts are the members that started again under their ids and do not
 	// count in full yet.
 	restarts map[cwgroup.MemberID]restart
@@ -190,6 +192,7 @@
 		members:  make(map[cwgroup.MemberID]*Member),
 		sup:      cwfailover.NewSupervisor(cfg.Self, cfg.Seed, cfg.Service, nil),
 		streams:  make(map[cwgroup.MemberID]*stream),
+		served:   make(map[cwgroup.MemberID]served),
 		asked:    make(map[cwgroup.MemberID]bool),
 		lost:     make(map[cwgroup.MemberID]bool),
 		changed:  make(chan struct{}),
