--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -109,8 +109,8 @@
 	lag     cwroute.LagMeter
 	tracker cwack.Tracker
 	streams map[cwgroup.MemberID]*stream
-	// served is what was last logged of reads, by the member that served them.
-	served map[cwgroup.MemberID]served
+	// served is what was last logged of reads.
+	served map[servedKey]served
 	// restarts are the members that started again under their ids and do not
 	// count in full yet.
 	restarts map[cwgroup.MemberID]restart
@@ -192,7 +192,7 @@
 		members:  make(map[cwgroup.MemberID]*Member),
 		sup:      cwfailover.NewSupervisor(cfg.Self, cfg.Seed, cfg.Service, nil),
 		streams:  make(map[cwgroup.MemberID]*stream),
-		served:   make(map[cwgroup.MemberID]served),
+		served:   make(map[servedKey]served),
 		asked:    make(map[cwgroup.MemberID]bool),
 		lost:     make(map[cwgroup.MemberID]bool),
 		changed:  make(chan struct{}),
--- a/internal/proxy/cwlead/member.go
+++ b/internal/proxy/cwlead/member.go
@@ -32,7 +32,6 @@
 			m.Pool.Close()
 			delete(g.members, id)
 			delete(g.streams, id)
-			delete(g.served, id)
 			delete(g.lost, id)
 			delete(g.restarts, id)
 		}
--- a/internal/proxy/cwlead/served.go
+++ b/internal/proxy/cwlead/served.go
@@ -37,30 +37,35 @@
 // that what a second's reads rested on can be told afterwards at few lines.
 const servedEvery = time.Second
 
-// served is what was last logged of reads at a member.
+// servedKey names the reads at a member that rest on one basis.
+type servedKey struct {
+	member cwgroup.MemberID
+	basis  Basis
+}
+
+// served is what was last logged of them.
 type served struct {
 	at     time.Time
-	basis  Basis
 	leader cwgroup.MemberID
 	term   cwgroup.Term
 	// reads are those since then.
 	reads int
 }
 
-// Served notes that a read ran at a place. One line a second and member tells of it,
-// and one at once where the basis, the leader or its term is another than before.
+// Served notes that a read ran at a place. One line a second, member and basis tells of
+// it, and one at once where the leader or its term is another than before.
 func (g *Group) Served(id string, p Place) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
-	last := g.served[p.ID]
-	same := last.basis == p.Word.Basis && last.leader == p.Word.Leader && last.term == p.Term
-	if same && now.Sub(last.at) < servedEvery {
+	key := servedKey{p.ID, p.Word.Basis}
+	last := g.served[key]
+	if last.leader == p.Word.Leader && last.term == p.Term && now.Sub(last.at) < servedEvery {
 		last.reads++
-		g.served[p.ID] = last
+		g.served[key] = last
 		return
 	}
-	g.served[p.ID] = served{at: now, basis: p.Word.Basis, leader: p.Word.Leader, term: p.Term}
+	g.served[key] = served{at: now, leader: p.Word.Leader, term: p.Term}
 	g.cfg.Log.Info("readServed", "id", id, "group", g.cfg.Service, "target", p.ID, "floor", p.Floor, "basis", p.Word.Basis,
 		"leader", p.Word.Leader, "term", p.Term, "ageMs", now.Sub(p.Word.Complete).Milliseconds(),
 		"confirmedMs", sinceMs(now, p.Word.Confirmed), "members", p.Word.Members,
