--- a/internal/standin/cwreplica/conn.go
+++ b/internal/standin/cwreplica/conn.go
@@ -12,8 +12,10 @@
 
 // conn is one session at a member. It implements cwport.Target.
 type conn struct {
-	group    *Group
-	member   *Member
+	group  *Group
+	member *Member
+	// life is that of the member in which the session was opened.
+	life     int
 	instance string
 	// workspace is what the session was opened for.
 	workspace string
@@ -26,7 +28,9 @@
 	values   map[string]string
 	prepared map[string]string
 	closed   bool
-	timeout  time.Duration
+	// broken is true once something was lost on the way.
+	broken  bool
+	timeout time.Duration
 }
 
 // Send implements cwport.Target.
@@ -50,28 +54,48 @@
 	if c.member.lose {
 		return cwstatement.Answer{}, errLost
 	}
-	a.State, a.Mark = c.state, c.member.mark()
+	a.State, a.Mark = c.state, markOf(c.visible())
 	return a, nil
 }
 
-// hang waits for the time limit at a member that is dark.
+// cutPoll is how often a path that is silent is looked at.
+const cutPoll = 20 * time.Millisecond
+
+// hang waits for the time limit at a member that is dark, and until a silent path is
+// mended.
 func (c *conn) hang() {
-	if !c.member.dark {
-		return
+	if c.member.dark {
+		c.sleep(c.timeout)
+	}
+	for c.group.silent && c.group.cut[c.way()] && c.member.life == c.life {
+		c.sleep(cutPoll)
+		// What was on its way is lost.
+		c.broken = true
 	}
-	clock, d := c.group.clock, c.timeout
+}
+
+// sleep waits without the group's lock.
+func (c *conn) sleep(d time.Duration) {
+	clock := c.group.clock
 	c.group.mu.Unlock()
 	clock.Sleep(d)
 	c.group.mu.Lock()
 }
 
+// way is the path of the session.
+func (c *conn) way() path { return path{c.instance, string(c.member.id)} }
+
 func (c *conn) path() error {
-	if c.closed || c.member.dark || c.group.cut[path{c.instance, string(c.member.id)}] {
+	m := c.member
+	if c.closed || c.broken || m.dark || m.down || m.life != c.life || c.group.cut[c.way()] {
 		return errLost
 	}
 	return nil
 }
 
+// visible returns the log that the session's reads see.
+func (c *conn) visible() []record { return c.member.visible(c.group.now()) }
+
 func (c *conn) run(cmd cwstatement.Command) cwstatement.Answer {
 	if cmd.ID != "" {
 		c.group.ran = append(c.group.ran, Context{ID: cmd.ID, Workspace: c.workspace, Values: maps.Clone(c.values)})
@@ -79,7 +103,7 @@
 	if c.state == cwstatement.Failed && cmd.Verb != cwstatement.Commit && cmd.Verb != cwstatement.Rollback {
 		return cwstatement.Failure(cwstatement.Malformed, "failed")
 	}
-	if !c.member.holds(cmd.Floor) {
+	if !holds(c.visible(), cmd.Floor) {
 		return cwstatement.Failure(cwstatement.Behind, "")
 	}
 	a := c.execute(cmd)
@@ -119,9 +143,9 @@
 		if !ok {
 			return cwstatement.Failure(cwstatement.NotPrepared, cmd.Name)
 		}
-		return c.statement(word+" "+cmd.Rest, done)
+		return c.statement(cmd.ID, word+" "+cmd.Rest, done)
 	}
-	return c.statement(cmd.Text, done)
+	return c.statement(cmd.ID, cmd.Text, done)
 }
 
 func verbWord(writes bool) string {
@@ -131,7 +155,7 @@
 	return "READ"
 }
 
-func (c *conn) statement(text string, done cwstatement.Answer) cwstatement.Answer {
+func (c *conn) statement(id, text string, done cwstatement.Answer) cwstatement.Answer {
 	item, data := itemOf(text)
 	lost := c.state == cwstatement.Open && !c.reads && !c.leads()
 	if strings.HasPrefix(text, "READ") {
@@ -139,6 +163,9 @@
 			return cwstatement.Failure(cwstatement.NotPrimary, string(c.member.id))
 		}
 		done.Rows = []string{c.seen(item)}
+		if id != "" {
+			c.group.reads = append(c.group.reads, Run{ID: id, Member: c.member.id, Log: Log{records: c.visible()}})
+		}
 		return done
 	}
 	if lost || !c.leads() && c.state == cwstatement.Idle || c.state == cwstatement.Open && c.reads {
@@ -162,7 +189,7 @@
 	if v, ok := c.writes[item]; ok {
 		return v
 	}
-	return c.member.value(item)
+	return value(c.visible(), item)
 }
 
 func (c *conn) commit(done cwstatement.Answer) cwstatement.Answer {
@@ -229,7 +256,7 @@
 func (c *conn) Demote(t cwgroup.Term) (cwstatement.Health, error) {
 	return c.order(func(m *Member) {
 		if m.role == cwgroup.RolePrimary && m.term < t {
-			m.role, m.fence = cwgroup.RoleReplica, t
+			m.role = cwgroup.RoleReplica
 		}
 	})
 }
--- a/internal/standin/cwreplica/group.go
+++ b/internal/standin/cwreplica/group.go
@@ -2,12 +2,14 @@
 // nothing unasked and take orders from anybody, in memory and without a
 // protocol.
 //
-// Each Member has a log of writes. Replicas receive from the primary at once
-// unless they are deaf, fenced or cut off from it. What a member answers follows
-// the rules of such databases: it refuses a floor that its log lacks, a write
-// where it does not lead, and a demoted primary refuses to go on with a
-// transaction. Paths between instances and members, and between members, can be
-// cut; answers can be lost.
+// Each Member has a log of writes. Replicas receive from a primary that they reach
+// unless they are deaf or fenced, and apply what they received at once or later.
+// What a member answers follows the rules of such databases: it refuses a floor
+// that the log its reads see lacks, a write where it does not lead, and a demoted
+// primary refuses to go on with a transaction. A primary that was replaced goes on
+// until it is demoted, or for a while after it reaches the new one. A member can
+// start again with its log; it forgets that it was fenced. Paths between instances
+// and members, and between members, can be cut; answers can be lost.
 package cwreplica
 
 import (
@@ -27,27 +29,34 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
-// record is one committed transaction.
-type record struct {
-	mark   cwgroup.Mark
-	writes map[string]string
-}
-
 // Member is one database. Its fields are guarded by the group's lock.
 type Member struct {
-	id    cwgroup.MemberID
-	role  cwgroup.Role
+	id   cwgroup.MemberID
+	role cwgroup.Role
+	// term is that of the primary that it follows, or in which it leads.
 	term  cwgroup.Term
 	fence cwgroup.Term
-	log   []record
-	deaf  bool
-	lose  bool
-	dark  bool
-	limit int
+	// log is what it has received; what is there is never overwritten in place.
+	log []record
+	// late is how much later than it receives a record its reads see it, and
+	// receivedAt has when it received each. Reads see the first applied of them.
+	late       time.Duration
+	receivedAt []time.Time
+	applied    int
+	deaf       bool
+	lose       bool
+	dark       bool
+	limit      int
 	// refuse is how many more orders to stop receiving get no answer, busy how
 	// many are refused as too much.
 	refuse, busy int
 	opened       int
+	// life counts its starts; down is true between two.
+	life int
+	down bool
+	// leaving is true while a primary that reaches the one that replaced it is
+	// about to step down.
+	leaving bool
 }
 
 // Group is a replica set. Make one with NewGroup.
@@ -65,9 +74,15 @@
 	// the questions about health.
 	ran   []Context
 	asked int
+	// reads are the callers' reads that were run, in order.
+	reads []Run
 	// takes is how long a promotion takes by clock.
 	takes time.Duration
 	clock clockwork.Clock
+	// goesOn is how long a replaced primary goes on once it reaches the new one.
+	goesOn time.Duration
+	// silent is true if what goes over a path that is cut waits until it is mended.
+	silent bool
 }
 
 // Context is under which settings, and for which workspace, a statement of a
@@ -97,6 +112,31 @@
 	return g
 }
 
+// Role returns how a member sees itself; false while it is down.
+func (g *Group) Role(id cwgroup.MemberID) (cwgroup.Role, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	return m.role, !m.down
+}
+
+// SilenceCuts makes paths that are cut hold back what is sent over them, by a
+// clock, instead of failing at once.
+func (g *Group) SilenceCuts(clock clockwork.Clock) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silent, g.clock = true, clock
+}
+
+// SetLate makes a member's reads see records later than it receives them.
+func (g *Group) SetLate(id cwgroup.MemberID, late time.Duration, clock clockwork.Clock) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	m.apply(g.now())
+	m.late, g.clock = late, clock
+}
+
 // Cut cuts the path between an instance or member and another one, or mends it.
 func (g *Group) Cut(a, b string, cut bool) {
 	g.mu.Lock()
@@ -170,7 +210,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p := g.primary(); p != nil {
-		return p.value(item)
+		return value(p.log, item)
 	}
 	return ""
 }
@@ -218,115 +258,12 @@
 	return g.asked
 }
 
-// primary returns the member that leads the highest term.
-func (g *Group) primary() *Member {
-	var best *Member
-	for _, id := range g.order {
-		if m := g.members[id]; m.role == cwgroup.RolePrimary && (best == nil || m.term > best.term) {
-			best = m
-		}
-	}
-	return best
-}
-
-// Promote implements cwport.Promoter.
-func (g *Group) Promote(_ context.Context, p cwport.Promotion) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	m := g.members[p.ID]
-	if m == nil {
-		return &cwport.RefusedError{Code: cwstatement.WrongTarget}
-	}
-	g.promotions = append(g.promotions, p)
-	if g.takes > 0 {
-		go g.runPromotion(m)
-		return nil
-	}
-	g.lead(m)
-	return nil
-}
-
-func (g *Group) runPromotion(m *Member) {
-	g.clock.Sleep(g.takes)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.lead(m)
-}
-
-// lead makes a member the primary of the next term.
-func (g *Group) lead(m *Member) {
-	if m.role == cwgroup.RolePrimary {
-		return
-	}
-	next := cwgroup.Term(0)
-	for _, o := range g.members {
-		next = max(next, o.term)
-	}
-	m.role, m.term, m.fence = cwgroup.RolePrimary, next+1, 0
-	g.replicate()
-}
-
-// replicate lets every replica receive what it can.
-func (g *Group) replicate() {
-	p := g.primary()
-	if p == nil {
-		return
-	}
-	for _, id := range g.order {
-		m := g.members[id]
-		if m == p || m.deaf || m.dark || p.dark || g.cut[path{string(p.id), string(id)}] || m.fence > p.term {
-			continue
-		}
-		m.role, m.term, m.fence = cwgroup.RoleReplica, p.term, 0
-		m.log = append([]record(nil), p.log...)
-	}
-	// A replica of an older primary goes on receiving from it.
-	for _, old := range g.members {
-		if old.role != cwgroup.RolePrimary || old == p {
-			continue
-		}
-		for _, m := range g.members {
-			if m.role == cwgroup.RoleReplica && m.term == old.term && m.fence <= old.term && !m.deaf &&
-				!g.cut[path{string(old.id), string(m.id)}] {
-				m.log = append([]record(nil), old.log...)
-			}
-		}
-	}
-}
-
-func (m *Member) mark() cwgroup.Mark {
-	if len(m.log) == 0 {
-		return cwgroup.Mark{Term: 1}
-	}
-	return m.log[len(m.log)-1].mark
-}
-
-func (m *Member) holds(floor cwgroup.Mark) bool {
-	if floor.Position == 0 {
-		return true
-	}
-	for _, r := range m.log {
-		if r.mark == floor {
-			return true
-		}
-	}
-	return false
-}
-
-func (m *Member) value(item string) string {
-	for i := len(m.log) - 1; i >= 0; i-- {
-		if v, ok := m.log[i].writes[item]; ok {
-			return v
-		}
-	}
-	return ""
-}
-
 func (m *Member) health() cwstatement.Health {
-	return cwstatement.Health{Role: m.role, Term: m.term, Fence: m.fence, Received: m.mark(), Connections: m.opened}
+	return cwstatement.Health{Role: m.role, Term: m.term, Fence: m.fence, Received: m.received(), Connections: m.opened}
 }
 
-// From returns a dialer as the instance sees the group.
+// From returns a dialer as the instance sees the group. An empty name stands for
+// whoever each connection is opened for.
 func (g *Group) From(instance string) cwport.Dialer { return dialer{group: g, instance: instance} }
 
 type dialer struct {
@@ -340,21 +277,30 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[to.ID]
+	instance := d.instance
+	if instance == "" {
+		instance = workspace
+	}
 	if m != nil && m.dark {
 		g.mu.Unlock()
 		<-ctx.Done()
 		g.mu.Lock()
 		return nil, ctx.Err()
 	}
-	if m == nil || g.cut[path{d.instance, string(to.ID)}] {
-		return nil, &cutError{instance: d.instance, member: to.ID}
+	for m != nil && g.silent && g.cut[path{instance, string(to.ID)}] && ctx.Err() == nil {
+		g.mu.Unlock()
+		g.clock.Sleep(cutPoll)
+		g.mu.Lock()
+	}
+	if m == nil || m.down || g.cut[path{instance, string(to.ID)}] {
+		return nil, &cutError{instance: instance, member: to.ID}
 	}
 	if m.limit > 0 && m.opened >= m.limit {
 		return nil, &cwport.RefusedError{Code: cwstatement.TooManyConnections}
 	}
 	m.opened++
 	return &conn{
-		group: g, member: m, instance: d.instance, workspace: workspace,
+		group: g, member: m, life: m.life, instance: instance, workspace: workspace,
 		values: map[string]string{}, prepared: map[string]string{},
 	}, nil
 }
@@ -376,12 +322,3 @@
 	item, data, _ = strings.Cut(rest, " ")
 	return item, data
 }
-
-func (g *Group) commit(m *Member, writes map[string]string) {
-	if len(writes) == 0 {
-		return
-	}
-	next := cwgroup.Mark{Term: m.term, Position: m.mark().Position + 1}
-	m.log = append(m.log, record{mark: next, writes: maps.Clone(writes)})
-	g.replicate()
-}
--- a/internal/tool/cwcommand/soak.go
+++ b/internal/tool/cwcommand/soak.go
@@ -25,7 +25,7 @@
 	seeds                      int
 	duration                   time.Duration
 	instances, groups, callers int
-	verbose                    bool
+	keyless, verbose           bool
 }
 
 // SoakRoot returns the cicadasoak command.
@@ -54,6 +54,7 @@
 	fs.IntVar(&f.instances, "instances", 9, "proxies")
 	fs.IntVar(&f.groups, "groups", 2, "groups of three databases")
 	fs.IntVar(&f.callers, "callers", 24, "callers at once")
+	fs.BoolVar(&f.keyless, "keyless", false, "leave keys and quotas out, and cut paths between single proxies and databases")
 	fs.BoolVar(&f.verbose, "verbose", false, "print each fault")
 	return cmd
 }
@@ -99,7 +100,7 @@
 	}
 	r, err := cwsoak.Run(cmd.Context(), cwsoak.Config{
 		Seed: seed, Duration: f.duration, Instances: f.instances, Groups: f.groups, Callers: f.callers,
-		Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
+		Keyless: f.keyless, Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/tool/cwsoak/access.go
+++ b/internal/tool/cwsoak/access.go
@@ -37,6 +37,9 @@
 
 // access is the keys of the workspaces.
 type access struct {
+	// none is true if callers need no keys.
+	none bool
+
 	mu sync.Mutex
 	// now has the good key of each workspace, taken when the desired state without
 	// a key was acknowledged.
@@ -47,8 +50,8 @@
 	allowed, done []time.Time
 }
 
-func newAccess() *access {
-	a := &access{now: make(map[string]string), taken: make(map[string]time.Time)}
+func newAccess(keyless bool) *access {
+	a := &access{none: keyless, now: make(map[string]string), taken: make(map[string]time.Time)}
 	for _, w := range workspaces {
 		a.now[w] = w + "-key-0"
 	}
@@ -59,6 +62,9 @@
 func workspaceOf(caller int) string { return workspaces[caller%(len(workspaces)-1)] }
 
 func (a *access) key(workspace string) string {
+	if a.none {
+		return ""
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.now[workspace]
@@ -113,6 +119,9 @@
 // checkAccess checks for whom the targets ran each statement, and how many
 // operations of the limited workspace ran in each window.
 func (w *world) checkAccess() {
+	if w.access.none {
+		return
+	}
 	for _, g := range w.groups {
 		for _, ran := range g.Contexts() {
 			digits, _, _ := strings.Cut(strings.TrimPrefix(ran.ID, "c"), "-")
--- a/internal/tool/cwsoak/caller.go
+++ b/internal/tool/cwsoak/caller.go
@@ -86,6 +86,8 @@
 	life int
 	// wrote is the highest number of the caller's item that it acknowledged.
 	wrote int
+	// txBegan is when the open transaction was sent; zero if there is none.
+	txBegan time.Time
 }
 
 // operation does one thing. It returns false once the session is of no use.
@@ -112,6 +114,9 @@
 		return cwstatement.Answer{}, id, false
 	}
 	began := time.Now()
+	if verb == cwstatement.Read {
+		s.noteRead(id, began)
+	}
 	a, err := ask(s.target, cwstatement.Command{ID: id, Verb: verb, Text: text})
 	if err != nil {
 		s.cut(began, err)
@@ -126,6 +131,19 @@
 	return a, id, true
 }
 
+// noteRead notes what a read that is sent now must see.
+func (s *session) noteRead(id string, began time.Time) {
+	if !s.txBegan.IsZero() {
+		began = s.txBegan
+	}
+	c := s.caller
+	r := sentRead{group: c.group.Service, instance: s.process.name, rule: s.rule, began: began}
+	if s.rule == cwcatalogue.ReadOwnWrites && s.wrote > 0 {
+		r.item, r.wrote = c.item, s.wrote
+	}
+	c.world.ledger.noteRead(id, r)
+}
+
 // cut checks a connection that ended in the middle of a statement.
 func (s *session) cut(began time.Time, err error) {
 	took := time.Since(began)
@@ -215,6 +233,8 @@
 // transaction writes, reads what it wrote, and commits or rolls back.
 func (s *session) transaction() bool {
 	c := s.caller
+	s.txBegan = time.Now()
+	defer func() { s.txBegan = time.Time{} }()
 	if a, _, ok := s.ask(cwstatement.Begin, "BEGIN"); !ok || a.Code != cwstatement.OK {
 		return ok
 	}
--- a/internal/tool/cwsoak/faults.go
+++ b/internal/tool/cwsoak/faults.go
@@ -77,6 +77,8 @@
 	// restores draws the restores of the store, which come beside the other faults,
 	// so that a seed's other faults stay what they are.
 	restores *rand.Rand
+	// members draws what happens among the targets, beside the others as well.
+	members *rand.Rand
 
 	mu     sync.Mutex
 	played int
--- a/internal/tool/cwsoak/ledger.go
+++ b/internal/tool/cwsoak/ledger.go
@@ -83,10 +83,12 @@
 	refused    int
 	unresolved int
 	reads      int
+	// sent are the reads that were sent, by the id of the statement.
+	sent map[string]sentRead
 }
 
 func newLedger() *ledger {
-	return &ledger{items: make(map[string]*item), names: make(map[string][]string)}
+	return &ledger{items: make(map[string]*item), names: make(map[string][]string), sent: make(map[string]sentRead)}
 }
 
 func (l *ledger) fail(k Kind, format string, args ...any) {
--- a/internal/tool/cwsoak/soak.go
+++ b/internal/tool/cwsoak/soak.go
@@ -7,6 +7,10 @@
 // are killed, stopped, continued, ended and restarted, changes of the desired
 // state, in series and overlapping. Clocks are not touched: only a privileged
 // process may set them, and the proxies measure by the boot-time clock.
+// The databases misbehave as databases do: replicas are late, paths between them and
+// to single instances are cut, one starts again and has forgotten that it was fenced,
+// the entry of one that lives lapses, and an instance is held up or killed right after
+// it has promoted one.
 //
 // The promises that are checked stand in the Kind of a Violation. At the end all
 // faults are lifted, and the system has to serve again.
@@ -31,6 +35,8 @@
 type Store interface {
 	http.Handler
 	List(l cwport.Listing) error
+	// Unlist lets a target's entry lapse.
+	Unlist(id string)
 	// Desire writes a desired state, with the keys of its workspaces.
 	Desire(c cwcatalogue.Catalogue, keys map[string][]string) error
 	DropHistory()
@@ -63,6 +69,9 @@
 	// Instances and Groups are how many there are, Callers how many call at
 	// once.
 	Instances, Groups, Callers int
+	// Keyless leaves keys, workspaces and quotas out. Then each connection to a target
+	// tells which instance it is of, and paths between the two can be cut.
+	Keyless bool
 	// Program is the path of the proxy, Dir a folder for settings and logs.
 	Program, Dir string
 	Platform     Platform
@@ -89,6 +98,9 @@
 // the other faults, and callers have those that follow.
 const restoreStream = 1 << 32
 
+// memberStream is the stream that what happens among the targets is drawn from.
+const memberStream = 2 << 32
+
 // Run plays one soak.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	w, err := newWorld(cfg)
@@ -96,6 +108,9 @@
 		return Report{}, err
 	}
 	defer w.stop()
+	entries, stopEntries := context.WithCancel(ctx)
+	defer stopEntries()
+	go w.loopEntries(entries)
 	if err := w.ready(ctx); err != nil {
 		return Report{}, err
 	}
@@ -106,9 +121,10 @@
 		c := &caller{world: w, id: i, rand: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1))}
 		eg.Go(func() error { return c.loop(run) })
 	}
-	f := &faults{world: w, rand: rand.New(rand.NewPCG(cfg.Seed, 0)), restores: rand.New(rand.NewPCG(cfg.Seed, restoreStream)), active: make(map[string]func())}
+	f := &faults{world: w, rand: rand.New(rand.NewPCG(cfg.Seed, 0)), restores: rand.New(rand.NewPCG(cfg.Seed, restoreStream)), members: rand.New(rand.NewPCG(cfg.Seed, memberStream)), active: make(map[string]func())}
 	eg.Go(func() error { return f.loop(run) })
 	eg.Go(func() error { return f.loopRestores(run) })
+	eg.Go(func() error { return f.loopMembers(run) })
 	eg.Go(func() error { return w.loopVersions(run) })
 	eg.Go(func() error { return w.loopCopies(run) })
 	if err := eg.Wait(); err != nil {
@@ -118,6 +134,7 @@
 	w.recover(ctx)
 	w.endRestored(ctx)
 	w.ledger.settle(w.groups)
+	w.ledger.checkReads(w.groups)
 	w.checkAccess()
 	r := w.ledger.report()
 	r.Seed, r.Faults = cfg.Seed, f.played
--- a/internal/tool/cwsoak/world.go
+++ b/internal/tool/cwsoak/world.go
@@ -31,6 +31,8 @@
 	connections    = 24
 	slots          = 3
 	promotionTakes = 600 * time.Millisecond
+	// replacedGoesOn is how long a replaced primary goes on once it reaches the new one.
+	replacedGoesOn = time.Second
 	maxAge         = 1500 * time.Millisecond
 	// readyWithin is how long the instances may take to start.
 	readyWithin = 20 * time.Second
@@ -50,8 +52,9 @@
 // group is a group of targets with the paths to them.
 type group struct {
 	*cwreplica.Group
-	ids   []cwgroup.MemberID
-	links map[cwgroup.MemberID]*cwlink.Link
+	ids     []cwgroup.MemberID
+	links   map[cwgroup.MemberID]*cwlink.Link
+	entries map[cwgroup.MemberID]*entry
 }
 
 // world is everything around the proxies, and the proxies.
@@ -74,6 +77,8 @@
 	disturbed time.Time
 	// copies are the newest of the store, the oldest first.
 	copies []func() (writeAgain func())
+	// holdNext, if set, is done to the instance that promotes next.
+	holdNext func(instance string)
 }
 
 // promoter hands an order to the group that it is about.
@@ -83,14 +88,26 @@
 func (p promoter) Promote(ctx context.Context, order cwport.Promotion) error {
 	for _, g := range p.world.groups {
 		if g.Service == order.Service {
+			defer p.world.hold(order.Holder)
 			return g.Promote(ctx, order)
 		}
 	}
 	return &cwport.RefusedError{Code: cwstatement.WrongTarget, Detail: order.Service}
 }
 
+// hold does to an instance that has just promoted what is to be done to it.
+func (w *world) hold(instance string) {
+	w.mu.Lock()
+	f := w.holdNext
+	w.holdNext = nil
+	w.mu.Unlock()
+	if f != nil {
+		f(instance)
+	}
+}
+
 func newWorld(cfg Config) (*world, error) {
-	w := &world{cfg: cfg, ledger: newLedger(), access: newAccess(), disturbed: time.Now()}
+	w := &world{cfg: cfg, ledger: newLedger(), access: newAccess(cfg.Keyless), disturbed: time.Now()}
 	if err := w.build(); err != nil {
 		w.stop()
 		return nil, Error.Wrap(err)
@@ -125,31 +142,30 @@
 }
 
 func (w *world) addGroup(name string) error {
-	g := &group{links: make(map[cwgroup.MemberID]*cwlink.Link)}
+	g := &group{links: make(map[cwgroup.MemberID]*cwlink.Link), entries: make(map[cwgroup.MemberID]*entry)}
 	for i := range members {
 		g.ids = append(g.ids, cwgroup.MemberID(fmt.Sprintf("%s-%d", name, i)))
 	}
 	g.Group = cwreplica.NewGroup(name, g.ids...)
-	g.SetPromotionTakes(promotionTakes, clockwork.NewRealClock())
+	clock := clockwork.NewRealClock()
+	g.SetPromotionTakes(promotionTakes, clock)
+	g.SetReplacedGoesOn(replacedGoesOn, clock)
+	g.SilenceCuts(clock)
 	for i, id := range g.ids {
 		g.LimitConnections(id, connections)
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return err
 		}
-		go w.runTarget(ln, id, g.From("soak"))
+		go w.runTarget(ln, id, g.From(""))
 		l, err := cwlink.Start("127.0.0.1:0", ln.Addr().String())
 		if err != nil {
 			return err
 		}
 		w.closes = append(w.closes, func() { _ = ln.Close() }, l.Stop)
 		g.links[id] = l
-		role := cwport.LeadershipReplica
-		if i == 0 {
-			role = cwport.LeadershipPrimary
-		}
-		err = w.store.List(cwport.Listing{ID: id, Service: name, Address: l.Addr(), DataCentre: centre(i), Slots: slots, Role: role})
-		if err != nil {
+		g.entries[id] = &entry{listing: cwport.Listing{ID: id, Service: name, Address: l.Addr(), DataCentre: centre(i), Slots: slots}}
+		if err := w.report(g, id); err != nil {
 			return err
 		}
 	}
@@ -238,7 +254,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next := w.revision + 1
-	c := cwcatalogue.Catalogue{Revision: cwcatalogue.Revision(next), Keyed: true}
+	c := cwcatalogue.Catalogue{Revision: cwcatalogue.Revision(next), Keyed: !w.cfg.Keyless}
 	keys, gone := w.access.next(next)
 	for _, name := range workspaces {
 		ws := cwcatalogue.Workspace{Name: name}
