--- /dev/null
+++ b/internal/proxy/cwlead/replaced_test.go
@@ -0,0 +1,91 @@
+package cwlead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// tellAt has a member answer a question that is asked now, with its log in a term.
+func (b *testGroup) tellAt(id cwgroup.MemberID, role cwgroup.Role, term cwgroup.Term, received cwgroup.Mark) {
+	asked := b.clock.Now()
+	b.clock.Advance(time.Millisecond)
+	b.heard(id, cwstatement.Health{Role: role, Term: term, Received: received}, asked)
+}
+
+// changeToB has a replaced by b, which most members follow.
+func (b *testGroup) changeToB() {
+	b.tell("a", cwgroup.RolePrimary, 1, 100)
+	b.tell("c", cwgroup.RoleReplica, 1, 100)
+	b.tellAt("b", cwgroup.RolePrimary, 2, cwgroup.Mark{Term: 2, Position: 120})
+	b.tellAt("c", cwgroup.RoleReplica, 2, cwgroup.Mark{Term: 2, Position: 120})
+	b.assertConfirmed(true)
+}
+
+// assertLeads checks who takes writes and reads of the newest data; nobody if want is
+// empty.
+func (b *testGroup) assertLeads(want cwgroup.MemberID) {
+	b.t.Helper()
+	now := b.clock.Now()
+	for name, find := range map[string]func() (Place, error){
+		"writes": b.Primary,
+		"reads":  func() (Place, error) { return b.Confirmed(context.Background(), now, now) },
+	} {
+		place, err := find()
+		if want == "" {
+			qt.Assert(b.t, err, qt.ErrorAs, new(*NoPrimaryError), qt.Commentf("%s go to %s", name, place.ID))
+			continue
+		}
+		qt.Assert(b.t, err, qt.IsNil, qt.Commentf(name))
+		qt.Assert(b.t, place.ID, qt.Equals, want, qt.Commentf(name))
+	}
+}
+
+// Guards against stale reads at a replaced primary once the newest one is out of sight.
+func TestReplacedPrimaryLeadsNobodyAgain(t *testing.T) {
+	t.Run("the entry of the newest one has lapsed", func(t *testing.T) {
+		b := newTestGroup(t)
+		b.changeToB()
+		b.SetMembers([]cwport.Listing{
+			{ID: "a", Service: "ledger", Address: "10.0.0.1:1", DataCentre: "dc", Slots: 3},
+			{ID: "c", Service: "ledger", Address: "10.0.0.3:1", DataCentre: "dc", Slots: 3},
+		}, 8, false)
+		b.assertLeads("")
+	})
+	t.Run("the newest one refuses to lead", func(t *testing.T) {
+		b := newTestGroup(t)
+		b.changeToB()
+		b.NotPrimary("b", b.clock.Now())
+		b.assertLeads("")
+	})
+	t.Run("a replica follows one that was not seen", func(t *testing.T) {
+		b := newTestGroup(t)
+		b.tell("a", cwgroup.RolePrimary, 1, 100)
+		b.tell("c", cwgroup.RoleReplica, 1, 100)
+		b.assertLeads("a")
+		b.tellAt("c", cwgroup.RoleReplica, 2, cwgroup.Mark{Term: 1, Position: 100})
+		b.assertLeads("")
+	})
+}
+
+// Guards against floors that fall behind because a replaced primary is a late replica now.
+func TestPositionsOfAReplacedPrimaryAreNoFloor(t *testing.T) {
+	b := newTestGroup(t)
+	b.changeToB()
+	b.clock.Advance(100 * time.Millisecond)
+	asked := b.clock.Now()
+	b.Saw("a", cwgroup.Mark{Term: 2, Position: 122}, false, asked)
+	b.clock.Advance(time.Millisecond)
+	b.tellAt("b", cwgroup.RolePrimary, 2, cwgroup.Mark{Term: 2, Position: 150})
+	b.tellAt("c", cwgroup.RoleReplica, 2, cwgroup.Mark{Term: 2, Position: 150})
+	b.clock.Advance(time.Second)
+	place, err := b.Replica(context.Background(), Read{Came: b.clock.Now(), MaxAge: b.clock.Since(asked)}, b.clock.Now())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, place.Floor, qt.Equals, cwgroup.Mark{Term: 2, Position: 150})
+}
