--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -148,6 +148,16 @@
 	s.vote(now)
 }
 
+// SetReplaced records that the primaries of a term and of all before it have been
+// replaced.
+func (s *Supervisor) SetReplaced(t cwgroup.Term, now time.Time) {
+	if t <= s.view.Replaced() {
+		return
+	}
+	s.view = s.view.WithReplaced(t)
+	s.vote(now)
+}
+
 // SetMembers replaces the members of the group.
 func (s *Supervisor) SetMembers(ids []cwgroup.MemberID) { s.view = s.view.WithMembers(ids) }
 
--- a/internal/core/cwgroup/group.go
+++ b/internal/core/cwgroup/group.go
@@ -152,6 +152,9 @@
 	members []MemberID
 	// reports has the members' order; a zero At means never heard.
 	reports []Report
+	// replaced is the newest term whose primary is known to have been replaced. It
+	// never falls.
+	replaced Term
 }
 
 // NewView returns a view of a group whose members are not heard of yet.
@@ -198,7 +201,8 @@
 // WithMembers returns a view of other members; those that stay keep their
 // reports.
 func (v View) WithMembers(ids []MemberID) View {
-	next := View{name: v.name, members: slices.Clone(ids), reports: make([]Report, len(ids))}
+	next := v
+	next.members, next.reports = slices.Clone(ids), make([]Report, len(ids))
 	for i, id := range ids {
 		if old := slices.Index(v.members, id); old >= 0 {
 			next.reports[i] = v.reports[old]
@@ -231,6 +235,16 @@
 	return v
 }
 
+// WithReplaced returns a view in which primaries of t and of earlier terms lead
+// nobody any more.
+func (v View) WithReplaced(t Term) View {
+	v.replaced = max(v.replaced, t)
+	return v
+}
+
+// Replaced returns the newest term whose primary is known to have been replaced.
+func (v View) Replaced() Term { return v.replaced }
+
 // Report returns the last report of a member. The second result is false if
 // the member was never heard of.
 func (v View) Report(id MemberID) (Report, bool) {
@@ -255,11 +269,16 @@
 // Primary returns the report of the member that leads the highest term in
 // which any member leads. A primary of a lower term has been replaced, whatever
 // it believes itself.
+//
+// The failure: the newest primary drops out of sight, and the one that it replaced,
+// which goes on or was not asked since, is the highest of those that are left. It
+// shows as reads that miss what the newest one acknowledged. A term that is known
+// to be over stays over.
 func (v View) Primary() (Report, bool) {
 	var best Report
 	found := false
 	for _, r := range v.reports {
-		if r.At.IsZero() || r.Role != RolePrimary {
+		if r.At.IsZero() || r.Role != RolePrimary || r.Adopted <= v.replaced {
 			continue
 		}
 		if !found || r.Adopted > best.Adopted {
@@ -285,8 +304,12 @@
 }
 
 // Superseded reports whether a majority of members is known to have adopted a
-// term after t. From then on a primary of term t cannot acknowledge anything.
+// term after t, or its primary to have been replaced. From then on a primary of
+// term t cannot acknowledge anything.
 func (v View) Superseded(t Term) bool {
+	if t <= v.replaced {
+		return true
+	}
 	n := 0
 	for _, r := range v.reports {
 		if r.Adopted > t {
--- a/internal/core/cwroute/quorum.go
+++ b/internal/core/cwroute/quorum.go
@@ -22,6 +22,9 @@
 			continue
 		case r.At.Before(since) || !r.Reachable:
 			continue
+		case r.Role == cwgroup.RolePrimary && r.Adopted <= v.Replaced():
+			// It does not know yet that it was replaced.
+			continue
 		case r.Role == cwgroup.RolePrimary || !counts(r.Member):
 			return cwgroup.Mark{}, false
 		}
--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -31,6 +31,7 @@
 	if member, ok := g.members[id]; ok && g.away(member) {
 		g.cfg.Path.RecordAnswer(g.cfg.Clock.Now())
 	}
+	g.sawTerm(m.Term, g.cfg.Clock.Now())
 	rep, known := g.sup.View().Report(id)
 	if led {
 		g.trace.Observe(m, asked)
@@ -108,6 +109,7 @@
 	if rep, ok := g.sup.View().Report(id); ok {
 		applied = rep.Applied
 	}
+	g.sawTerm(max(h.Term, h.Received.Term), now)
 	role := h.Role
 	if h.Fence > h.Term {
 		role = cwgroup.RoleFenced
@@ -131,6 +133,16 @@
 	})
 }
 
+// sawTerm records that a member is in a term, or has a record of it: some member was
+// promoted to lead it, so whoever led before has been replaced. The caller holds mu.
+func (g *Group) sawTerm(t cwgroup.Term, now time.Time) {
+	if t <= 1 || t-1 <= g.sup.View().Replaced() {
+		return
+	}
+	g.sup.SetReplaced(t-1, now)
+	g.cfg.Log.Info("termsReplaced", "group", g.cfg.Service, "upTo", t-1, "known", g.term)
+}
+
 // report takes a report and draws what follows from it. The caller holds mu.
 func (g *Group) report(r cwgroup.Report) {
 	now := g.cfg.Clock.Now()
@@ -175,6 +187,7 @@
 	// earlier change says nothing, even of the same member.
 	recorded := g.row.Done && g.row.Primary == p.Member && g.rowTerm == g.term
 	g.term, g.learnt, g.start = p.Adopted, now, p.Last
+	g.sawTerm(p.Adopted, now)
 	if recorded {
 		g.learnt = g.rowSeen
 	}
