--- a/internal/proxy/cwlead/observe.go
+++ b/internal/proxy/cwlead/observe.go
@@ -34,8 +34,7 @@
 	g.sawTerm(m.Term, g.cfg.Clock.Now())
 	rep, known := g.sup.View().Report(id)
 	if led {
-		g.trace.Observe(m, asked)
-		g.lag.Primary(m, g.cfg.Clock.Now())
+		g.observePrimary(id, m, asked)
 		g.report(cwgroup.Report{
 			Status: cwgroup.Status{Member: id, Role: cwgroup.RolePrimary, Adopted: max(m.Term, rep.Adopted), Last: m, Applied: m},
 			At:     asked, Reachable: true,
@@ -45,21 +44,25 @@
 	if !known {
 		return
 	}
-	if rep.Role == cwgroup.RolePrimary {
-		g.trace.Observe(m, asked)
+	if !g.observePrimary(id, m, asked) {
+		g.lag.Replica(id, m, g.cfg.Clock.Now())
 	}
-	g.measureLag(rep, m)
 	g.sawLog(rep, m)
 }
 
-// measureLag takes what a member has applied, to tell how long it takes to. The
-// caller holds mu.
-func (g *Group) measureLag(rep cwgroup.Report, m cwgroup.Mark) {
-	if rep.Role == cwgroup.RolePrimary {
-		g.lag.Primary(m, g.cfg.Clock.Now())
-		return
-	}
-	g.lag.Replica(rep.Member, m, g.cfg.Clock.Now())
+// observePrimary traces where the primary's log stood, if the member is the primary,
+// and reports whether it is. The caller holds mu.
+//
+// The failure: a replaced primary is a late replica of the new one now, and its last
+// answer about itself still says that it leads. Its positions, taken for the new
+// primary's, make floors as old as it is late.
+func (g *Group) observePrimary(id cwgroup.MemberID, m cwgroup.Mark, asked time.Time) bool {
+	if p, ok := g.sup.View().Primary(); !ok || p.Member != id {
+		return false
+	}
+	g.trace.Observe(m, asked)
+	g.lag.Primary(m, g.cfg.Clock.Now())
+	return true
 }
 
 // sawLog records that a member's log holds the record at m. The caller holds mu.
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -249,7 +249,7 @@
 		}
 		load := m.Pool.Load()
 		options = append(options, cwroute.Option{
-			Member: id, Away: m.DataCentre != g.cfg.DataCentre, Primary: id == primary.Member, CatchUp: g.catchUp(rep, known, floor, now),
+			Member: id, Away: m.DataCentre != g.cfg.DataCentre, Primary: id == primary.Member, CatchUp: g.catchUp(rep, id == primary.Member, floor, now),
 			Wait: load.Expect, Latency: load.Latency, Busy: load.Busy + load.Waiting, Slots: m.Slots,
 		})
 	}
@@ -262,8 +262,8 @@
 
 // catchUp returns how long a member is expected to take until its data holds the
 // floor. The caller holds mu.
-func (g *Group) catchUp(rep cwgroup.Report, known bool, floor cwgroup.Mark, now time.Time) time.Duration {
-	if known && rep.Applied.AtLeast(floor) || rep.Role == cwgroup.RolePrimary {
+func (g *Group) catchUp(rep cwgroup.Report, leads bool, floor cwgroup.Mark, now time.Time) time.Duration {
+	if leads || !rep.At.IsZero() && rep.Applied.AtLeast(floor) {
 		return 0
 	}
 	return g.lag.CatchUp(rep.Member, floor, now)
