--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -30,6 +30,10 @@
 	group *cwreplica.Group
 	table *memoryTable
 	entry cwcatalogue.Entry
+	// listed are the members in the list of targets of engines that start.
+	listed []string
+	// first is done to an engine that starts before it knows anything; it may be nil.
+	first func(*Engine)
 }
 
 const (
@@ -42,6 +46,7 @@
 	w := &world{
 		c: c, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)),
 		group: cwreplica.NewGroup(testService, "a", "b", "c"), table: &memoryTable{rows: map[string]cwplatform.Row{}},
+		listed: []string{"a", "b", "c"},
 	}
 	w.entry = cwcatalogue.Entry{
 		Service: testDatabase,
@@ -94,9 +99,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	eg, ctx := errgroup.WithContext(ctx)
 	e.Start(ctx, eg)
+	if w.first != nil {
+		w.first(e)
+	}
 	e.SetCatalogue(cwcatalogue.Catalogue{Revision: 1, Entries: []cwcatalogue.Entry{w.entry}})
 	var all []cwport.Listing
-	for _, id := range []string{"a", "b", "c"} {
+	for _, id := range w.listed {
 		all = append(all, cwport.Listing{ID: memberID(id), Service: testService, Address: id, DataCentre: "dc-" + id, Slots: 3})
 	}
 	e.SetListings(all)
--- /dev/null
+++ b/internal/proxy/cwengine/members_test.go
@@ -0,0 +1,94 @@
+package cwengine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
+)
+
+// tellRow tells an engine the group's row as it stands in the table.
+func (w *world) tellRow(e *Engine) {
+	w.c.Helper()
+	row, _, err := cwclaim.Claims{Table: w.table, Group: testService}.Read(context.Background())
+	w.c.Assert(err, qt.IsNil)
+	e.SetRow(testService, row)
+}
+
+// changed reports whether the group's row names a new primary.
+func (w *world) changed() bool {
+	row, _, err := cwclaim.Claims{Table: w.table, Group: testService}.Read(context.Background())
+	return err == nil && row.Done && row.Primary != ""
+}
+
+// Guards against stale reads by the word of one member after the living primary's entry lapsed.
+func TestMemberThatIsGoneStillCounts(t *testing.T) {
+	for _, rule := range readRules {
+		t.Run(string(rule), func(t *testing.T) {
+			w := newWorld(t, rule)
+			x, y := w.engine("x"), w.engine("y")
+			w.settled(x)
+			w.settled(y)
+			succeeds(w.c, w.session(y).ask(cwstatement.Write, "WRITE i 1"))
+			w.table.mu.Lock()
+			w.table.away = true
+			w.table.mu.Unlock()
+			w.group.SetDeaf("b", true)
+			succeeds(w.c, w.session(y).ask(cwstatement.Write, "WRITE i 2"))
+			w.clock.Sleep(2 * w.entry.Contract.MaxAge)
+			w.group.Cut("x", "c", true)
+			x.ChangeListings(nil, []cwgroup.MemberID{"a"})
+			for range 10 {
+				if a := w.session(x).offer(cwstatement.Read, "READ i"); a.Code == cwstatement.OK {
+					reads(w.c, a, "2")
+				}
+			}
+		})
+	}
+}
+
+// replaceBehindACut has y replace a by b while a and c, which y had fenced, are cut off
+// from b; c starts again, has forgotten its fence, and receives from a.
+func replaceBehindACut(w *world, y *Engine) {
+	w.c.Helper()
+	w.settled(y)
+	w.group.SetPromotionTakes(time.Second, w.clock)
+	for _, id := range []string{"b", "c", "y"} {
+		w.group.Cut("a", id, true)
+	}
+	s := w.session(y)
+	w.eventually("another primary is promoted", func() bool {
+		s.ask(cwstatement.Read, "READ i")
+		return w.changed()
+	})
+	w.group.Cut("c", "b", true)
+	w.group.Restart("c", 10*time.Millisecond, w.clock)
+	w.group.Cut("a", "c", false)
+}
+
+// Guards against commits that a replaced primary takes and a member confirms that forgot its fence.
+func TestRowTellsThatAPrimaryWasReplaced(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	x, y := w.engine("x"), w.engine("y")
+	w.settled(x)
+	w.group.Cut("x", "b", true)
+	replaceBehindACut(w, y)
+	w.tellRow(x)
+	s := w.session(x)
+	for range 10 {
+		for _, st := range []struct {
+			verb cwstatement.Verb
+			text string
+		}{{cwstatement.Write, "WRITE i 2"}, {cwstatement.Read, "READ i"}} {
+			a := s.ask(st.verb, st.text)
+			w.c.Assert(a.Code, qt.Not(qt.Equals), cwstatement.OK, qt.Commentf("%s", st.text))
+		}
+		w.clock.Sleep(300 * time.Millisecond)
+	}
+}
