--- a/internal/core/cwfailover/detector.go
+++ b/internal/core/cwfailover/detector.go
@@ -171,7 +171,7 @@
 		Heard:    1,
 		Suspects: 1,
 		Listed:   listed,
-		Members:  len(v.Members()),
+		Members:  v.Size(),
 		Lasted:   now.Sub(d.own.Since),
 	}
 	for _, vote := range d.votes {
@@ -213,7 +213,7 @@
 			holding++
 		}
 	}
-	majority := cwgroup.Majority(len(v.Members()))
+	majority := cwgroup.Majority(v.Size())
 	return holding < majority && lost >= majority
 }
 
@@ -225,5 +225,5 @@
 			n++
 		}
 	}
-	return n >= cwgroup.Majority(len(v.Members()))
+	return n >= cwgroup.Majority(v.Size())
 }
--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -39,7 +39,7 @@
 	} else {
 		k.fenced[ev.Member] = ev.Status
 	}
-	majority := cwgroup.Majority(len(k.plan.Members))
+	majority := k.majority()
 	if len(k.refused) > k.counted()-majority {
 		k.abandon(ReasonMajority)
 		return nil
@@ -72,7 +72,7 @@
 	case k.phase == Fencing:
 		delete(k.fenced, m)
 		k.refused[m] = true
-		majority := cwgroup.Majority(len(k.plan.Members))
+		majority := k.majority()
 		if len(k.fenced) < majority {
 			k.majorityAt = time.Time{}
 		}
@@ -84,6 +84,11 @@
 	}
 }
 
+// size returns how many members the group has, listed or not.
+func (k *Keeper) size() int { return max(k.plan.Size, len(k.plan.Members)) }
+
+func (k *Keeper) majority() int { return cwgroup.Majority(k.size()) }
+
 // counted returns how many members count towards the majority. The majority
 // itself is always that of the whole group.
 func (k *Keeper) counted() int {
@@ -129,7 +134,7 @@
 	if _, ok := k.fenced[k.plan.Avoid]; ok {
 		n--
 	}
-	return n == len(k.plan.Members)-1
+	return n == k.size()-1
 }
 
 func (k *Keeper) better(a, b cwgroup.Status) bool {
--- a/internal/core/cwfailover/order.go
+++ b/internal/core/cwfailover/order.go
@@ -86,6 +86,9 @@
 type Plan struct {
 	Group   string
 	Members []cwgroup.MemberID
+	// Size is how many members the group has. Members may be fewer; they are never
+	// more.
+	Size int
 	// Term is the term to move to.
 	Term  cwgroup.Term
 	Claim cwgroup.ClaimID
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -158,8 +158,11 @@
 	s.vote(now)
 }
 
-// SetMembers replaces the members of the group.
-func (s *Supervisor) SetMembers(ids []cwgroup.MemberID) { s.view = s.view.WithMembers(ids) }
+// SetMembers replaces the members of the group, which has size members or, if they
+// are more, these.
+func (s *Supervisor) SetMembers(ids []cwgroup.MemberID, size int) {
+	s.view = s.view.WithMembers(ids).WithSize(size)
+}
 
 // Suspects reports whether this proxy suspects the primary.
 func (s *Supervisor) Suspects() bool { return s.detector.Own().Suspect }
@@ -264,6 +267,7 @@
 	plan := Plan{
 		Group:        s.view.Name(),
 		Members:      s.view.Members(),
+		Size:         s.view.Size(),
 		Term:         max(NextTerm(s.view), c.RowTerm+1),
 		Claim:        cwgroup.ClaimID(fmt.Sprintf("%s-%s-%d", s.Self, s.Seed, s.claims)),
 		ChecksTerm:   c.ChecksTerm,
--- a/internal/core/cwgroup/group.go
+++ b/internal/core/cwgroup/group.go
@@ -152,6 +152,8 @@
 	members []MemberID
 	// reports has the members' order; a zero At means never heard.
 	reports []Report
+	// size is how many members the group has at least; some may not be listed.
+	size int
 	// replaced is the newest term whose primary is known to have been replaced. It
 	// never falls.
 	replaced Term
@@ -235,6 +237,16 @@
 	return v
 }
 
+// WithSize returns a view of a group that has n members, or those that are listed if
+// they are more.
+func (v View) WithSize(n int) View {
+	v.size = n
+	return v
+}
+
+// Size returns how many members the group has, listed or not.
+func (v View) Size() int { return max(v.size, len(v.members)) }
+
 // WithReplaced returns a view in which primaries of t and of earlier terms lead
 // nobody any more.
 func (v View) WithReplaced(t Term) View {
@@ -316,7 +328,7 @@
 			n++
 		}
 	}
-	return n >= Majority(len(v.members))
+	return n >= Majority(v.Size())
 }
 
 // HeldByMajority reports whether a majority of the members holds the record at
@@ -328,7 +340,7 @@
 			n++
 		}
 	}
-	return n >= Majority(len(v.members))
+	return n >= Majority(v.Size())
 }
 
 // Confirmed reports whether a majority of n members, by their answers to one
--- /dev/null
+++ b/internal/core/cwgroup/roster_test.go
@@ -0,0 +1,39 @@
+package cwgroup
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against majorities of fewer members than a group has.
+func TestRoster(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ids := func(s ...MemberID) []MemberID { return s }
+	three := Roster{}.WithListed(ids("a", "b", "c"), start)
+	for _, tc := range []struct {
+		name   string
+		r      Roster
+		size   int
+		absent []MemberID
+	}{
+		{"three are listed", three, 3, nil},
+		{"one is gone", three.WithGone("c", false), 3, ids("c")},
+		{"two are gone", three.WithGone("c", false).WithGone("b", false), 3, ids("c", "b")},
+		{"it is back", three.WithGone("c", false).WithListed(ids("a", "b", "c"), start), 3, nil},
+		{"a new one takes its place", three.WithGone("c", false).WithListed(ids("a", "b", "d"), start), 3, nil},
+		{"of two, the one that went first", three.WithGone("c", false).WithGone("b", false).WithListed(ids("a", "d"), start), 3, ids("b")},
+		{"a new one comes before it is gone", three.WithListed(ids("a", "b", "c", "d"), start).WithGone("c", false), 3, nil},
+		{"both are listed", three.WithListed(ids("a", "b", "c", "d"), start), 4, nil},
+		{"it had said that it leaves", three.WithListed(ids("a", "b"), start).WithGone("c", true), 2, nil},
+		{"it leaves for a new one", three.WithListed(ids("a", "b", "d"), start).WithGone("c", true), 3, nil},
+		{"the group grows", three.WithListed(ids("a", "b", "c", "d", "e"), start).WithListed(ids("a", "b", "c", "d", "e"), start.Add(GrownAfter)).WithGone("e", false), 5, ids("e")},
+		{"an instance starts and finds one", Roster{}.WithListed(ids("a"), start).WithAtLeast(3), 3, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Assert(t, tc.r.Size(), qt.Equals, tc.size)
+			qt.Assert(t, append([]MemberID(nil), tc.r.Absent()...), qt.DeepEquals, tc.absent)
+		})
+	}
+}
--- a/internal/core/cwroute/age.go
+++ b/internal/core/cwroute/age.go
@@ -104,7 +104,7 @@
 // from the rest. Its answers are prompt, but its data gets older and older, and
 // reads of a stated age would be served from it for good.
 func Sampled(v cwgroup.View, primary cwgroup.Report, asked time.Time) (time.Time, bool) {
-	need := cwgroup.Majority(len(v.Members())) - 1
+	need := cwgroup.Majority(v.Size()) - 1
 	var heard []time.Time
 	for _, r := range v.Reports() {
 		if r.Member != primary.Member && r.Adopted == primary.Adopted {
--- a/internal/core/cwroute/quorum.go
+++ b/internal/core/cwroute/quorum.go
@@ -33,7 +33,7 @@
 			top = r.Last
 		}
 	}
-	if n := len(v.Members()); n < 2 || heard < n-1 {
+	if n := v.Size(); n < 2 || heard < n-1 {
 		return cwgroup.Mark{}, false
 	}
 	return top, true
--- a/internal/core/cwroute/route.go
+++ b/internal/core/cwroute/route.go
@@ -236,5 +236,5 @@
 			n++
 		}
 	}
-	return p, n >= cwgroup.Majority(len(v.Members()))
+	return p, n >= cwgroup.Majority(v.Size())
 }
--- a/internal/proxy/cwdirectory/gone.go
+++ b/internal/proxy/cwdirectory/gone.go
@@ -95,19 +95,11 @@
 	return out
 }
 
-// Counted returns the targets that count, by service; nil while the store does
-// not tell of them.
-func (d *Directory) Counted() map[string][]cwport.Listing {
+// Tells reports whether the store tells of targets.
+func (d *Directory) Tells() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.away || !d.topics[cwport.Targets].read {
-		return nil
-	}
-	out := make(map[string][]cwport.Listing)
-	for _, l := range d.known {
-		out[l.Service] = append(out[l.Service], l)
-	}
-	return out
+	return !d.away && d.topics[cwport.Targets].read
 }
 
 // missing returns the known targets that a snapshot does not have. The caller
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -66,6 +66,9 @@
 	// certainly nothing newer than the catalogue in force.
 	KeyBound  time.Duration
 	Confirmed func() time.Time
+	// Recorded returns how many members of a service's group are remembered from
+	// before this instance started; zero if it is not known. It may be nil.
+	Recorded func(service string) int
 	// Meter keeps the quotas of workspaces; nil if there are none.
 	Meter cwport.Meter
 }
@@ -85,7 +88,11 @@
 	entries    *cwcatalogue.Table
 	access     access
 	listings   map[cwgroup.MemberID]cwport.Listing
-	groups     map[string]*runningGroup
+	// rosters tell how many members each service's group has; absent has what was
+	// last listed of those that are gone and keep their place.
+	rosters map[string]cwgroup.Roster
+	absent  map[cwgroup.MemberID]cwport.Listing
+	groups  map[string]*runningGroup
 	// plans are of all groups, made or not.
 	plans    map[string]*plan
 	sessions map[*session]struct{}
@@ -120,6 +127,8 @@
 	return &Engine{
 		cfg:      cfg,
 		listings: make(map[cwgroup.MemberID]cwport.Listing),
+		rosters:  make(map[string]cwgroup.Roster),
+		absent:   make(map[cwgroup.MemberID]cwport.Listing),
 		groups:   make(map[string]*runningGroup),
 		sessions: make(map[*session]struct{}),
 		held:     make(map[string]*held),
@@ -187,7 +196,7 @@
 		e.listings[l.ID] = l
 	}
 	for _, id := range removed {
-		delete(e.listings, id)
+		e.takeOut(id)
 	}
 	e.regroup()
 }
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -51,6 +51,7 @@
 			p.members = append(p.members, l)
 		}
 	}
+	e.muster(e.cfg.Clock.Now())
 	for service, g := range e.groups {
 		if e.plans[service] == nil {
 			g.cancel()
@@ -61,7 +62,7 @@
 	for service, p := range e.plans {
 		p.demand = demandOf(p.contract, p.members)
 		if g := e.groups[service]; g != nil {
-			g.SetMembers(p.members, p.contract.Connections, p.contract.Synchronous)
+			g.SetMembers(p.members, e.rosters[service].Size(), p.contract.Connections, p.contract.Synchronous)
 		}
 		e.rehold(service, p)
 	}
@@ -104,7 +105,7 @@
 	ctx, cancel := context.WithCancel(e.run)
 	g := &runningGroup{Group: e.cfg.NewGroup(service), cancel: cancel}
 	e.groups[service] = g
-	g.SetMembers(p.members, p.contract.Connections, p.contract.Synchronous)
+	g.SetMembers(p.members, e.rosters[service].Size(), p.contract.Connections, p.contract.Synchronous)
 	g.SetEra(e.era, e.restoredAt)
 	if p.row != (cwfailover.Row{}) {
 		g.SetRow(p.row)
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -107,11 +107,11 @@
 			Restores: in.metrics.StoreRestores, Outdated: in.metrics.StoreOutdated,
 		},
 	}
-	in.members.Counted = in.dir.Counted
+	in.members.Counted = in.counted
 	engine := cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
 		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers, Path: in.path,
-		KeyBound: cfg.KeyBound, Confirmed: in.dir.Confirmed,
+		KeyBound: cfg.KeyBound, Confirmed: in.dir.Confirmed, Recorded: in.members.Recorded,
 	}
 	if cfg.Quota.Window > 0 {
 		in.meter = &cwmeter.Meter{
@@ -131,6 +131,15 @@
 // before there is one.
 func (in *Instance) age() float64 { return in.cfg.Clock.Since(in.dir.Confirmed()).Seconds() }
 
+// counted returns the members of each group; nil while the store does not tell of
+// targets.
+func (in *Instance) counted() map[string][]cwport.Listing {
+	if !in.dir.Tells() {
+		return nil
+	}
+	return in.engine.Members()
+}
+
 // quotas returns who answers for the quotas kept here; nil if there are none.
 func (in *Instance) quotas() cwport.QuotaTeller {
 	if in.meter == nil {
--- a/internal/proxy/cwlead/confirm.go
+++ b/internal/proxy/cwlead/confirm.go
@@ -17,7 +17,7 @@
 	if m := g.members[p.Member]; ok && m != nil && now.Sub(p.At) > refreshAt-confirmEvery {
 		ask = append(ask, *m)
 	}
-	need := cwgroup.Majority(len(v.Members())) - 1
+	need := cwgroup.Majority(v.Size()) - 1
 	for _, m := range g.nearest(p.Member) {
 		if need == 0 {
 			break
--- a/internal/proxy/cwlead/group.go
+++ b/internal/proxy/cwlead/group.go
@@ -102,6 +102,8 @@
 	mu      sync.Mutex
 	members map[cwgroup.MemberID]*Member
 	sup     *cwfailover.Supervisor
+	// size is how many members the group has at least, listed or not.
+	size int
 	// trace is where the primary's log stood. What it shows up to confirmed is
 	// what the group's primary had; later samples may come from one that was
 	// replaced.
--- a/internal/proxy/cwlead/member.go
+++ b/internal/proxy/cwlead/member.go
@@ -17,11 +17,12 @@
 	leavingSince time.Time
 }
 
-// SetMembers replaces the targets of the group. Each takes ceiling connections.
-func (g *Group) SetMembers(list []cwport.Listing, ceiling int, synchronous bool) {
+// SetMembers replaces the targets of the group, which has size members or, if they are
+// more, these. Each takes ceiling connections.
+func (g *Group) SetMembers(list []cwport.Listing, size, ceiling int, synchronous bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.synchronous = synchronous
+	g.synchronous, g.size = synchronous, size
 	seen := make(map[cwgroup.MemberID]bool, len(list))
 	for _, l := range list {
 		seen[l.ID] = true
@@ -61,9 +62,9 @@
 		}
 	}
 	slices.Sort(ids)
-	if !slices.Equal(ids, g.sup.View().Members()) {
-		g.cfg.Log.Info("membersCounted", "group", g.cfg.Service, "members", ids)
-		g.sup.SetMembers(ids)
+	if v := g.sup.View(); !slices.Equal(ids, v.Members()) || max(g.size, len(ids)) != v.Size() {
+		g.cfg.Log.Info("membersCounted", "group", g.cfg.Service, "members", ids, "of", max(g.size, len(ids)))
+		g.sup.SetMembers(ids, g.size)
 	}
 	g.sup.SetStopping(stopping, now)
 }
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -234,7 +234,7 @@
 func (g *Group) word(b Basis, complete time.Time) Word {
 	v := g.sup.View()
 	p, _ := v.Primary()
-	return Word{Basis: b, Leader: p.Member, Confirmed: g.confirmed, Complete: complete, Members: len(v.Members())}
+	return Word{Basis: b, Leader: p.Member, Confirmed: g.confirmed, Complete: complete, Members: v.Size()}
 }
 
 // quickest chooses a member for a read. The caller holds mu.
--- a/internal/proxy/cwlead/quorum.go
+++ b/internal/proxy/cwlead/quorum.go
@@ -70,5 +70,5 @@
 	} else {
 		g.confirmAt = now.Add(confirmEvery)
 	}
-	return ask, reached >= len(v.Members())-1
+	return ask, reached >= v.Size()-1
 }
--- a/internal/proxy/cwlead/reach.go
+++ b/internal/proxy/cwlead/reach.go
@@ -114,7 +114,7 @@
 			heard++
 		}
 	}
-	majority := cwgroup.Majority(len(v.Members()))
+	majority := cwgroup.Majority(v.Size())
 	g.cutOff.Store(left < majority)
 	g.reached.Store(heard >= majority)
 }
--- a/internal/proxy/cwlead/replaced_test.go
+++ b/internal/proxy/cwlead/replaced_test.go
@@ -55,7 +55,7 @@
 		b.SetMembers([]cwport.Listing{
 			{ID: "a", Service: "ledger", Address: "10.0.0.1:1", DataCentre: "dc", Slots: 3},
 			{ID: "c", Service: "ledger", Address: "10.0.0.3:1", DataCentre: "dc", Slots: 3},
-		}, 8, false)
+		}, 3, 8, false)
 		b.assertLeads("")
 	})
 	t.Run("the newest one refuses to lead", func(t *testing.T) {
--- a/internal/proxy/cwlead/restart_test.go
+++ b/internal/proxy/cwlead/restart_test.go
@@ -45,7 +45,7 @@
 		{ID: "a", Service: "ledger", Address: "10.0.0.1:1", DataCentre: "dc", Slots: 3, Born: time.UnixMilli(400)},
 		{ID: "b", Service: "ledger", Address: "10.0.0.2:1", DataCentre: "dc", Slots: 3, Born: time.UnixMilli(400)},
 		{ID: "c", Service: "ledger", Address: "10.0.0.3:1", DataCentre: "dc", Slots: 3, Born: born},
-	}, 8, false)
+	}, 3, 8, false)
 }
 
 // tell has a member answer a question that is asked now, a millisecond later.
--- a/internal/proxy/cwmembers/members.go
+++ b/internal/proxy/cwmembers/members.go
@@ -44,8 +44,8 @@
 	Table cwplatform.Table
 	Clock clockwork.Clock
 	Log   *log.Logger
-	// Counted returns the targets that count, by service; nil if that is not
-	// known at present.
+	// Counted returns the members of each group, by service; nil if the store does not
+	// tell at present which targets there are.
 	Counted func() map[string][]cwport.Listing
 	// Place returns this instance's place among the holders of a group; false if
 	// it is none.
@@ -99,6 +99,14 @@
 	return out
 }
 
+// Recorded returns how many members a service's group has by its row; zero if there is
+// none.
+func (r *Record) Recorded(service string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.rows[service].members)
+}
+
 // Run keeps the rows of the groups that this instance holds until ctx ends.
 func (r *Record) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
