--- a/internal/core/cwfailover/keeper.go
+++ b/internal/core/cwfailover/keeper.go
@@ -198,6 +198,7 @@
 		Claim:    k.plan.Claim,
 		Primary:  k.primary,
 		Replaced: max(k.replaced, k.plan.Replaces),
+		Members:  k.plan.Settled,
 		NotAfter: k.started.Add(ClaimLife),
 	}
 }
--- a/internal/core/cwfailover/order.go
+++ b/internal/core/cwfailover/order.go
@@ -45,6 +45,8 @@
 	Primary cwgroup.MemberID
 	// Replaced is what AnnounceRow and RecordRow record.
 	Replaced cwgroup.Term
+	// Members is how many members the group has, for the same two.
+	Members int
 	// NotAfter is the last moment at which the order may be sent. The owner
 	// compares it with its monotonic clock right before sending, since it may
 	// have been paused after the order was made.
@@ -94,6 +96,9 @@
 	// Size is how many members the group has. Members may be fewer; they are never
 	// more.
 	Size int
+	// Settled is the same without those that are being exchanged; zero if it is not
+	// known.
+	Settled int
 	// Term is the term to move to.
 	Term cwgroup.Term
 	// Replaces is the newest term that is known to be replaced by this change.
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -56,6 +56,8 @@
 	// be: most members were fenced, and another member may have been promoted. It
 	// never falls.
 	Replaced cwgroup.Term
+	// Members is how many members the group had then; zero if nobody wrote it.
+	Members int
 	// Done is true once the change of primary was finished.
 	Done bool
 }
@@ -272,6 +274,7 @@
 		Group:        s.view.Name(),
 		Members:      s.view.Members(),
 		Size:         s.view.Size(),
+		Settled:      s.view.Settled(),
 		Replaces:     max(s.view.Term(), s.view.Replaced()),
 		Term:         max(NextTerm(s.view), c.RowTerm+1),
 		Claim:        cwgroup.ClaimID(fmt.Sprintf("%s-%s-%d", s.Self, s.Seed, s.claims)),
--- a/internal/core/cwgroup/group.go
+++ b/internal/core/cwgroup/group.go
@@ -250,6 +250,10 @@
 // Size returns how many members the group has, listed or not.
 func (v View) Size() int { return max(v.size, len(v.members)) }
 
+// Settled returns how many members the group has whatever is listed; zero if that is
+// not known.
+func (v View) Settled() int { return v.size }
+
 // WithReplaced returns a view in which primaries of t and of earlier terms lead
 // nobody any more.
 func (v View) WithReplaced(t Term) View {
--- a/internal/core/cwgroup/roster.go
+++ b/internal/core/cwgroup/roster.go
@@ -6,7 +6,9 @@
 )
 
 // GrownAfter is how long more members than before must be listed until the group has
-// grown: longer than one that is lost, and replaced by a new one, stays listed.
+// grown: longer than one that is lost, and replaced by a new one, stays listed. Before
+// that, from the first list on, each that comes counts at once, since a whole group is
+// listed one after the other.
 const GrownAfter = 20 * time.Second
 
 // Roster is how many members a group has, whether or not the platform lists them at
@@ -22,6 +24,8 @@
 	size int
 	// listed are the members that are listed and stay, in order.
 	listed []MemberID
+	// began is when the first of them were listed.
+	began time.Time
 	// above is since when more than size are listed; zero if they are not.
 	above time.Time
 	// absent are the members that are gone and did not say that they leave, the
@@ -34,9 +38,12 @@
 	r.listed = slices.Clone(ids)
 	slices.Sort(r.listed)
 	r.absent = slices.DeleteFunc(slices.Clone(r.absent), func(id MemberID) bool { return slices.Contains(ids, id) })
+	if r.began.IsZero() {
+		r.began = now
+	}
 	switch n := len(ids); {
-	case r.size == 0:
-		r.size = n
+	case now.Sub(r.began) < GrownAfter:
+		r.size = max(r.size, n)
 	case n <= r.size:
 		r.above = time.Time{}
 	case r.above.IsZero():
--- a/internal/core/cwgroup/roster_test.go
+++ b/internal/core/cwgroup/roster_test.go
@@ -11,7 +11,9 @@
 func TestRoster(t *testing.T) {
 	start := time.Unix(1000, 0)
 	ids := func(s ...MemberID) []MemberID { return s }
-	three := Roster{}.WithListed(ids("a", "b", "c"), start)
+	begun := Roster{}.WithListed(ids("a"), start)
+	three := begun.WithListed(ids("a", "b", "c"), start.Add(time.Second))
+	start = start.Add(GrownAfter)
 	for _, tc := range []struct {
 		name   string
 		r      Roster
@@ -19,6 +21,7 @@
 		absent []MemberID
 	}{
 		{"three are listed", three, 3, nil},
+		{"they are listed one after the other, and go", begun.WithListed(ids("a", "b"), start.Add(-time.Second)).WithGone("b", false), 2, ids("b")},
 		{"one is gone", three.WithGone("c", false), 3, ids("c")},
 		{"two are gone", three.WithGone("c", false).WithGone("b", false), 3, ids("c", "b")},
 		{"it is back", three.WithGone("c", false).WithListed(ids("a", "b", "c"), start), 3, nil},
--- a/internal/proxy/cwclaim/claim.go
+++ b/internal/proxy/cwclaim/claim.go
@@ -27,8 +27,9 @@
 	Claim   string `json:"claim"`
 	Keeper  string `json:"keeper"`
 	Primary string `json:"primary"`
-	// Replaced is missing in rows of instances that did not write it.
+	// Replaced and Members are missing in rows of instances that did not write them.
 	Replaced uint64 `json:"replaced"`
+	Members  int    `json:"members"`
 	Done     bool   `json:"done"`
 }
 
@@ -47,6 +48,7 @@
 		Keeper:   cwfailover.InstanceID(b.Keeper),
 		Primary:  cwgroup.MemberID(b.Primary),
 		Replaced: cwgroup.Term(b.Replaced),
+		Members:  b.Members,
 		Done:     b.Done,
 	}, nil
 }
@@ -58,6 +60,7 @@
 		Keeper:   string(r.Keeper),
 		Primary:  string(r.Primary),
 		Replaced: uint64(r.Replaced),
+		Members:  r.Members,
 		Done:     r.Done,
 	})
 }
@@ -94,9 +97,9 @@
 		o.Kind == cwfailover.RecordRow && row.Term > o.Term:
 		return Result{Outcome: cwfailover.RowConflict, Tag: tag}
 	}
-	next := cwfailover.Row{Term: o.Term, Claim: o.Claim, Keeper: c.Self, Primary: row.Primary, Replaced: row.Replaced}
+	next := cwfailover.Row{Term: o.Term, Claim: o.Claim, Keeper: c.Self, Primary: row.Primary, Replaced: row.Replaced, Members: row.Members}
 	if o.Kind != cwfailover.ClaimRow {
-		next.Replaced = max(row.Replaced, o.Replaced)
+		next.Replaced, next.Members = max(row.Replaced, o.Replaced), o.Members
 	}
 	if o.Kind == cwfailover.RecordRow {
 		next.Primary, next.Done = o.Primary, true
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -93,6 +93,9 @@
 	// last listed of those that are gone and keep their place.
 	rosters map[string]cwgroup.Roster
 	absent  map[cwgroup.MemberID]cwport.Listing
+	// unrecorded are the services of which nothing was remembered when their targets
+	// were first listed.
+	unrecorded map[string]bool
 	// rows are the newest rows of the groups in the table, whether or not the
 	// catalogue is known.
 	rows   map[string]cwfailover.Row
@@ -134,10 +137,12 @@
 		rosters:  make(map[string]cwgroup.Roster),
 		absent:   make(map[cwgroup.MemberID]cwport.Listing),
 		rows:     make(map[string]cwfailover.Row),
-		groups:   make(map[string]*runningGroup),
-		sessions: make(map[*session]struct{}),
-		held:     make(map[string]*held),
-		informed: make(chan struct{}),
+
+		unrecorded: make(map[string]bool),
+		groups:     make(map[string]*runningGroup),
+		sessions:   make(map[*session]struct{}),
+		held:       make(map[string]*held),
+		informed:   make(chan struct{}),
 	}
 }
 
--- a/internal/proxy/cwengine/members_test.go
+++ b/internal/proxy/cwengine/members_test.go
@@ -96,3 +96,21 @@
 		w.clock.Sleep(300 * time.Millisecond)
 	}
 }
+
+// Guards against a start at which one listed member passes for the whole group.
+func TestRowTellsHowManyMembersThereAre(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	replaceBehindACut(w, w.engine("y"))
+	w.table.mu.Lock()
+	w.table.away = true
+	w.table.mu.Unlock()
+	row, err := cwclaim.Decode(w.table.rows[cwclaim.KeyPrefix+testService].Value)
+	w.c.Assert(err, qt.IsNil)
+	for _, only := range []string{"a", "b"} {
+		w.listed, w.first = []string{only}, func(e *Engine) { e.SetRow(testService, row) }
+		s := w.session(w.engine("started-with-" + only))
+		w.clock.Sleep(3 * time.Second)
+		promises(w.c, s.ask(cwstatement.Read, "READ i"))
+		w.c.Assert(s.ask(cwstatement.Write, "WRITE i 2").Code, qt.Not(qt.Equals), cwstatement.OK)
+	}
+}
--- a/internal/proxy/cwengine/roster.go
+++ b/internal/proxy/cwengine/roster.go
@@ -1,6 +1,7 @@
 package cwengine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,14 +31,20 @@
 	}
 	for service, ids := range staying {
 		before, known := e.rosters[service]
-		if !known {
-			before = e.recorded(service)
+		after := before
+		if !known || e.unrecorded[service] {
+			n := e.recorded(service)
+			after = after.WithAtLeast(n)
+			e.unrecorded[service] = n == 0
 		}
-		after := before.WithListed(ids, now)
+		after = after.WithListed(ids, now)
 		e.rosters[service] = after
 		if after.Size() != before.Size() {
 			e.cfg.Log.Info("groupSize", "group", service, "members", after.Size(), "before", before.Size(), "listed", len(ids))
 		}
+		if g := e.groups[service]; g != nil && after.Settled() != before.Settled() {
+			g.SetSize(after.Settled())
+		}
 	}
 	for id, l := range e.absent {
 		if !slices.Contains(e.rosters[l.Service].Absent(), id) {
@@ -46,17 +53,26 @@
 	}
 }
 
-// recorded returns the roster of a group that was not listed here before, as it is
-// remembered. Of a remembered member that was exchanged and the new one only one counts.
-func (e *Engine) recorded(service string) cwgroup.Roster {
-	if e.cfg.Recorded == nil {
-		return cwgroup.Roster{}
+// recorded returns how many members a group has as it is remembered from before this
+// instance started; zero if it is not. Of a remembered member that was exchanged and the
+// new one only one counts. The caller holds mu.
+//
+// The failure: an instance starts after the store has lost the row of a group's members
+// and while most of their entries have lapsed. It takes the one that is listed for the
+// group, the replaced primary perhaps, which then leads by itself. The row of the last
+// change of primary tells how many there were; it may be older, so it counts only where
+// there is no other.
+func (e *Engine) recorded(service string) int {
+	if e.cfg.Recorded != nil {
+		if n := e.cfg.Recorded(service); n > 0 {
+			return n
+		}
 	}
-	return cwgroup.Roster{}.WithAtLeast(e.cfg.Recorded(service))
+	return e.rows[service].Members
 }
 
 // Members returns the members of each group, also those that are gone and keep their
-// place.
+// place. Groups of which not all are known are left out.
 func (e *Engine) Members() map[string][]cwport.Listing {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -68,5 +84,8 @@
 	for _, l := range e.absent {
 		out[l.Service] = append(out[l.Service], l)
 	}
+	maps.DeleteFunc(out, func(service string, all []cwport.Listing) bool {
+		return len(all) < e.rosters[service].Settled()
+	})
 	return out
 }
--- a/internal/proxy/cwlead/member.go
+++ b/internal/proxy/cwlead/member.go
@@ -41,6 +41,15 @@
 	g.notify()
 }
 
+// SetSize tells how many members the group has, listed or not.
+func (g *Group) SetSize(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.size = n
+	g.recount(g.cfg.Clock.Now())
+	g.notify()
+}
+
 // recount settles which members count towards a majority: all but those that
 // have been leaving for a while and do not lead.
 //
