--- a/internal/core/cwgroup/roster_test.go
+++ b/internal/core/cwgroup/membership_test.go
@@ -8,15 +8,15 @@
 )
 
 // Guards against majorities of fewer members than a group has.
-func TestRoster(t *testing.T) {
+func TestMembership(t *testing.T) {
 	start := time.Unix(1000, 0)
 	ids := func(s ...MemberID) []MemberID { return s }
-	begun := Roster{}.WithListed(ids("a"), start)
+	begun := Membership{}.WithListed(ids("a"), start)
 	three := begun.WithListed(ids("a", "b", "c"), start.Add(time.Second))
 	start = start.Add(GrownAfter)
 	for _, tc := range []struct {
 		name   string
-		r      Roster
+		r      Membership
 		size   int
 		absent []MemberID
 	}{
@@ -32,7 +32,8 @@
 		{"it had said that it leaves", three.WithListed(ids("a", "b"), start).WithGone("c", true), 2, nil},
 		{"it leaves for a new one", three.WithListed(ids("a", "b", "d"), start).WithGone("c", true), 3, nil},
 		{"the group grows", three.WithListed(ids("a", "b", "c", "d", "e"), start).WithListed(ids("a", "b", "c", "d", "e"), start.Add(GrownAfter)).WithGone("e", false), 5, ids("e")},
-		{"an instance starts and finds one", Roster{}.WithListed(ids("a"), start).WithAtLeast(3), 3, nil},
+		{"an instance starts and finds a new one beside three that it knows of", Membership{}.WithAtLeast(3).WithListed(ids("a", "b", "c", "d"), start).WithGone("c", false), 3, nil},
+		{"an instance starts and finds one", Membership{}.WithListed(ids("a"), start).WithAtLeast(3), 3, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			qt.Assert(t, tc.r.Size(), qt.Equals, tc.size)
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -89,10 +89,10 @@
 	entries    *cwcatalogue.Table
 	access     access
 	listings   map[cwgroup.MemberID]cwport.Listing
-	// rosters tell how many members each service's group has; absent has what was
+	// memberships tell how many members each service's group has; absent has what was
 	// last listed of those that are gone and keep their place.
-	rosters map[string]cwgroup.Roster
-	absent  map[cwgroup.MemberID]cwport.Listing
+	memberships map[string]cwgroup.Membership
+	absent      map[cwgroup.MemberID]cwport.Listing
 	// unrecorded are the services of which nothing was remembered when their targets
 	// were first listed.
 	unrecorded map[string]bool
@@ -132,11 +132,11 @@
 		cfg.Path = &cwlead.Path{}
 	}
 	return &Engine{
-		cfg:      cfg,
-		listings: make(map[cwgroup.MemberID]cwport.Listing),
-		rosters:  make(map[string]cwgroup.Roster),
-		absent:   make(map[cwgroup.MemberID]cwport.Listing),
-		rows:     make(map[string]cwfailover.Row),
+		cfg:         cfg,
+		listings:    make(map[cwgroup.MemberID]cwport.Listing),
+		memberships: make(map[string]cwgroup.Membership),
+		absent:      make(map[cwgroup.MemberID]cwport.Listing),
+		rows:        make(map[string]cwfailover.Row),
 
 		unrecorded: make(map[string]bool),
 		groups:     make(map[string]*runningGroup),
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -44,7 +44,7 @@
 			p.members = append(p.members, l)
 		}
 	}
-	e.muster(e.cfg.Clock.Now())
+	e.updateMemberships(e.cfg.Clock.Now())
 	for service, g := range e.groups {
 		if e.plans[service] == nil {
 			g.cancel()
@@ -55,7 +55,7 @@
 	for service, p := range e.plans {
 		p.demand = demandOf(p.contract, p.members)
 		if g := e.groups[service]; g != nil {
-			g.SetMembers(p.members, e.rosters[service].Settled(), p.contract.Connections, p.contract.Synchronous)
+			g.SetMembers(p.members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
 		}
 		e.rehold(service, p)
 	}
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithCancel(e.run)
 	g := &runningGroup{Group: e.cfg.NewGroup(service), cancel: cancel}
 	e.groups[service] = g
-	g.SetMembers(p.members, e.rosters[service].Settled(), p.contract.Connections, p.contract.Synchronous)
+	g.SetMembers(p.members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
 	g.SetEra(e.era, e.restoredAt)
 	if row, ok := e.rows[service]; ok {
 		g.SetRow(row)
--- a/internal/proxy/cwengine/roster.go
+++ b/internal/proxy/cwengine/membership.go
@@ -18,11 +18,12 @@
 	}
 	delete(e.listings, id)
 	e.absent[id] = l
-	e.rosters[l.Service] = e.rosters[l.Service].WithGone(id, l.Leaving)
+	e.memberships[l.Service] = e.memberships[l.Service].WithGone(id, l.Leaving)
 }
 
-// muster brings the rosters up to date with the list of targets. The caller holds mu.
-func (e *Engine) muster(now time.Time) {
+// updateMemberships brings the memberships up to date with the list of targets. The
+// caller holds mu.
+func (e *Engine) updateMemberships(now time.Time) {
 	staying := make(map[string][]cwgroup.MemberID)
 	for _, l := range e.listings {
 		if !l.Leaving {
@@ -30,7 +31,7 @@
 		}
 	}
 	for service, ids := range staying {
-		before, known := e.rosters[service]
+		before, known := e.memberships[service]
 		after := before
 		if !known || e.unrecorded[service] {
 			n := e.recorded(service)
@@ -38,7 +39,7 @@
 			e.unrecorded[service] = n == 0
 		}
 		after = after.WithListed(ids, now)
-		e.rosters[service] = after
+		e.memberships[service] = after
 		if after.Size() != before.Size() {
 			e.cfg.Log.Info("groupSize", "group", service, "members", after.Size(), "before", before.Size(), "listed", len(ids))
 		}
@@ -47,7 +48,7 @@
 		}
 	}
 	for id, l := range e.absent {
-		if !slices.Contains(e.rosters[l.Service].Absent(), id) {
+		if !slices.Contains(e.memberships[l.Service].Absent(), id) {
 			delete(e.absent, id)
 		}
 	}
@@ -76,7 +77,7 @@
 func (e *Engine) Members() map[string][]cwport.Listing {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.muster(e.cfg.Clock.Now())
+	e.updateMemberships(e.cfg.Clock.Now())
 	out := make(map[string][]cwport.Listing)
 	for _, l := range e.listings {
 		out[l.Service] = append(out[l.Service], l)
@@ -85,7 +86,7 @@
 		out[l.Service] = append(out[l.Service], l)
 	}
 	maps.DeleteFunc(out, func(service string, all []cwport.Listing) bool {
-		return len(all) < e.rosters[service].Settled()
+		return len(all) < e.memberships[service].Settled()
 	})
 	return out
 }
