--- a/internal/tool/cwsoak/faults.go
+++ b/internal/tool/cwsoak/faults.go
@@ -1,6 +1,7 @@
 package cwsoak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -222,7 +223,7 @@
 	return []fault{
 		{name: "primaryDark", begin: func() (string, func()) {
 			g := f.anyGroup()
-			id := g.Primary()
+			id := cmp.Or(g.Primary(), g.ids[0])
 			g.SetDark(id, true, clockwork.NewRealClock())
 			return "dark " + string(id), func() { g.SetDark(id, false, clockwork.NewRealClock()) }
 		}},
