--- a/internal/core/cwgroup/membership.go
+++ b/internal/core/cwgroup/membership.go
@@ -27,6 +27,8 @@
 	// began is when the first of them were listed, if nothing was known of the group
 	// then; else it is zero.
 	began time.Time
+	// unknownUntil is until when it is not known how many there are; zero if it is.
+	unknownUntil time.Time
 	// above is since when more than size are listed; zero if they are not.
 	above time.Time
 	// absent are the members that are gone and did not say that they leave, the
@@ -42,6 +44,9 @@
 	if m.size == 0 {
 		m.began = now
 	}
+	if !now.Before(m.unknownUntil) {
+		m.unknownUntil = time.Time{}
+	}
 	switch n := len(ids); {
 	case !m.began.IsZero() && now.Sub(m.began) < GrownAfter:
 		m.size = max(m.size, n)
@@ -70,18 +75,37 @@
 	return m
 }
 
+// WithUnknownSize returns the membership of a group of which some members may not be
+// listed, until a time or until it is known how many there are. Those that are listed
+// are no majority meanwhile.
+func (m Membership) WithUnknownSize(until time.Time) Membership {
+	m.unknownUntil = until
+	return m
+}
+
 // WithAtLeast returns the membership of a group that is known to have n members.
 func (m Membership) WithAtLeast(n int) Membership {
 	m.size = max(m.size, n)
+	if n > 0 {
+		m.unknownUntil = time.Time{}
+	}
 	return m
 }
 
 // Size returns how many members count.
-func (m Membership) Size() int { return max(m.size, len(m.listed)) }
+func (m Membership) Size() int { return max(m.Settled(), len(m.listed)) }
 
 // Settled returns how many members the group has without those that it may be about
 // to exchange.
-func (m Membership) Settled() int { return m.size }
+func (m Membership) Settled() int {
+	if m.unknownUntil.IsZero() {
+		return m.size
+	}
+	return 2*max(m.size, len(m.listed)) + 1
+}
+
+// Known reports whether it is known how many members the group has.
+func (m Membership) Known() bool { return m.unknownUntil.IsZero() }
 
 // Absent returns the members that keep a place though they are not listed.
 func (m Membership) Absent() []MemberID {
--- a/internal/core/cwgroup/membership_test.go
+++ b/internal/core/cwgroup/membership_test.go
@@ -33,6 +33,9 @@
 		{"it leaves for a new one", three.WithListed(ids("a", "b", "d"), start).WithGone("c", true), 3, nil},
 		{"the group grows", three.WithListed(ids("a", "b", "c", "d", "e"), start).WithListed(ids("a", "b", "c", "d", "e"), start.Add(GrownAfter)).WithGone("e", false), 5, ids("e")},
 		{"an instance starts and finds a new one beside three that it knows of", Membership{}.WithAtLeast(3).WithListed(ids("a", "b", "c", "d"), start).WithGone("c", false), 3, nil},
+		{"it is not known whether all are listed", Membership{}.WithUnknownSize(start.Add(time.Second)).WithListed(ids("a", "b"), start), 5, nil},
+		{"until it is taken for all", Membership{}.WithUnknownSize(start.Add(time.Second)).WithListed(ids("a", "b"), start).WithListed(ids("a", "b"), start.Add(time.Second)), 2, nil},
+		{"or is known", Membership{}.WithUnknownSize(start.Add(time.Second)).WithListed(ids("a", "b"), start).WithAtLeast(3), 3, nil},
 		{"an instance starts and finds one", Membership{}.WithListed(ids("a"), start).WithAtLeast(3), 3, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -67,9 +67,12 @@
 	// certainly nothing newer than the catalogue in force.
 	KeyBound  time.Duration
 	Confirmed func() time.Time
-	// Recorded returns how many members of a service's group are remembered from
-	// before this instance started; zero if it is not known. It may be nil.
+	// Recorded returns how many members a service's group has by the row of its
+	// members; zero if there is none. It may be nil.
 	Recorded func(service string) int
+	// FirstStart is true if no instance was there before; then nobody could remember
+	// anything.
+	FirstStart bool
 	// Meter keeps the quotas of workspaces; nil if there are none.
 	Meter cwport.Meter
 }
@@ -93,9 +96,8 @@
 	// last listed of those that are gone and keep their place.
 	memberships map[string]cwgroup.Membership
 	absent      map[cwgroup.MemberID]cwport.Listing
-	// unrecorded are the services of which nothing was remembered when their targets
-	// were first listed.
-	unrecorded map[string]bool
+	// recorded is what was last seen of what is remembered of each service's group.
+	recorded map[string]recorded
 	// rows are the newest rows of the groups in the table, whether or not the
 	// catalogue is known.
 	rows   map[string]cwfailover.Row
@@ -138,11 +140,11 @@
 		absent:      make(map[cwgroup.MemberID]cwport.Listing),
 		rows:        make(map[string]cwfailover.Row),
 
-		unrecorded: make(map[string]bool),
-		groups:     make(map[string]*runningGroup),
-		sessions:   make(map[*session]struct{}),
-		held:       make(map[string]*held),
-		informed:   make(chan struct{}),
+		recorded: make(map[string]recorded),
+		groups:   make(map[string]*runningGroup),
+		sessions: make(map[*session]struct{}),
+		held:     make(map[string]*held),
+		informed: make(chan struct{}),
 	}
 }
 
@@ -246,6 +248,7 @@
 	e.cfg.Path.OnSuspicion = e.suspectPath
 	eg.Go(func() error { return e.loopIsolation(ctx) })
 	eg.Go(func() error { return e.loopHeld(ctx) })
+	eg.Go(func() error { return e.loopMemberships(ctx) })
 }
 
 // Serve takes callers from a listener until it is closed.
--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -86,7 +86,7 @@
 func (w *world) engineOf(name string, change func(*Config)) *Engine {
 	logger, path := log.New(io.Discard), &cwlead.Path{}
 	cfg := Config{
-		Clock: w.clock, Log: logger, Grace: 6 * time.Second, Name: name, Path: path,
+		Clock: w.clock, Log: logger, Grace: 6 * time.Second, Name: name, Path: path, FirstStart: true,
 		NewGroup: func(service string) *cwlead.Group {
 			return cwlead.New(cwlead.Config{
 				Self: cwfailover.InstanceID(name), DataCentre: "dc-a", Service: service, Clock: w.clock,
--- a/internal/proxy/cwengine/members_test.go
+++ b/internal/proxy/cwengine/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,3 +115,29 @@
 		w.c.Assert(s.ask(cwstatement.Write, "WRITE i 2").Code, qt.Not(qt.Equals), cwstatement.OK)
 	}
 }
+
+// Guards against a start, after the rows of a group were lost, that takes what is listed for all of it.
+func TestStartWithoutRowsWaitsForThoseWhoKnow(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		recorded int64
+		leads    bool
+	}{{"somebody knows of more members", 3, false}, {"nobody knows of any", 0, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, cwcatalogue.ReadNewest)
+			w.listed = []string{"a"}
+			var recorded atomic.Int64
+			e := w.engineOf("x", func(cfg *Config) {
+				cfg.FirstStart = false
+				cfg.Recorded = func(string) int { return int(recorded.Load()) }
+			})
+			s := w.session(e)
+			promises(w.c, s.offer(cwstatement.Write, "WRITE i 1"))
+			w.c.Assert(e.Members(), qt.HasLen, 0)
+			recorded.Store(tc.recorded)
+			w.clock.Sleep(2 * recordedWait)
+			w.c.Assert(w.session(e).offer(cwstatement.Read, "READ i").Code == cwstatement.OK, qt.Equals, tc.leads)
+			w.c.Assert(len(e.Members()) > 0, qt.Equals, tc.leads)
+		})
+	}
+}
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -112,6 +112,7 @@
 		Clock: cfg.Clock, Log: cfg.Log, Grace: cfg.Grace, Metrics: in.metrics, NewGroup: in.newGroup,
 		Name: cfg.Name, Seed: cfg.Seed, Holders: in.peers, Path: in.path,
 		KeyBound: cfg.KeyBound, Confirmed: in.dir.Confirmed, Recorded: in.members.Recorded,
+		FirstStart: cfg.FirstStart,
 	}
 	if cfg.Quota.Window > 0 {
 		in.meter = &cwmeter.Meter{
@@ -133,7 +134,7 @@
 
 // counted returns the members of each group; nil while the store does not tell of
 // targets.
-func (in *Instance) counted() map[string][]cwport.Listing {
+func (in *Instance) counted() map[string]cwmembers.Count {
 	if !in.dir.Tells() {
 		return nil
 	}
--- a/internal/proxy/cwmembers/members.go
+++ b/internal/proxy/cwmembers/members.go
@@ -35,6 +35,8 @@
 	// placeDelay is how much longer than the one before it each holder of a group
 	// waits with a difference: some steps, so that the first one's row arrives.
 	placeDelay = 3 * time.Second
+	// lostDelay is the same where there is no row: an instance that starts finds none.
+	lostDelay = step / 2
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
 )
@@ -46,7 +48,7 @@
 	Log   *log.Logger
 	// Counted returns the members of each group, by service; nil if the store does not
 	// tell at present which targets there are.
-	Counted func() map[string][]cwport.Listing
+	Counted func() map[string]Count
 	// Place returns this instance's place among the holders of a group; false if
 	// it is none.
 	Place func(service string) (int, bool)
@@ -57,10 +59,19 @@
 	differs map[string]time.Time
 }
 
+// Count is the members of a group, and how many there are without those that it is about
+// to exchange.
+type Count struct {
+	Members []cwport.Listing
+	Of      int
+}
+
 // row is a group's row as it was last read.
 type row struct {
 	members []cwport.Listing
-	tag     string
+	// of is how many members the group has without those that it is about to exchange.
+	of  int
+	tag string
 	// unreadable is true if members are those of an earlier state of the row.
 	unreadable bool
 }
@@ -77,14 +88,14 @@
 		if !ok {
 			continue
 		}
-		members, err := decode(service, w)
+		members, of, err := decode(service, w)
 		if err != nil {
 			// What was known stays, and the row is written anew.
 			r.Log.Error("membersUnreadable", "key", w.Key, "cause", err)
-			r.rows[service] = row{members: r.rows[service].members, tag: w.Tag(), unreadable: true}
+			r.rows[service] = row{members: r.rows[service].members, of: r.rows[service].of, tag: w.Tag(), unreadable: true}
 			continue
 		}
-		r.rows[service] = row{members: members, tag: w.Tag()}
+		r.rows[service] = row{members: members, of: of, tag: w.Tag()}
 	}
 }
 
@@ -104,7 +115,7 @@
 func (r *Record) Recorded(service string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.rows[service].members)
+	return r.rows[service].of
 }
 
 // Run keeps the rows of the groups that this instance holds until ctx ends.
@@ -115,9 +126,9 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for service, members := range r.Counted() {
-			if tag, due := r.due(service, members); due {
-				r.write(ctx, service, members, tag)
+		for service, c := range r.Counted() {
+			if tag, due := r.due(service, c); due {
+				r.write(ctx, service, c, tag)
 			}
 		}
 	}
@@ -126,12 +137,16 @@
 
 // due reports whether this instance is to write a group's row now, and the tag
 // of the row that it replaces.
-func (r *Record) due(service string, members []cwport.Listing) (tag string, due bool) {
+//
+// The failure: the row was lost with a restore of the table, and an instance that has
+// just started writes it with the members that it finds. Others that start count too
+// few, until the turn of one comes that knows better. That one does not wait for it.
+func (r *Record) due(service string, c Count) (tag string, due bool) {
 	place, held := r.Place(service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, w := r.Clock.Now(), r.rows[service]
-	equal := !w.unreadable && slices.EqualFunc(sorted(members), sorted(w.members), same)
+	equal := !w.unreadable && c.Of == w.of && slices.EqualFunc(sorted(c.Members), sorted(w.members), same)
 	if !held || r.rows == nil || equal {
 		delete(r.differs, service)
 		return "", false
@@ -144,13 +159,24 @@
 		since = now
 		r.differs[service] = now
 	}
-	return w.tag, now.Sub(since) >= time.Duration(max(place, 0))*placeDelay
+	return w.tag, now.Sub(since) >= time.Duration(max(place, 0))*delayOf(c, w)
+}
+
+// delayOf returns how much longer each holder waits than the one before it.
+func delayOf(c Count, w row) time.Duration {
+	switch {
+	case w.tag == "":
+		return lostDelay
+	case c.Of > w.of:
+		return 0
+	}
+	return placeDelay
 }
 
 // write sets a group's row. Another instance may have been first, and an answer
 // may be lost: either shows with the row, which comes back with the others.
-func (r *Record) write(ctx context.Context, service string, members []cwport.Listing, tag string) {
-	value, err := encode(members)
+func (r *Record) write(ctx context.Context, service string, c Count, tag string) {
+	value, err := encode(c)
 	if err != nil {
 		r.Log.Error("membersNotWritten", "group", service, "cause", err)
 		return
@@ -169,7 +195,7 @@
 		r.Log.Warn("membersNotWritten", "group", service, "cause", err)
 		return
 	}
-	r.Log.Info("membersWritten", "group", service, "members", len(members))
+	r.Log.Info("membersWritten", "group", service, "members", len(c.Members), "of", c.Of)
 }
 
 func sorted(members []cwport.Listing) []cwport.Listing {
@@ -185,32 +211,38 @@
 	Address    string `json:"address"`
 	DataCentre string `json:"dataCentre"`
 	Slots      int    `json:"slots"`
+	// Of is the same for all members of a row; it is missing in rows of instances that
+	// did not write it.
+	Of int `json:"of"`
 }
 
-func encode(members []cwport.Listing) ([]byte, error) {
+func encode(c Count) ([]byte, error) {
 	var out []memberBody
-	for _, l := range sorted(members) {
-		out = append(out, memberBody{ID: string(l.ID), Address: l.Address, DataCentre: l.DataCentre, Slots: l.Slots})
+	for _, l := range sorted(c.Members) {
+		out = append(out, memberBody{ID: string(l.ID), Address: l.Address, DataCentre: l.DataCentre, Slots: l.Slots, Of: c.Of})
 	}
 	return json.Marshal(out)
 }
 
 // decode reads a group's row. A member counts as a replica that stays: whether it
 // leads or leaves is learnt from itself.
-func decode(service string, w cwport.Row) ([]cwport.Listing, error) {
+func decode(service string, w cwport.Row) (members []cwport.Listing, of int, err error) {
 	if w.Removed {
-		return nil, nil
+		return nil, 0, nil
 	}
 	var bodies []memberBody
 	if err := json.Unmarshal(w.Value, &bodies); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	var out []cwport.Listing
 	for _, b := range bodies {
-		out = append(out, cwport.Listing{
+		of = b.Of
+		members = append(members, cwport.Listing{
 			ID: cwgroup.MemberID(b.ID), Service: service, Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots,
 			Role: cwport.LeadershipReplica,
 		})
 	}
-	return out, nil
+	if of == 0 {
+		of = len(members)
+	}
+	return members, of, nil
 }
--- a/internal/proxy/cwmembers/members_test.go
+++ b/internal/proxy/cwmembers/members_test.go
@@ -70,13 +70,13 @@
 	}
 }
 
-func (c *counted) get() map[string][]cwport.Listing {
+func (c *counted) get() map[string]Count {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.members == nil {
 		return nil
 	}
-	return map[string][]cwport.Listing{"s": c.members}
+	return map[string]Count{"s": {Members: c.members, Of: len(c.members)}}
 }
 
 // run starts the records of instances that hold the group in the places given,
@@ -117,7 +117,7 @@
 		run(t, func(c *qt.C, s *table, all []*counted) {
 			time.Sleep(time.Minute)
 			c.Assert(s.writes, qt.Equals, 1)
-			c.Assert(sorted(s.records[2].Remembered()), qt.DeepEquals, all[0].get()["s"])
+			c.Assert(sorted(s.records[2].Remembered()), qt.DeepEquals, all[0].get()["s"].Members)
 		}, 0, 1, -1)
 	})
 	t.Run("a member that comes or goes", func(t *testing.T) {
@@ -149,6 +149,18 @@
 			c.Assert(remembered(s.records[0]), qt.DeepEquals, []string{"a", "b", "c"})
 		}, 0)
 	})
+	t.Run("one that knows of more members does not wait for its turn", func(t *testing.T) {
+		run(t, func(c *qt.C, s *table, all []*counted) {
+			all[0].set("a")
+			time.Sleep(1500 * time.Millisecond)
+			all[0].mu.Lock()
+			all[0].members = nil
+			all[0].mu.Unlock()
+			time.Sleep(time.Second)
+			c.Assert(remembered(s.records[2]), qt.DeepEquals, []string{"a", "b", "c"})
+			c.Assert(s.records[2].Recorded("s"), qt.Equals, 3)
+		}, 0, 1, 2)
+	})
 	t.Run("a write that fails is made up for", func(t *testing.T) {
 		run(t, func(c *qt.C, s *table, _ []*counted) {
 			s.setAway(true)
