--- a/internal/proxy/cwengine/membership.go
+++ b/internal/proxy/cwengine/membership.go
@@ -104,7 +104,7 @@
 }
 
 // membershipStep is how often they are looked at.
-const membershipStep = 500 * time.Millisecond
+const membershipStep = time.Second
 
 // Members returns the members of each group, also those that are gone and keep their
 // place. Groups of which not all are known are left out.
