--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -61,7 +61,7 @@
 	p, ok := g.sup.View().Primary()
 	refuse := func(why string) (*Member, cwgroup.Report, error) {
 		return nil, cwgroup.Report{}, &NoPrimaryError{
-			Group: g.cfg.Service, Why: why, RetryAfter: g.retryAfter(now), Silent: ok && !p.Reachable,
+			Group: g.cfg.Service, Why: why, RetryAfter: g.retryAfter(now), Silent: ok && !p.Reachable || !ok && g.leadsElsewhere(),
 		}
 	}
 	switch {
@@ -79,6 +79,11 @@
 	return m, p, nil
 }
 
+// leadsElsewhere reports whether the member that leads by the group's row cannot be
+// reached from here, so that other instances may serve what this one cannot. The caller
+// holds mu.
+func (g *Group) leadsElsewhere() bool { return g.row.Done && g.lost[g.row.Primary] }
+
 // changing reports whether somebody's claim to change the primary is young
 // enough to be worked on. The caller holds mu.
 func (g *Group) changing(now time.Time) bool {
--- a/internal/proxy/cwlead/replaced_test.go
+++ b/internal/proxy/cwlead/replaced_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
@@ -74,6 +76,18 @@
 	})
 }
 
+// Guards against callers that are refused though other instances reach the new primary.
+func TestNewPrimaryOutOfReachMayAnswerOthers(t *testing.T) {
+	b := newTestGroup(t)
+	b.tell("a", cwgroup.RolePrimary, 1, 100)
+	b.DialFailed(cwport.Endpoint{ID: "b"}, errAway)
+	b.SetRow(cwfailover.Row{Term: 2, Claim: "k", Keeper: "y", Primary: "b", Replaced: 1, Done: true})
+	_, err := b.Primary()
+	var none *NoPrimaryError
+	qt.Assert(t, errors.As(err, &none), qt.IsTrue)
+	qt.Assert(t, none.Silent, qt.IsTrue)
+}
+
 // Guards against floors that fall behind because a replaced primary is a late replica now.
 func TestPositionsOfAReplacedPrimaryAreNoFloor(t *testing.T) {
 	b := newTestGroup(t)
