--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -139,12 +139,11 @@
 		memberships: make(map[string]cwgroup.Membership),
 		absent:      make(map[cwgroup.MemberID]cwport.Listing),
 		rows:        make(map[string]cwfailover.Row),
-
-		recorded: make(map[string]recorded),
-		groups:   make(map[string]*runningGroup),
-		sessions: make(map[*session]struct{}),
-		held:     make(map[string]*held),
-		informed: make(chan struct{}),
+		recorded:    make(map[string]recorded),
+		groups:      make(map[string]*runningGroup),
+		sessions:    make(map[*session]struct{}),
+		held:        make(map[string]*held),
+		informed:    make(chan struct{}),
 	}
 }
 
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -195,7 +195,7 @@
 // served notes whose word a read that ran rested on.
 func (t *try) served(place cwlead.Place) {
 	t.group.Served(t.id, place)
-	t.session.engine.cfg.Metrics.served(place.Primary, string(place.Word.Basis), t.session.engine.cfg.Clock.Since(place.Word.Complete))
+	t.session.engine.cfg.Metrics.served(place.Primary, string(place.Evidence.Basis), t.session.engine.cfg.Clock.Since(place.Evidence.Complete))
 }
 
 // lost closes a connection on which an answer did not come.
--- a/internal/proxy/cwlead/place.go
+++ b/internal/proxy/cwlead/place.go
@@ -35,8 +35,8 @@
 	Primary bool
 	// Floor is what the member's log must hold.
 	Floor cwgroup.Mark
-	// Word is what a read's place rests on.
-	Word Word
+	// Evidence is what a read's place rests on.
+	Evidence Evidence
 }
 
 // retryAfter returns when there is likely to be a primary. The caller holds mu.
@@ -128,14 +128,14 @@
 			return Place{}, err
 		}
 		left := g.confirmed.Add(Lease).Sub(came)
-		word := g.word(BasisConfirmed, came)
+		evidence := g.evidence(BasisConfirmed, came)
 		changed := g.changed
 		g.mu.Unlock()
 		if left < Lease-refreshAt {
 			g.confirm()
 		}
 		if left > 0 {
-			return Place{Member: *m, Term: p.Adopted, Primary: true, Word: word}, nil
+			return Place{Member: *m, Term: p.Adopted, Primary: true, Evidence: evidence}, nil
 		}
 		if !g.await(ctx, changed, deadline.Sub(now)) {
 			return Place{}, &NoPrimaryError{Group: g.cfg.Service, Why: "no second member confirms it", RetryAfter: retryTypical}
@@ -179,10 +179,10 @@
 		g.mu.Lock()
 		now := g.cfg.Clock.Now()
 		g.use(now)
-		floor, word, ok := g.floor(rd)
+		floor, evidence, ok := g.floor(rd)
 		if !ok {
 			floor, ok = g.quorumFloor(rd)
-			word = g.word(BasisMembers, rd.since())
+			evidence = g.evidence(BasisMembers, rd.since())
 		}
 		stale := rd.Came.Sub(g.confirmed) > min(refreshAt, rd.MaxAge/2)
 		changed := g.changed
@@ -191,7 +191,7 @@
 		var found bool
 		if ok {
 			place, found = g.quickest(rd, floor, now)
-			place.Word = word
+			place.Evidence = evidence
 		}
 		g.mu.Unlock()
 		if stale {
@@ -219,27 +219,27 @@
 // A mark of an earlier term may lie on a branch that was rolled back, and no
 // log would ever hold it. Everything of that term that was kept is below the
 // place where the present term was first seen.
-func (g *Group) floor(rd Read) (cwgroup.Mark, Word, bool) {
+func (g *Group) floor(rd Read) (cwgroup.Mark, Evidence, bool) {
 	aged, at, ok := g.trace.Since(rd.Came.Add(-rd.MaxAge))
 	if !ok || at.After(g.confirmed) {
-		return cwgroup.Mark{}, Word{}, false
+		return cwgroup.Mark{}, Evidence{}, false
 	}
-	word := g.word(BasisPrimary, at)
+	evidence := g.evidence(BasisPrimary, at)
 	seen := rd.Seen
 	if seen.Term < g.term && seen != (cwgroup.Mark{}) {
 		seen = g.start
 	}
 	if seen.AtLeast(aged) {
-		return seen, word, true
+		return seen, evidence, true
 	}
-	return aged, word, true
+	return aged, evidence, true
 }
 
-// word returns what a place rests on. The caller holds mu.
-func (g *Group) word(b Basis, complete time.Time) Word {
+// evidence returns what a place rests on. The caller holds mu.
+func (g *Group) evidence(b Basis, complete time.Time) Evidence {
 	v := g.sup.View()
 	p, _ := v.Primary()
-	return Word{Basis: b, Leader: p.Member, Confirmed: g.confirmed, Complete: complete, Members: v.Size()}
+	return Evidence{Basis: b, Leader: p.Member, Confirmed: g.confirmed, Complete: complete, Members: v.Size()}
 }
 
 // quickest chooses a member for a read. The caller holds mu.
--- a/internal/proxy/cwlead/served.go
+++ b/internal/proxy/cwlead/served.go
@@ -19,8 +19,8 @@
 	BasisMembers Basis = "members"
 )
 
-// Word is what a read's place rests on, for logs.
-type Word struct {
+// Evidence is what a read's place rests on, for logs.
+type Evidence struct {
 	Basis Basis
 	// Leader is the member that was taken to lead; empty if none was known.
 	Leader cwgroup.MemberID
@@ -58,17 +58,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
-	key := servedKey{p.ID, p.Word.Basis}
+	key := servedKey{p.ID, p.Evidence.Basis}
 	last := g.served[key]
-	if last.leader == p.Word.Leader && last.term == p.Term && now.Sub(last.at) < servedEvery {
+	if last.leader == p.Evidence.Leader && last.term == p.Term && now.Sub(last.at) < servedEvery {
 		last.reads++
 		g.served[key] = last
 		return
 	}
-	g.served[key] = served{at: now, leader: p.Word.Leader, term: p.Term}
-	g.cfg.Log.Info("readServed", "id", id, "group", g.cfg.Service, "target", p.ID, "floor", p.Floor, "basis", p.Word.Basis,
-		"leader", p.Word.Leader, "term", p.Term, "ageMs", now.Sub(p.Word.Complete).Milliseconds(),
-		"confirmedMs", sinceMs(now, p.Word.Confirmed), "members", p.Word.Members,
+	g.served[key] = served{at: now, leader: p.Evidence.Leader, term: p.Term}
+	g.cfg.Log.Info("readServed", "id", id, "group", g.cfg.Service, "target", p.ID, "floor", p.Floor, "basis", p.Evidence.Basis,
+		"leader", p.Evidence.Leader, "term", p.Term, "ageMs", now.Sub(p.Evidence.Complete).Milliseconds(),
+		"confirmedMs", sinceMs(now, p.Evidence.Confirmed), "members", p.Evidence.Members,
 		"rowPrimary", g.row.Primary, "rowTerm", g.row.Term, "rowDone", g.row.Done, "readsBefore", last.reads)
 }
 
