--- a/internal/proxy/cwlead/keep.go
+++ b/internal/proxy/cwlead/keep.go
@@ -206,4 +206,3 @@
 	g.cfg.Log.Info("primaryChanged", "group", r.Plan.Group, "term", r.Plan.Term, "claim", r.Plan.Claim, "before", r.Before.Member,
 		"after", r.Primary, "planned", r.Planned, "tookMs", r.Took.Milliseconds())
 }
-
--- a/internal/tool/cwsoak/versions.go
+++ b/internal/tool/cwsoak/versions.go
@@ -96,4 +96,3 @@
 	}
 	return t.Close()
 }
-
