--- a/internal/proxy/cwfront/extended.go
+++ b/internal/proxy/cwfront/extended.go
@@ -38,6 +38,8 @@
 	failed bool
 	// unsynced is true if a part of the batch was flushed inside a transaction.
 	unsynced bool
+	// parses are the names that are being prepared, in order, since the last answer.
+	parses []string
 }
 
 func (b *batch) active() bool { return len(b.ops) > 0 || b.lease != nil || b.unsynced }
@@ -71,6 +73,9 @@
 	switch m := msg.(type) {
 	case *pgproto3.Parse:
 		p, err := s.prepare(m)
+		if err == nil {
+			s.batch.parses = append(s.batch.parses, m.Name)
+		}
 		return op{kind: 'P', prep: p}, err
 	case *pgproto3.Bind:
 		p, ok := s.prepared[m.PreparedStatement]
@@ -132,7 +137,25 @@
 }
 
 // runBatch runs what was collected. With sync set the batch is over after.
+//
+// The failure: a batch is refused as not run, the caller tries it again, and is told
+// that the statement it prepares is there already; so it goes on for good. What was
+// not answered as prepared is not.
 func (s *session) runBatch(sync bool) {
+	parses := s.batch.parses
+	s.batch.parses = nil
+	start, flushes := len(s.out), s.flushes
+	s.runCollected(sync)
+	if s.flushes != flushes {
+		// Large answers go out in parts; the first part has these answers.
+		return
+	}
+	for _, name := range parses[min(len(parses), parseCompletes(s.out[start:])):] {
+		delete(s.prepared, name)
+	}
+}
+
+func (s *session) runCollected(sync bool) {
 	b := &s.batch
 	ops := b.ops
 	b.ops = nil
--- a/internal/proxy/cwfront/output.go
+++ b/internal/proxy/cwfront/output.go
@@ -1,6 +1,7 @@
 package cwfront
 
 import (
+	"encoding/binary"
 	"errors"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -24,6 +25,7 @@
 	if len(s.out) == 0 {
 		return nil
 	}
+	s.flushes++
 	_, err := s.conn.Write(s.out)
 	s.out = s.out[:0]
 	if cap(s.out) > keepOut {
@@ -32,6 +34,20 @@
 	return err
 }
 
+// parseCompletes counts the messages in out which say that a statement is prepared.
+func parseCompletes(out []byte) int {
+	const header = 5
+	n := 0
+	for len(out) >= header {
+		if out[0] == parseComplete[0] {
+			n++
+		}
+		// The length counts itself but not the type byte.
+		out = out[min(len(out), 1+int(binary.BigEndian.Uint32(out[1:header]))):]
+	}
+	return n
+}
+
 // undo drops what was to be sent since start, where nothing of it went out. If
 // something did, the rest is dropped: an error follows, and nothing that says
 // that the statement succeeded may stand before it.
--- /dev/null
+++ b/internal/proxy/cwfront/prepared_test.go
@@ -0,0 +1,46 @@
+package cwfront_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
+	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
+)
+
+// Guards against a session whose statement is refused as not run, and as a duplicate ever after.
+func TestRefusedStatementCanBePreparedAgain(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, cwdemo.Options{})
+	conn := b.connect(c, 0)
+	ask := func() error {
+		var n int
+		return conn.QueryRow(background, "SELECT 1").Scan(&n)
+	}
+	cut := func(faults cwlink.Faults) {
+		for _, l := range b.links {
+			l.SetFaults(faults)
+		}
+	}
+	cut(cwlink.Faults{Refuse: true})
+	// A statement that has been served is prepared already; this one has not.
+	for end := time.Now().Add(10 * time.Second); ask() == nil; {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("nothing is refused"))
+		c.Assert(conn.DeallocateAll(background), qt.IsNil)
+	}
+	cut(cwlink.Faults{})
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		err := ask()
+		if err == nil {
+			return
+		}
+		var pe *pgconn.PgError
+		c.Assert(errors.As(err, &pe), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(pe.Code, qt.Not(qt.Equals), "42P05", qt.Commentf("%s", pe.Message))
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("still refused: %v", err))
+	}
+}
--- a/internal/proxy/cwfront/session.go
+++ b/internal/proxy/cwfront/session.go
@@ -27,6 +27,8 @@
 	key     cancelKey
 	// out is what is to be sent to the caller at the next flush.
 	out []byte
+	// flushes counts the times that some of it was sent.
+	flushes int
 
 	entry cwcatalogue.Entry
 	// revision is that of the catalogue which entry and group are from.
