--- a/internal/proxy/cwnode/failure_test.go
+++ b/internal/proxy/cwnode/failure_test.go
@@ -334,7 +334,16 @@
 		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (3)")
 		return err == nil
 	})
-	c.Assert(queryInt(c, b.connect(c, 1), "SELECT count(*) FROM ronda"), qt.Equals, int64(2))
+	other := b.connect(c, 1)
+	var n int64
+	waitFor(c, "reads going on at the other proxy", func() bool {
+		err := other.QueryRow(background, "SELECT count(*) FROM ronda").Scan(&n)
+		if err != nil {
+			assertNotRun(c, err)
+		}
+		return err == nil
+	})
+	c.Assert(n, qt.Equals, int64(2))
 }
 
 // Bookings stand still: no proxy reaches the primary any more, though its
