--- a/internal/core/cwgroup/membership.go
+++ b/internal/core/cwgroup/membership.go
@@ -5,11 +5,16 @@
 	"time"
 )
 
-// GrownAfter is how long more members than before must be listed until the group has
-// grown: longer than one that is lost, and replaced by a new one, stays listed. Where
-// nothing was known of a group, each member that comes counts at once for as long from
-// the first list on, since a whole group is listed one after the other.
-const GrownAfter = 20 * time.Second
+// Times of a membership.
+const (
+	// GrownAfter is how long more members than before must be listed until the group
+	// has grown: longer than one that is lost, and replaced by a new one, stays listed.
+	GrownAfter = 20 * time.Second
+	// FormedWithin is how long after the first list each member that comes counts at
+	// once where nothing was known of a group: its members start together and are
+	// listed one after the other.
+	FormedWithin = 5 * time.Second
+)
 
 // Membership is how many members a group has, whether or not the platform lists them at
 // the moment. It is immutable. The zero Membership is of a group that was never listed.
@@ -22,7 +27,7 @@
 type Membership struct {
 	// size is how many members the group has, or had before it began to grow.
 	size int
-	// listed are the members that are listed and stay, in order.
+	// listed are the members whose entries are listed and that stay, in order.
 	listed []MemberID
 	// began is when the first of them were listed, if nothing was known of the group
 	// then; else it is zero.
@@ -36,7 +41,9 @@
 	absent []MemberID
 }
 
-// WithListed returns the membership when these members are listed and stay.
+// WithListed returns the membership when these members' entries are listed and they stay.
+// One whose entry has lapsed is not among them, so that one that comes then takes its
+// place.
 func (m Membership) WithListed(ids []MemberID, now time.Time) Membership {
 	m.listed = slices.Clone(ids)
 	slices.Sort(m.listed)
@@ -48,7 +55,7 @@
 		m.unknownUntil = time.Time{}
 	}
 	switch n := len(ids); {
-	case !m.began.IsZero() && now.Sub(m.began) < GrownAfter:
+	case !m.began.IsZero() && now.Sub(m.began) < FormedWithin:
 		m.size = max(m.size, n)
 	case n <= m.size:
 		m.above = time.Time{}
--- a/internal/core/cwgroup/membership_test.go
+++ b/internal/core/cwgroup/membership_test.go
@@ -21,12 +21,13 @@
 		absent []MemberID
 	}{
 		{"three are listed", three, 3, nil},
-		{"they are listed one after the other, and go", begun.WithListed(ids("a", "b"), start.Add(-time.Second)).WithGone("b", false), 2, ids("b")},
+		{"they are listed one after the other, and go", begun.WithListed(ids("a", "b"), start.Add(2*time.Second-GrownAfter)).WithGone("b", false), 2, ids("b")},
 		{"one is gone", three.WithGone("c", false), 3, ids("c")},
 		{"two are gone", three.WithGone("c", false).WithGone("b", false), 3, ids("c", "b")},
 		{"it is back", three.WithGone("c", false).WithListed(ids("a", "b", "c"), start), 3, nil},
 		{"a new one takes its place", three.WithGone("c", false).WithListed(ids("a", "b", "d"), start), 3, nil},
 		{"of two, the one that went first", three.WithGone("c", false).WithGone("b", false).WithListed(ids("a", "d"), start), 3, ids("b")},
+		{"a new one comes after its entry lapsed", three.WithListed(ids("a", "b"), start.Add(2*time.Second-GrownAfter)).WithListed(ids("a", "b", "d"), start.Add(3*time.Second-GrownAfter)).WithGone("c", false), 3, nil},
 		{"a new one comes before it is gone", three.WithListed(ids("a", "b", "c", "d"), start).WithGone("c", false), 3, nil},
 		{"both are listed", three.WithListed(ids("a", "b", "c", "d"), start), 4, nil},
 		{"it had said that it leaves", three.WithListed(ids("a", "b"), start).WithGone("c", true), 2, nil},
--- a/internal/proxy/cwdirectory/directory_test.go
+++ b/internal/proxy/cwdirectory/directory_test.go
@@ -72,6 +72,8 @@
 	mu        sync.Mutex
 	revisions []cwcatalogue.Revision
 	present   map[cwgroup.MemberID]bool
+	// lapsed has those that are used though their entries are missing.
+	lapsed map[cwgroup.MemberID]bool
 }
 
 func (s *sink) SetCatalogue(c cwcatalogue.Catalogue) {
@@ -85,8 +87,11 @@
 func (s *sink) ChangeListings(listed []cwport.Listing, removed []cwgroup.MemberID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.lapsed == nil {
+		s.lapsed = make(map[cwgroup.MemberID]bool)
+	}
 	for _, l := range listed {
-		s.present[l.ID] = true
+		s.present[l.ID], s.lapsed[l.ID] = true, l.Lapsed
 	}
 	for _, id := range removed {
 		delete(s.present, id)
@@ -102,6 +107,12 @@
 	return s.present[id]
 }
 
+func (s *sink) hasLapsed(id cwgroup.MemberID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lapsed[id]
+}
+
 func (s *sink) revision() cwcatalogue.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,6 +202,18 @@
 	qt.Assert(t, out.has("b"), qt.IsTrue)
 }
 
+// Guards against a new member that counts beside the one whose place it takes.
+func TestLapsedEntryIsTold(t *testing.T) {
+	src := &source{targets: make(chan cwport.Batch)}
+	out := start(t, src)
+	eventually(t, "the list is known", func() bool { return out.has("a") })
+	src.targets <- cwport.Batch{Version: 2, Removed: []cwgroup.MemberID{"a"}}
+	eventually(t, "it is told", func() bool { return out.hasLapsed("a") })
+	qt.Assert(t, out.has("a"), qt.IsTrue)
+	src.targets <- cwport.Batch{Version: 3, Listed: []cwport.Listing{{ID: "a"}}}
+	eventually(t, "it is back", func() bool { return !out.hasLapsed("a") })
+}
+
 // The store is back for a moment, in which entries are seen to have lapsed, and
 // gone again. Every target lives, but for as long as the store is away, nobody
 // can tell; callers must be served all the while.
--- a/internal/proxy/cwdirectory/gone.go
+++ b/internal/proxy/cwdirectory/gone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -26,19 +27,32 @@
 		delete(d.recalled, l.ID)
 		d.Log.Info("targetListed", "target", l.ID, "service", l.Service, "address", l.Address, "dataCentre", l.DataCentre, "leaving", l.Leaving, "role", l.Role)
 	}
-	for _, id := range removed {
-		if _, ok := d.known[id]; ok && d.vanished[id].IsZero() {
-			d.vanished[id] = now
-			d.Log.Info("targetVanished", "target", id)
-		}
-	}
+	lapsed := d.vanish(removed, now)
 	if first {
 		d.Sink.SetListings(append(b.Listed, d.recall(now)...))
 		return
 	}
-	if len(b.Listed) > 0 {
-		d.Sink.ChangeListings(b.Listed, nil)
+	if changed := slices.Concat(b.Listed, lapsed); len(changed) > 0 {
+		d.Sink.ChangeListings(changed, nil)
+	}
+}
+
+// vanish notes that entries are missing, and returns the targets whose were there. The
+// caller holds mu.
+func (d *Directory) vanish(removed []cwgroup.MemberID, now time.Time) []cwport.Listing {
+	var lapsed []cwport.Listing
+	for _, id := range removed {
+		l, ok := d.known[id]
+		if !ok || !d.vanished[id].IsZero() {
+			continue
+		}
+		d.vanished[id] = now
+		d.Log.Info("targetVanished", "target", id)
+		l.Lapsed = true
+		d.known[id] = l
+		lapsed = append(lapsed, l)
 	}
+	return lapsed
 }
 
 // rememberedWait bounds the wait for the product's own rows before the first list
@@ -89,6 +103,7 @@
 			continue
 		}
 		d.Log.Info("targetRemembered", "target", l.ID, "service", l.Service, "address", l.Address)
+		l.Lapsed = true
 		d.known[l.ID], d.vanished[l.ID], d.recalled[l.ID] = l, now, true
 		out = append(out, l)
 	}
--- a/internal/proxy/cwengine/membership.go
+++ b/internal/proxy/cwengine/membership.go
@@ -28,7 +28,7 @@
 func (e *Engine) updateMemberships(now time.Time) {
 	staying := make(map[string][]cwgroup.MemberID)
 	for _, l := range e.listings {
-		if !l.Leaving {
+		if !l.Leaving && !l.Lapsed {
 			staying[l.Service] = append(staying[l.Service], l.ID)
 		}
 	}
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -130,7 +130,10 @@
 	Slots int
 	// Leaving is true once the target has announced that it ends.
 	Leaving bool
-	Role    Leadership
+	// Lapsed is true while the list lacks its entry. It is used all the same until it
+	// is sure that the entry stays away.
+	Lapsed bool
+	Role   Leadership
 	// Born is when the target started, by its own clock; zero if it does not
 	// tell. A target that starts again under its id has another one, which can
 	// be an earlier one where that clock was set back.
