--- a/internal/core/cwfeed/restore_test.go
+++ b/internal/core/cwfeed/restore_test.go
@@ -57,9 +57,7 @@
 	s.history.Replace(s.at(t, s.number), entries)
 }
 
-// A target that left is used again, or a change is never in force: the store has gone
-// back to a copy and given its numbers out again, and instances that hear of it from
-// several feeders, some of before and some of after, end up with rows of both.
+// Guards against rows of before and after a restore of the store that are mixed on their way.
 func TestHistoryTellsEverythingAcrossRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := newRestoredStore(t)
--- a/internal/core/cwfeed/version_test.go
+++ b/internal/core/cwfeed/version_test.go
@@ -8,8 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Whatever the store counted before it came back from an older copy, all that it
-// tells afterwards is newer.
+// Guards against news of after a restore that look older than those of before.
 func TestVersionsRiseWithTheEra(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		era := rapid.Uint64Range(0, maxEra-1).Draw(t, "era")
--- a/internal/proxy/cwdirectory/restore_test.go
+++ b/internal/proxy/cwdirectory/restore_test.go
@@ -16,9 +16,7 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
-// A desired state is not in force at the instances that hear of it from others. The
-// store came back from an older copy; the roots read all anew, and what they tell
-// looks older than what the others know.
+// Guards against followers that leave out what their feeders tell after a restore.
 func TestRestoreReachesEveryInstance(t *testing.T) {
 	run(t, fleetSize, func(c *qt.C, fl *fleet) {
 		for range 50 {
@@ -40,10 +38,7 @@
 	})
 }
 
-// The store came back from a copy without the desired state in force, and nobody has
-// written it again yet. Its word confirms nothing then, so that every instance finds
-// what its feeder knows too old and asks the store itself: without a pause, as
-// answers came at once.
+// Guards against questions without a pause to a store that has an older desired state.
 func TestStoreWithAnOlderDesiredStateIsAskedByFew(t *testing.T) {
 	run(t, fleetSize, func(c *qt.C, fl *fleet) {
 		fl.store.restore(c)
@@ -97,9 +92,7 @@
 	return cwport.Batch{Version: s.version()}, ctx.Err()
 }
 
-// An instance goes on for ten seconds with claims and members that the store has
-// lost: a question about them was on its way when the store came back from an older
-// copy, and only the answer to another question showed that.
+// Guards against seconds with rows that a restore has lost, for as long as a question waits.
 func TestRestoreEndsQuestionsThatWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		src := &restoredSource{}
@@ -113,11 +106,7 @@
 	})
 }
 
-// Callers run statements with a key that was taken away, at an instance that says its
-// desired state is a hundredth of a second old; an operator who looks for the
-// instance that is behind finds none. An answer that was left out because what is
-// known is newer counted as a confirmation of it: in a recorded incident the age was
-// below a tenth of a second while three newer states were not in force.
+// Guards against keys that are trusted by answers that were left out as older.
 func TestAnswerThatIsLeftOutConfirmsNothing(t *testing.T) {
 	c := qt.New(t)
 	d := &Directory{Sink: &sink{}, Decoder: decoder{}, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
--- a/internal/proxy/cwlead/restore_test.go
+++ b/internal/proxy/cwlead/restore_test.go
@@ -96,9 +96,7 @@
 
 func (b *testGroup) claimable() bool { return b.mayClaim(cwfailover.Row{Done: true}, 9) }
 
-// Callers wait for a second change of primary right after the first: an instance
-// promoted a member, the store came back from a copy without that claim, and another
-// instance, which had not heard of it, promoted again before the member led.
+// Guards against a second promotion, right after one whose claim a restore has lost.
 func TestNothingIsClaimedRightAfterARestore(t *testing.T) {
 	b, table := newRestoredGroup(t, changedToB)
 	qt.Assert(t, b.claimable(), qt.IsTrue)
@@ -110,9 +108,7 @@
 	qt.Assert(t, b.claimable(), qt.IsTrue)
 }
 
-// Two instances promote, one after the other: the claim of the first one was in the
-// copy that the store came back from, and the second one's, which followed it, was
-// not. The first reads its claim back and goes on.
+// Guards against a keeper that reads its claim back from a copy and goes on beside another one.
 func TestClaimOfBeforeARestoreIsGivenUp(t *testing.T) {
 	const mine = `{"term":2,"claim":"x-1","keeper":"x"}`
 	b, table := newRestoredGroup(t, mine)
@@ -124,10 +120,7 @@
 	qt.Assert(t, b.sendRow(context.Background(), readBack), qt.Equals, cwfailover.RowConflict)
 }
 
-// A clerk reads a booking and misses one that was acknowledged. A replica was fenced
-// for a change of primary, started again, forgot its fence and follows the old
-// primary; the row that tells of the change was lost with a restore, and an instance
-// that reaches these two reads that there was none.
+// Guards against stale reads by a member that forgot its fence, checked by a row that a restore has lost.
 func TestRestartIsNotCheckedRightAfterARestore(t *testing.T) {
 	b, table := newRestoredGroup(t, changedToB)
 	table.restore(nil)
@@ -143,10 +136,7 @@
 	qt.Assert(t, unchecked(), qt.IsFalse)
 }
 
-// A clerk reads a booking and misses one that was acknowledged, as with a restart
-// that is checked too soon, but at any later time: the row that tells of the change
-// of primary was lost with a restore, and nobody wrote it again. Whoever knows the row
-// must, unless somebody works on another claim.
+// Guards against the same at any later time, since nobody wrote the lost row again.
 func TestLostRowIsWrittenAgain(t *testing.T) {
 	const claimed = `{"term":1,"claim":"n","keeper":"z"}`
 	for _, tc := range []struct{ name, after, want string }{
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -276,10 +276,7 @@
 	})
 }
 
-// Statements on their way to a holder that started some seconds ago are cut off with an
-// unknown outcome, and its groups and quotas move to others, though every instance
-// lives: the store came back from a copy without the rows of those that had just
-// registered, and what it lacked was taken for gone.
+// Guards against living instances that count as gone since a restore has lost their rows.
 func TestRowsThatARestoreLostAreKeptForAWhile(t *testing.T) {
 	without := func(name string) (rest []cwport.Row) {
 		for _, other := range []string{"a", "b", "c", "d", "e"} {
