--- a/internal/proxy/cwengine/members_test.go
+++ b/internal/proxy/cwengine/members_test.go
@@ -12,6 +12,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
 // tellRow tells an engine the group's row as it stands in the table.
@@ -141,3 +142,18 @@
 		})
 	}
 }
+
+// Guards against a majority of four where a new member came in the place of one of three.
+func TestNewMemberTakesTheLapsedOnesPlace(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	e := w.engine("x")
+	listing := func(id string, lapsed bool) cwport.Listing {
+		return cwport.Listing{ID: memberID(id), Service: testService, Address: id, DataCentre: "dc-" + id, Slots: 3, Lapsed: lapsed}
+	}
+	e.ChangeListings([]cwport.Listing{listing("c", true)}, nil)
+	e.ChangeListings([]cwport.Listing{listing("d", false)}, nil)
+	w.c.Assert(e.Members()[testService].Of, qt.Equals, 3)
+	e.ChangeListings(nil, []cwgroup.MemberID{"c"})
+	w.c.Assert(e.Members()[testService].Of, qt.Equals, 3)
+	w.c.Assert(e.Members()[testService].Members, qt.HasLen, 3)
+}
--- a/internal/proxy/cwmembers/members_test.go
+++ b/internal/proxy/cwmembers/members_test.go
@@ -61,6 +61,7 @@
 	members []cwport.Listing
 }
 
+// set makes an instance count members; without any, the store tells it nothing.
 func (c *counted) set(ids ...string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -142,9 +143,7 @@
 	t.Run("an instance that the store tells nothing writes nothing", func(t *testing.T) {
 		run(t, func(c *qt.C, s *table, all []*counted) {
 			time.Sleep(5 * time.Second)
-			all[0].mu.Lock()
-			all[0].members = nil
-			all[0].mu.Unlock()
+			all[0].set()
 			time.Sleep(time.Minute)
 			c.Assert(remembered(s.records[0]), qt.DeepEquals, []string{"a", "b", "c"})
 		}, 0)
@@ -153,9 +152,7 @@
 		run(t, func(c *qt.C, s *table, all []*counted) {
 			all[0].set("a")
 			time.Sleep(1500 * time.Millisecond)
-			all[0].mu.Lock()
-			all[0].members = nil
-			all[0].mu.Unlock()
+			all[0].set()
 			time.Sleep(time.Second)
 			c.Assert(remembered(s.records[2]), qt.DeepEquals, []string{"a", "b", "c"})
 			c.Assert(s.records[2].Recorded("s"), qt.Equals, 3)
