engine: no group is held before its targets are known

What callers saw: an instance before a thousand groups starts slowly and takes twice the memory that it needs, for good. How many instances hold a group follows from the connections and slots of its targets. The catalogue comes before the list of targets, a target without an entry counted as one that runs one statement at a time, and so each instance held 46 of 164 places of its data centre: a quarter of all groups, whose holders it worked out and which it made, and never gave back.

Change: before many groups one of which no target is known is held by nobody. Its statements are served all the same, as those of any group that nobody holds. The bound from which groups are many moves to cwholder, which decides with it.

The test failed before: the group was made with the catalogue.

--- a/internal/core/cwholder/holder.go
+++ b/internal/core/cwholder/holder.go
@@ -43,6 +43,12 @@
 	// one is restarted, the other one serves without a detour through another
 	// data centre.
 	MinPerDataCentre = 2
+	// ManyGroups is up to how many groups an instance has ready, and their holders
+	// connected, before a statement comes. Before more of them it uses few: it holds
+	// some and has callers for others, and those that it has no part in are made when a
+	// statement comes for them. Each group takes an instance its pools, its view of the
+	// members, and a goroutine.
+	ManyGroups = 128
 )
 
 // perDataCentre returns how many holders a group has in each data centre.
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -10,15 +10,6 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
-// manyGroups is up to how many groups an instance has ready, and their holders
-// connected, before a statement comes. Before more of them it uses few: it holds some
-// and has callers for others, and those that it has no part in are made when a
-// statement comes for them.
-//
-// The load it answers: 300 instances before 1,000 groups. Each group takes an
-// instance its pools, its view of the members, and a goroutine.
-const manyGroups = 128
-
 type runningGroup struct {
 	*cwlead.Group
 	cancel context.CancelFunc
@@ -73,11 +64,15 @@
 // rehold settles whether this instance holds a group, makes it if it does, and gets
 // ready to hand over its statements. The caller holds mu.
 func (e *Engine) rehold(service string, p *plan) {
-	few := len(e.plans) <= manyGroups
+	few := len(e.plans) <= cwholder.ManyGroups
 	if e.cfg.Holders == nil {
 		e.startGroup(service, p)
 		return
 	}
+	if !few && len(p.members) == 0 {
+		// What its targets take is not known, and so neither is who holds it.
+		return
+	}
 	place, held := e.cfg.Holders.Holds(service, p.demand)
 	if held || few {
 		e.startGroup(service, p)
--- a/internal/proxy/cwengine/groups_test.go
+++ b/internal/proxy/cwengine/groups_test.go
@@ -9,7 +9,9 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
 // An instance stands before more groups than it could watch, and a caller comes for
@@ -19,7 +21,7 @@
 	w := newWorld(t, cwcatalogue.ReadNewest)
 	front := w.engineWith("front", &holders{})
 	c := cwcatalogue.Catalogue{Revision: 2, Entries: []cwcatalogue.Entry{w.entry}}
-	for i := range 2 * manyGroups {
+	for i := range 2 * cwholder.ManyGroups {
 		e := w.entry
 		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
 		c.Entries = append(c.Entries, e)
@@ -56,7 +58,7 @@
 	w.settled(h.engine)
 	front := w.engineWith("front", &holders{list: []*holder{h}})
 	c := cwcatalogue.Catalogue{Revision: 2}
-	for i := range 2 * manyGroups {
+	for i := range 2 * cwholder.ManyGroups {
 		e := w.entry
 		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
 		c.Entries = append(c.Entries, e)
@@ -72,3 +74,31 @@
 	_, made := front.Group(testService)
 	w.c.Assert(made, qt.IsFalse)
 }
+
+// Guards against an instance that takes part in a quarter of all groups for good, since it
+// worked out their holders before it knew what their targets take.
+func TestNoGroupIsHeldBeforeItsTargetsAreKnown(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	w.listed = nil
+	h := &anyHolder{}
+	front := w.engineWith("front", h)
+	c := cwcatalogue.Catalogue{Revision: 2}
+	for i := range 2 * cwholder.ManyGroups {
+		e := w.entry
+		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
+		c.Entries = append(c.Entries, e)
+	}
+	front.SetCatalogue(c)
+	_, made := front.Group("other1")
+	w.c.Assert(made, qt.IsFalse)
+	front.SetListings([]cwport.Listing{{ID: "t", Service: "other1", Address: "t", DataCentre: "dc-a", Slots: 3}})
+	_, made = front.Group("other1")
+	w.c.Assert(made, qt.IsTrue)
+	_, made = front.Group("other2")
+	w.c.Assert(made, qt.IsFalse)
+}
+
+// anyHolder says that its instance holds every group that it is asked about.
+type anyHolder struct{ holders }
+
+func (*anyHolder) Holds(string, cwholder.Demand) (int, bool) { return 0, true }
