holder: before many groups each has four holders, the same first for all callers

What callers saw: before a thousand groups each is asked 2.3 statements a second, and reads are refused since the age of the data is not known, or wait for a confirmation. How many hold a group followed from its connections: 278 of them before 3 slots gave 7 holders in each of six data centres, 42 for a group, so that each saw a statement in 18 s, knew nothing of the group by then, and asked its targets on a new connection. Each instance held 43 groups, and its lists of holders were most of what it knew.

Change: before more than ManyGroups groups a group has four holders in as many data centres, by rendezvous of the data centres and of the instances there, and all instances hand its statements to the same one first. An instance of 986 holds four groups. Nothing changes before few groups, where a data centre has holders of its own. Before the rows are read an instance holds none of many groups.

Weighed: two holders a data centre (12, each of which sees a statement in 5 s); holders of the data centres of the targets only (half of the instances would do all the work).

TestManyGroupsHaveFewHolders states the counts; before there were 42 holders where it asks for 4.

--- a/internal/core/cwholder/holder.go
+++ b/internal/core/cwholder/holder.go
@@ -7,6 +7,11 @@
 // and whoever comes while all are taken is refused. A few holders in each data
 // centre keep theirs open and know how busy the targets are.
 //
+// Before many groups an instance has callers for more of them than it could keep
+// connections for, and each group has few statements a second. Then a few holders of
+// the whole deployment serve a group, and all instances hand its statements to the
+// same one first: what is known of a group is fresh where all of its traffic goes.
+//
 // Every instance computes the same holders from the same list, by rendezvous
 // hashing, without talking to the others. Lists that differ for a while do no
 // harm: who may write and what was acknowledged is guarded by the targets and the
@@ -14,6 +19,7 @@
 package cwholder
 
 import (
+	"maps"
 	"slices"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwplace"
@@ -31,6 +37,8 @@
 type Demand struct {
 	// Connections and Slots are those of one target.
 	Connections, Slots int
+	// Many is true if the group is one of more than ManyGroups.
+	Many bool
 }
 
 // Figures of holders.
@@ -49,35 +57,64 @@
 	// statement comes for them. Each group takes an instance its pools, its view of the
 	// members, and a goroutine.
 	ManyGroups = 128
+	// holdersOfMany is how many holders each of many groups has, in as many data
+	// centres as there are: one is left if two data centres are lost with another
+	// instance.
+	holdersOfMany = 4
 )
 
-// perDataCentre returns how many holders a group has in each data centre.
+// inDataCentre returns how many holders a group has in one of some data centres. Rank
+// is the data centre's place among them in the order of the group.
+func (d Demand) inDataCentre(rank, dataCentres int) int {
+	if !d.Many {
+		return d.perDataCentre(dataCentres)
+	}
+	if rank >= holdersOfMany {
+		return 0
+	}
+	return (holdersOfMany-rank-1)/max(1, dataCentres) + 1
+}
+
+// perDataCentre returns how many holders one of a few groups has in each data centre.
 func (d Demand) perDataCentre(dataCentres int) int {
 	wanted := max(1, d.Slots*connectionsPerSlot)
 	return max(MinPerDataCentre, d.Connections/wanted/max(1, dataCentres))
 }
 
-// Holders returns the group's holders among all instances. Where a data centre
-// has no more instances than it needs holders, all of them hold the group and
-// nothing is handed over there.
+// Holders returns the group's holders among all instances, of many groups in the order
+// in which all instances hand statements to them. Where a data centre has no more
+// instances than it needs holders, all of them hold the group and nothing is handed
+// over there.
 func Holders(group string, all []Instance, d Demand) []Instance {
 	byCentre := make(map[string][]Instance)
 	for _, i := range all {
 		byCentre[i.DataCentre] = append(byCentre[i.DataCentre], i)
 	}
-	n := d.perDataCentre(len(byCentre))
-	var out []Instance
-	for _, list := range byCentre {
-		out = append(out, first(group, list, n)...)
+	centres := cwplace.Order(group, slices.Collect(maps.Keys(byCentre)))
+	var out, others []Instance
+	for rank, c := range centres {
+		list := first(group, byCentre[c], d.inDataCentre(rank, len(centres)))
+		out = append(out, list[:min(1, len(list))]...)
+		others = append(others, list[min(1, len(list)):]...)
 	}
-	return out
+	return append(out, others...)
 }
 
 // Holds reports whether an instance is among the holders of a group, without
 // working out who the others are. Centre has the names of its data centre's
-// instances, and centres is how many data centres there are.
-func (d Demand) Holds(self, group string, centre []string, centres int) bool {
-	return cwplace.Rank(self, group, centre) < min(len(centre), d.perDataCentre(centres))
+// instances, and centres those of all data centres.
+func (d Demand) Holds(self Instance, group string, centre, centres []string) bool {
+	n := min(len(centre), d.inDataCentre(cwplace.Rank(self.DataCentre, group, centres), len(centres)))
+	return n > 0 && cwplace.Rank(self.ID, group, centre) < n
+}
+
+// Route returns the holders in the order in which self hands statements to them. Those
+// of many groups are the same for all instances.
+func (d Demand) Route(self Instance, group string, holders []Instance) []Instance {
+	if d.Many {
+		return holders
+	}
+	return Order(self, group, holders)
 }
 
 // Order returns the holders in the order in which self hands statements to
--- a/internal/core/cwholder/holder_test.go
+++ b/internal/core/cwholder/holder_test.go
@@ -96,7 +96,7 @@
 // the group nor hand over its statements.
 func TestHoldsAgreesWithTheListOfHolders(t *testing.T) {
 	all := instances(9, "a", "b", "c")
-	for _, d := range []Demand{{}, {Connections: 36, Slots: 3}, {Connections: 216, Slots: 5}, {Connections: 900, Slots: 3}} {
+	for _, d := range []Demand{{}, {Connections: 36, Slots: 3}, {Connections: 216, Slots: 5}, {Connections: 900, Slots: 3}, {Connections: 278, Slots: 3, Many: true}} {
 		for g := range 40 {
 			group := string(rune('A' + g))
 			holders := Holders(group, all, d)
@@ -107,8 +107,60 @@
 						centre = append(centre, i.ID)
 					}
 				}
-				qt.Assert(t, d.Holds(self.ID, group, centre, 3), qt.Equals, slices.Contains(holders, self))
+				qt.Assert(t, d.Holds(self, group, centre, []string{"c", "a", "b"}), qt.Equals, slices.Contains(holders, self))
 			}
 		}
 	}
 }
+
+// Guards against groups that no instance knows well, since their few statements a second
+// are spread over a holder in each data centre for every few connections.
+func TestManyGroupsHaveFewHolders(t *testing.T) {
+	many := Demand{Connections: 278, Slots: 3, Many: true}
+	centresOf := func(list []Instance) map[string]bool {
+		out := make(map[string]bool)
+		for _, i := range list {
+			out[i.DataCentre] = true
+		}
+		return out
+	}
+	t.Run("in as many data centres as there are", func(t *testing.T) {
+		for n, centres := range map[int][]string{4: {"a", "b", "c", "d", "e", "f"}, 3: {"a", "b", "c"}, 2: {"a", "b"}, 1: {"a"}} {
+			holders := Holders("g", instances(20, centres...), many)
+			qt.Assert(t, holders, qt.HasLen, holdersOfMany)
+			qt.Assert(t, centresOf(holders), qt.HasLen, n)
+			qt.Assert(t, centresOf(holders[:n]), qt.HasLen, n)
+		}
+	})
+	t.Run("all instances begin with the same one", func(t *testing.T) {
+		all := instances(20, "a", "b", "c", "d", "e", "f")
+		holders := Holders("g", all, many)
+		for _, self := range all {
+			qt.Assert(t, many.Route(self, "g", holders), qt.DeepEquals, holders)
+		}
+	})
+	t.Run("the groups are spread", func(t *testing.T) {
+		all := instances(50, "a", "b", "c", "d", "e", "f")
+		held := make(map[string]int)
+		for g := range 300 {
+			for _, h := range Holders(fmt.Sprintf("group-%d", g), all, many) {
+				held[h.ID]++
+			}
+		}
+		for id, n := range held {
+			qt.Assert(t, n < 16, qt.IsTrue, qt.Commentf("%s holds %d", id, n))
+		}
+	})
+	t.Run("a lost one moves its own groups only", func(t *testing.T) {
+		all := instances(20, "a", "b", "c", "d", "e", "f")
+		for g := range 100 {
+			group := fmt.Sprintf("group-%d", g)
+			before := Holders(group, all, many)
+			lost := all[g]
+			after := Holders(group, slices.DeleteFunc(slices.Clone(all), func(i Instance) bool { return i == lost }), many)
+			if !slices.Contains(before, lost) {
+				qt.Assert(t, after, qt.DeepEquals, before)
+			}
+		}
+	})
+}
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for service, p := range e.plans {
-		p.demand = demandOf(p.contract, p.members)
+		p.demand = demandOf(p.contract, p.members, len(e.plans))
 		if g := e.groups[service]; g != nil {
 			g.SetMembers(p.members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
 		}
@@ -52,9 +52,9 @@
 	}
 }
 
-// demandOf returns what a group's targets take.
-func demandOf(c cwcatalogue.Contract, members []cwport.Listing) cwholder.Demand {
-	d := cwholder.Demand{Connections: c.Connections}
+// demandOf returns what the targets of one of some groups take.
+func demandOf(c cwcatalogue.Contract, members []cwport.Listing, groups int) cwholder.Demand {
+	d := cwholder.Demand{Connections: c.Connections, Many: groups > cwholder.ManyGroups}
 	for _, l := range members {
 		d.Slots = max(d.Slots, l.Slots)
 	}
@@ -64,7 +64,7 @@
 // rehold settles whether this instance holds a group, makes it if it does, and gets
 // ready to hand over its statements. The caller holds mu.
 func (e *Engine) rehold(service string, p *plan) {
-	few := len(e.plans) <= cwholder.ManyGroups
+	few := !p.demand.Many
 	if e.cfg.Holders == nil {
 		e.startGroup(service, p)
 		return
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -65,10 +66,9 @@
 	lost map[string]time.Time
 	// version is that of the own row.
 	version string
-	// centre has the names of the instances of this data centre, centres counts
+	// centre has the names of the instances of this data centre, centres those of
 	// the data centres; both as long as the rows do not change.
-	centre  []string
-	centres int
+	centre, centres []string
 	// orders are the holders of each group, as long as neither the rows nor the
 	// group's demand change.
 	orders map[string]order
@@ -175,13 +175,13 @@
 }
 
 // Holds implements cwport.Holders. Before the rows were read an instance holds
-// everything.
+// everything, and nothing of many groups.
 func (p *Peers) Holds(group string, d cwholder.Demand) (int, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case !p.listed:
-		return -1, true
+		return -1, !d.Many
 	case !p.mayHold(group, d):
 		return -1, false
 	}
@@ -204,9 +204,9 @@
 				p.centre = append(p.centre, name)
 			}
 		}
-		p.centres = len(centres)
+		p.centres = slices.Collect(maps.Keys(centres))
 	}
-	return d.Holds(p.Self.ID, group, p.centre, p.centres)
+	return d.Holds(p.Self, group, p.centre, p.centres)
 }
 
 // order returns the holders of a group. The caller holds mu.
@@ -221,7 +221,7 @@
 	o := order{demand: d, holders: cwholder.Holders(group, all, d)}
 	o.place = slices.Index(o.holders, p.Self)
 	if p.listed {
-		o.route = cwholder.Order(p.Self, group, o.holders)
+		o.route = d.Route(p.Self, group, o.holders)
 	}
 	if p.orders == nil {
 		p.orders = make(map[string]order)
--- a/internal/proxy/cwpeers/rows.go
+++ b/internal/proxy/cwpeers/rows.go
@@ -81,7 +81,7 @@
 
 // reorder forgets what follows from the rows. The caller holds mu.
 func (p *Peers) reorder() {
-	p.centre, p.centres = nil, 0
+	p.centre, p.centres = nil, nil
 	clear(p.orders)
 	clear(p.issuers)
 	p.unlink()
