peers: a statement of many groups connects one holder, and waits for it

What callers saw: with a thousand groups the first statement of a group through an instance runs where it came, on new connections to the targets, and is refused or late since nothing is known of the group there. In time each instance makes hundreds of groups and is connected to hundreds of others: 4,025 connections at the busiest of 300 instances, 4,400 descriptors being all that it has.

Cause: a holder was connected when a statement asked whether it is usable, and a statement asks one after the other. Without a connection to any of them it had all holders of all data centres connected, waited for none, and ran on the spot. Nothing closed a connection that serves nothing.

Connections on demand are closed after 35 s without use, which is longer than a transaction may rest at a holder.

Ruled out: connecting two at once (twice the connections, no gain where the first one lives); waiting where the last try failed (callers of a cut-off data centre would wait for each statement).

--- /dev/null
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -0,0 +1,149 @@
+package cwpeers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// manyGroups is the demand of a group among many.
+var manyGroups = cwholder.Demand{Connections: 278, Slots: 3, Many: true}
+
+// wide is the peers of an instance that does not hold group "g", among others in four
+// data centres, on virtual time.
+type wide struct {
+	*qt.C
+	*Peers
+	net *network
+	// holders are those of the group, in order.
+	holders []cwholder.Instance
+}
+
+// runWide plays f with such an instance.
+func runWide(t *testing.T, f func(w wide)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{silent: map[string]bool{}, rows: map[string][]byte{}, refused: map[string]bool{}, hanging: map[string]chan struct{}{}}
+		var rows []cwport.Row
+		var all []cwholder.Instance
+		for i := range 24 {
+			in := instance(fmt.Sprintf("i%d", i), fmt.Sprintf("z%d", i%4))
+			all, rows = append(all, in), append(rows, row(in))
+		}
+		holders := cwholder.Holders("g", all, manyGroups)
+		self := all[slices.IndexFunc(all, func(i cwholder.Instance) bool { return !slices.Contains(holders, i) })]
+		p := &Peers{Self: self, Table: n, Dial: n.dial, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
+		p.Rows(rows, true)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- p.Run(ctx) }()
+		f(wide{C: qt.New(t), Peers: p, net: n, holders: holders})
+		cancel()
+		qt.Check(t, <-done, qt.IsNil)
+	})
+}
+
+// holder returns who takes a statement, and how long that took.
+func (w wide) holder(tried ...string) (cwport.Holder, time.Duration) {
+	w.Helper()
+	began := time.Now()
+	h, ok := w.Holder("g", manyGroups, tried)
+	w.Assert(ok, qt.IsTrue)
+	return h, time.Since(began)
+}
+
+func (n *network) dialled() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.dials)
+}
+
+// Guards against one statement of a group that connects its instance to every holder, and
+// runs on the spot meanwhile.
+func TestStatementOfManyGroupsConnectsOneHolder(t *testing.T) {
+	runWide(t, func(w wide) {
+		for range 3 {
+			h, _ := w.holder()
+			w.Assert(h.Name(), qt.Equals, w.holders[0].ID)
+			_, err := hand(h, "s")
+			w.Assert(err, qt.IsNil)
+			time.Sleep(time.Second)
+		}
+		w.Assert(w.net.dialled(), qt.DeepEquals, []string{w.holders[0].ID})
+	})
+}
+
+// Guards against callers who wait for a holder that is gone.
+func TestNextHolderTakesTheStatement(t *testing.T) {
+	t.Run("of one that refuses connections", func(t *testing.T) {
+		runWide(t, func(w wide) {
+			w.net.set(func() { w.net.refused[w.holders[0].ID] = true })
+			h, took := w.holder()
+			w.Assert(h.Name(), qt.Equals, w.holders[1].ID)
+			w.Assert(took < spareAfter, qt.IsTrue)
+		})
+	})
+	t.Run("of one that does not answer", func(t *testing.T) {
+		runWide(t, func(w wide) {
+			hang := make(chan struct{})
+			defer close(hang)
+			w.net.set(func() { w.net.hanging[w.holders[0].ID] = hang })
+			h, took := w.holder()
+			w.Assert(h.Name(), qt.Equals, w.holders[1].ID)
+			w.Assert(took < connectWait, qt.IsTrue)
+			w.Assert(w.net.dialled(), qt.DeepEquals, []string{w.holders[0].ID, w.holders[1].ID})
+		})
+	})
+	t.Run("of one that was tried", func(t *testing.T) {
+		runWide(t, func(w wide) {
+			h, _ := w.holder(w.holders[0].ID)
+			w.Assert(h.Name(), qt.Equals, w.holders[1].ID)
+		})
+	})
+	t.Run("there is none", func(t *testing.T) {
+		runWide(t, func(w wide) {
+			w.net.set(func() {
+				for _, h := range w.holders {
+					w.net.refused[h.ID] = true
+				}
+			})
+			began := time.Now()
+			_, ok := w.Holder("g", manyGroups, nil)
+			w.Assert(ok, qt.IsFalse)
+			w.Assert(time.Since(began) < connectWait, qt.IsTrue)
+		})
+	})
+}
+
+// Guards against an instance that is connected to all others in time.
+func TestConnectionOnDemandIsClosedWhenItServesNothing(t *testing.T) {
+	runWide(t, func(w wide) {
+		connected := func() bool {
+			w.mu.Lock()
+			l := w.links[w.holders[0].ID]
+			w.mu.Unlock()
+			return l.ready(time.Now())
+		}
+		h, _ := w.holder()
+		for range 3 {
+			_, err := hand(h, "s")
+			w.Assert(err, qt.IsNil)
+			time.Sleep(idleAfter / 2)
+			w.Assert(connected(), qt.IsTrue)
+		}
+		time.Sleep(idleAfter)
+		w.Assert(connected(), qt.IsFalse)
+		w.holder()
+		w.Assert(w.net.dialled(), qt.HasLen, 2)
+	})
+}
--- a/internal/proxy/cwpeers/feeder.go
+++ b/internal/proxy/cwpeers/feeder.go
@@ -64,9 +64,8 @@
 // the feeder is left out until it can be connected again.
 func (f feeder) TellNews(ctx context.Context, q cwport.NewsQuestion) (cwport.News, error) {
 	l := f.link
-	l.mu.Lock()
-	conn := l.conn
-	l.mu.Unlock()
+	conn := l.begin()
+	defer l.end()
 	if conn == nil {
 		return cwport.News{}, &cwport.LostError{Holder: l.to.ID, NotSent: true, Cause: errSilent}
 	}
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -29,6 +29,9 @@
 	// pingEvery is how often a connection that rests is tried, so that one that
 	// went silent is found before a write is sent on it.
 	pingEvery = 2 * time.Second
+	// idleAfter is how long a connection that was opened on demand may serve nothing
+	// before it is closed. A transaction that rests at a holder is rolled back sooner.
+	idleAfter = 35 * time.Second
 )
 
 // link is the connection to one holder, when there is one. It implements
@@ -38,10 +41,19 @@
 	dial  Dial
 	clock clockwork.Clock
 	log   *log.Logger
+	// dialled is called after each try to connect; it may be nil.
+	dialled func()
 
-	mu      sync.Mutex
-	conn    Conn
-	dialing bool
+	mu   sync.Mutex
+	conn Conn
+	// dialing is true while a connection is being opened, since dialSince.
+	dialing   bool
+	dialSince time.Time
+	// kept is true if the connection stays also while it serves nothing.
+	kept bool
+	// busy counts what is under way on the connection, usedAt is when something last was.
+	busy   int
+	usedAt time.Time
 	// trying is true while a probe out of turn is under way.
 	trying bool
 	closed bool
@@ -77,13 +89,81 @@
 	if l.conn != nil {
 		return true
 	}
-	if !l.dialing && !l.closed && !now.Before(l.redialAt) {
-		l.dialing = true
-		go l.runDial()
-	}
+	l.startDial(now)
 	return false
 }
 
+// startDial opens a connection unless one is being opened, or one failed a moment ago.
+// The caller holds mu.
+func (l *link) startDial(now time.Time) {
+	if l.dialing || l.closed || now.Before(l.redialAt) {
+		return
+	}
+	l.dialing, l.dialSince = true, now
+	go l.runDial()
+}
+
+// ready reports whether statements can be handed over now. It opens no connection.
+func (l *link) ready(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && !now.Before(l.avoidUntil)
+}
+
+// connecting opens a connection if there is none, and returns for how long one has
+// been under way; false if none is, or if the last try failed.
+func (l *link) connecting(now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		return 0, false
+	}
+	l.startDial(now)
+	return now.Sub(l.dialSince), l.dialing && l.redial == 0
+}
+
+// keep lets the connection stay also while it serves nothing.
+func (l *link) keep() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept = true
+}
+
+// begin returns the connection for something that is to run on it, nil if there is
+// none. Call end afterwards.
+func (l *link) begin() Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy++
+	return l.conn
+}
+
+func (l *link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy--
+	l.usedAt = l.clock.Now()
+}
+
+// dropIdle closes a connection that has served nothing for long, and reports whether it
+// did.
+//
+// The load it answers: hundreds of instances before a thousand groups. In time an
+// instance hands a statement of each group over, and would be connected to all others
+// for good.
+func (l *link) dropIdle(conn Conn) bool {
+	l.mu.Lock()
+	idle := !l.kept && l.busy == 0 && l.conn == conn && l.clock.Since(l.usedAt) >= idleAfter
+	if idle {
+		l.conn = nil
+	}
+	l.mu.Unlock()
+	if idle {
+		_ = conn.Close()
+	}
+	return idle
+}
+
 // failing reports whether the last try to connect failed, or the last connection
 // was lost, and none has come about since.
 func (l *link) failing() bool {
@@ -120,6 +200,14 @@
 
 func (l *link) runDial() {
 	conn, err := l.dial(context.Background(), l.to.ID, l.to.Address)
+	l.takeDialled(conn, err)
+	if l.dialled != nil {
+		l.dialled()
+	}
+}
+
+// takeDialled takes what became of a try to connect.
+func (l *link) takeDialled(conn Conn, err error) {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,7 +222,7 @@
 		return
 	}
 	l.log.Info("holderConnected", "holder", l.to.ID, "dataCentre", l.to.DataCentre)
-	l.conn, l.heard, l.redial = conn, now, 0
+	l.conn, l.heard, l.usedAt, l.redial = conn, now, now, 0
 	go l.runConn(conn)
 }
 
@@ -158,6 +246,9 @@
 			return
 		case <-l.clock.After(pingEvery):
 		}
+		if l.dropIdle(conn) {
+			return
+		}
 		if l.clock.Since(l.lastHeard()) >= pingEvery {
 			l.try(conn)
 		}
@@ -217,9 +308,8 @@
 // for silentAfter is probed; a statement that merely takes
 // long goes on.
 func (l *link) Hand(ctx context.Context, h cwport.Handover) (cwport.Handed, error) {
-	l.mu.Lock()
-	conn := l.conn
-	l.mu.Unlock()
+	conn := l.begin()
+	defer l.end()
 	if conn == nil {
 		return cwport.Handed{}, &cwport.LostError{Holder: l.to.ID, NotSent: true, Cause: errSilent}
 	}
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -29,9 +29,20 @@
 	// answer questions for news.
 	refused map[string]bool
 	newsErr error
+	// dials are the connections that were tried, in order; those to hanging instances
+	// come about when the test ends.
+	dials   []string
+	hanging map[string]chan struct{}
 }
 
 func (n *network) dial(_ context.Context, name, _ string) (Conn, error) {
+	n.mu.Lock()
+	n.dials = append(n.dials, name)
+	hang := n.hanging[name]
+	n.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.refused[name] {
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -27,7 +27,9 @@
 			out = append(out, cwport.QuotaIssuer{Name: i.ID})
 			continue
 		}
-		if l := p.link(i); l.connected(now) {
+		l := p.link(i)
+		l.keep()
+		if l.connected(now) {
 			out = append(out, cwport.QuotaIssuer{Name: i.ID, Ask: l.askQuota})
 		}
 	}
@@ -54,9 +56,8 @@
 
 // askQuota asks the instance for one operation of a workspace.
 func (l *link) askQuota(ctx context.Context, workspace string) (cwport.Verdict, error) {
-	l.mu.Lock()
-	conn := l.conn
-	l.mu.Unlock()
+	conn := l.begin()
+	defer l.end()
 	if conn == nil {
 		return cwport.Verdict{}, &cwport.LostError{Holder: l.to.ID, NotSent: true, Cause: errSilent}
 	}
