engine: news of one target look at its group only, and a second at rest at none

What callers saw: an instance of a fifth of a core before a thousand groups spends a tenth of it on looking at groups that it has no part in, and its heap grows with the garbage of that. Once a second the members of all groups were counted, and each was compared with its row, for which the instance worked out its rank among 164 others for each of a thousand groups. Any change of any target, and any change of the catalogue, planned all groups anew and worked out their ranks again.

Change: targets are kept by service as well; a change plans the groups of the targets that it names. A group's place is worked out again when its demand or the list of instances changes. Memberships are looked at once a second only where time, or what is remembered, may change them (Membership.Pending), and only groups that are held are compared with their rows.

TestNewsOfOneTargetLookAtItsGroupOnly counts the work; before, each of its changes asked for the place of a thousand groups.

--- a/internal/core/cwgroup/membership.go
+++ b/internal/core/cwgroup/membership.go
@@ -111,6 +111,10 @@
 	return 2*max(m.size, len(m.listed)) + 1
 }
 
+// Pending reports whether time alone may change how many members count, without news of
+// those that are listed.
+func (m Membership) Pending() bool { return !m.unknownUntil.IsZero() || !m.above.IsZero() }
+
 // Known reports whether it is known how many members the group has.
 func (m Membership) Known() bool { return m.unknownUntil.IsZero() }
 
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -91,7 +91,7 @@
 	restoredAt time.Time
 	entries    *cwcatalogue.Table
 	access     access
-	listings   map[cwgroup.MemberID]cwport.Listing
+	listings   listings
 	// memberships tell how many members each service's group has; absent has what was
 	// last listed of those that are gone and keep their place.
 	memberships map[string]cwgroup.Membership
@@ -135,7 +135,6 @@
 	}
 	return &Engine{
 		cfg:         cfg,
-		listings:    make(map[cwgroup.MemberID]cwport.Listing),
 		memberships: make(map[string]cwgroup.Membership),
 		absent:      make(map[cwgroup.MemberID]cwport.Listing),
 		rows:        make(map[string]cwfailover.Row),
@@ -191,25 +190,39 @@
 func (e *Engine) SetListings(all []cwport.Listing) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	clear(e.listings)
+	e.listings = listings{}
 	for _, l := range all {
-		e.listings[l.ID] = l
+		e.listings.put(l)
 	}
 	e.listed.Store(true)
 	e.regroup()
 }
 
 // ChangeListings takes changes of the list of targets.
+//
+// The load it answers: a thousand groups, of which a target changes every few moments.
+// Only the groups of the targets that are told are looked at.
 func (e *Engine) ChangeListings(listed []cwport.Listing, removed []cwgroup.MemberID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	changed := make(map[string]bool)
 	for _, l := range listed {
-		e.listings[l.ID] = l
+		changed[e.listings.byID[l.ID].Service] = true
+		changed[l.Service] = true
+		e.listings.put(l)
 	}
 	for _, id := range removed {
+		changed[e.listings.byID[id].Service] = true
 		e.takeOut(id)
 	}
-	e.regroup()
+	now := e.cfg.Clock.Now()
+	for service := range changed {
+		e.updateMembership(service, now)
+		if p := e.plans[service]; p != nil {
+			e.replan(service, p)
+		}
+	}
+	e.forgetAbsent()
 }
 
 // admit answers whether a caller may use what it names.
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -20,20 +20,24 @@
 	contract cwcatalogue.Contract
 	members  []cwport.Listing
 	demand   cwholder.Demand
+	// held is true if this instance holds the group, and place its place among the
+	// holders; both by demand, if placed is true.
+	placed, held bool
+	place        int
 }
 
 // regroup plans the group of each service that an entry names, and makes those that
 // are needed. The caller holds mu.
 func (e *Engine) regroup() {
-	e.plans = make(map[string]*plan, len(e.plans))
+	before := e.plans
+	e.plans = make(map[string]*plan, len(before))
 	for _, entry := range e.entries.Shapes() {
 		service := entry.Groups[0].Name
-		e.plans[service] = &plan{contract: entry.Contract}
-	}
-	for _, l := range e.listings {
-		if p := e.plans[l.Service]; p != nil {
-			p.members = append(p.members, l)
+		p := &plan{contract: entry.Contract}
+		if old := before[service]; old != nil {
+			p.demand, p.placed, p.held, p.place = old.demand, old.placed, old.held, old.place
 		}
+		e.plans[service] = p
 	}
 	e.updateMemberships(e.cfg.Clock.Now())
 	for service, g := range e.groups {
@@ -44,12 +48,21 @@
 		}
 	}
 	for service, p := range e.plans {
-		p.demand = demandOf(p.contract, p.members, len(e.plans))
-		if g := e.groups[service]; g != nil {
-			g.SetMembers(p.members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
-		}
-		e.rehold(service, p)
+		e.replan(service, p)
+	}
+}
+
+// replan brings a group's plan up to date with the list of its targets, and the group
+// if it is made. The caller holds mu.
+func (e *Engine) replan(service string, p *plan) {
+	p.members = e.listings.of(service)
+	if d := demandOf(p.contract, p.members, len(e.plans)); d != p.demand {
+		p.demand, p.placed = d, false
+	}
+	if g := e.groups[service]; g != nil {
+		g.SetMembers(p.members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
 	}
+	e.rehold(service, p)
 }
 
 // demandOf returns what the targets of one of some groups take.
@@ -61,30 +74,39 @@
 	return d
 }
 
-// rehold settles whether this instance holds a group, makes it if it does, and gets
-// ready to hand over its statements. The caller holds mu.
+// rehold makes a group if this instance holds it, tells it its place, and gets ready to
+// hand over its statements. The caller holds mu.
 func (e *Engine) rehold(service string, p *plan) {
 	few := !p.demand.Many
-	if e.cfg.Holders == nil {
+	e.placePlan(service, p)
+	if p.held || few {
 		e.startGroup(service, p)
-		return
 	}
-	if !few && len(p.members) == 0 {
-		// What its targets take is not known, and so neither is who holds it.
+	if e.cfg.Holders == nil {
 		return
 	}
-	place, held := e.cfg.Holders.Holds(service, p.demand)
-	if held || few {
-		e.startGroup(service, p)
-	}
 	if g := e.groups[service]; g != nil {
-		g.SetHeld(place, held)
+		g.SetHeld(p.place, p.held)
 	}
 	if few {
 		e.cfg.Holders.Connect(service, p.demand)
 	}
 }
 
+// placePlan settles whether this instance holds a group. The caller holds mu.
+func (e *Engine) placePlan(service string, p *plan) {
+	switch {
+	case e.cfg.Holders == nil:
+		p.place, p.held = 0, true
+	case p.demand.Many && len(p.members) == 0:
+		// What its targets take is not known, and so neither is who holds it.
+		p.place, p.held, p.placed = -1, false, false
+	case !p.placed:
+		p.place, p.held = e.cfg.Holders.Holds(service, p.demand)
+		p.placed = true
+	}
+}
+
 // startGroup makes a group that is not there and lets it run. The caller holds mu.
 func (e *Engine) startGroup(service string, p *plan) *runningGroup {
 	if g := e.groups[service]; g != nil {
@@ -110,6 +132,7 @@
 		return
 	}
 	for service, p := range e.plans {
+		p.placed = false
 		e.rehold(service, p)
 	}
 }
@@ -167,8 +190,7 @@
 	}
 	g := e.startGroup(service, p)
 	if e.cfg.Holders != nil {
-		place, held := e.cfg.Holders.Holds(service, p.demand)
-		g.SetHeld(place, held)
+		g.SetHeld(p.place, p.held)
 	}
 	return g.Group, true
 }
@@ -194,11 +216,10 @@
 // instance holds it; false if it is none of them.
 func (e *Engine) Place(group string) (int, bool) {
 	e.mu.RLock()
+	defer e.mu.RUnlock()
 	p := e.plans[group]
-	e.mu.RUnlock()
-	if p == nil || e.cfg.Holders == nil {
-		return 0, p != nil
+	if p == nil {
+		return 0, false
 	}
-	place, held := e.cfg.Holders.Holds(group, p.demand)
-	return place, held
+	return p.place, p.held
 }
--- a/internal/proxy/cwengine/groups_test.go
+++ b/internal/proxy/cwengine/groups_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
@@ -102,3 +104,90 @@
 type anyHolder struct{ holders }
 
 func (*anyHolder) Holds(string, cwholder.Demand) (int, bool) { return 0, true }
+
+// countingHolders counts how often its instance asks whether it holds a group.
+type countingHolders struct {
+	holders
+	asked int
+}
+
+func (h *countingHolders) Holds(string, cwholder.Demand) (int, bool) {
+	h.asked++
+	return -1, false
+}
+
+// Guards against news of one target that make each of hundreds of instances look at all
+// of a thousand groups.
+func TestNewsOfOneTargetLookAtItsGroupOnly(t *testing.T) {
+	const groups = 1000
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	w.listed = nil
+	h := &countingHolders{}
+	front := w.engineWith("front", h)
+	c := cwcatalogue.Catalogue{Revision: 2}
+	var all []cwport.Listing
+	for i := range groups {
+		e := w.entry
+		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
+		c.Entries = append(c.Entries, e)
+		all = append(all, cwport.Listing{ID: memberID(fmt.Sprintf("t%d", i)), Service: e.Groups[0].Name, Address: "t", DataCentre: "dc-a", Slots: 3})
+	}
+	front.SetCatalogue(c)
+	front.SetListings(all)
+	asked := func(what string, f func(), want int) {
+		h.asked = 0
+		f()
+		w.c.Assert(h.asked, qt.Equals, want, qt.Commentf("%s", what))
+	}
+	changed := all[7]
+	changed.Role = cwport.LeadershipPrimary
+	asked("another role", func() { front.ChangeListings([]cwport.Listing{changed}, nil) }, 0)
+	changed.Slots = 5
+	asked("other slots", func() { front.ChangeListings([]cwport.Listing{changed}, nil) }, 1)
+	asked("one that is gone", func() { front.ChangeListings(nil, []cwgroup.MemberID{changed.ID}) }, 0)
+	asked("another catalogue", func() {
+		c.Revision++
+		front.SetCatalogue(c)
+	}, 0)
+	asked("another list of instances", front.Rehold, groups-1)
+}
+
+// Guards against a list of targets that drifts away from what the platform has told.
+func TestListings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l listings
+		want := make(map[cwgroup.MemberID]cwport.Listing)
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			id := memberID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "target"))
+			if rapid.Bool().Draw(t, "removed") {
+				_, had := want[id]
+				if _, ok := l.remove(id); ok != had {
+					t.Fatalf("%s: removed %v, was there %v", id, ok, had)
+				}
+				delete(want, id)
+				continue
+			}
+			want[id] = cwport.Listing{ID: id, Service: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "service"), Leaving: rapid.Bool().Draw(t, "leaving")}
+			l.put(want[id])
+		}
+		seen := 0
+		for _, service := range l.services() {
+			staying := 0
+			for _, listed := range l.of(service) {
+				if listed != want[listed.ID] || listed.Service != service {
+					t.Fatalf("%+v is listed for %s", listed, service)
+				}
+				seen++
+				if !listed.Leaving {
+					staying++
+				}
+			}
+			if len(l.staying(service)) != staying || l.anyStays(service) != (staying > 0) {
+				t.Fatalf("%s: %d stay, %d are told", service, staying, len(l.staying(service)))
+			}
+		}
+		if seen != len(want) {
+			t.Fatalf("%d of %d are listed by service", seen, len(want))
+		}
+	})
+}
--- a/internal/proxy/cwengine/membership.go
+++ b/internal/proxy/cwengine/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -14,39 +13,73 @@
 // takeOut takes a target that is gone out of the list. It may live all the same, and
 // keeps its place in its group. The caller holds mu.
 func (e *Engine) takeOut(id cwgroup.MemberID) {
-	l, ok := e.listings[id]
+	l, ok := e.listings.remove(id)
 	if !ok {
 		return
 	}
-	delete(e.listings, id)
 	e.absent[id] = l
 	e.memberships[l.Service] = e.memberships[l.Service].WithGone(id, l.Leaving)
 }
 
-// updateMemberships brings the memberships up to date with the list of targets. The
+// updateMemberships brings all memberships up to date with the list of targets. The
 // caller holds mu.
 func (e *Engine) updateMemberships(now time.Time) {
-	staying := make(map[string][]cwgroup.MemberID)
-	for _, l := range e.listings {
-		if !l.Leaving && !l.Lapsed {
-			staying[l.Service] = append(staying[l.Service], l.ID)
-		}
+	for _, service := range e.listings.services() {
+		e.updateMembership(service, now)
 	}
-	for service, ids := range staying {
-		before, known := e.memberships[service]
-		after := before
-		if !known && !e.cfg.FirstStart {
-			after = after.WithUnknownSize(now.Add(recordedWait))
-		}
-		after = after.WithAtLeast(e.newlyRecorded(service, known)).WithListed(ids, now)
-		e.memberships[service] = after
-		if after.Size() != before.Size() {
-			e.cfg.Log.Info("groupSize", "group", service, "members", after.Size(), "before", before.Size(), "listed", len(ids), "known", after.Known())
+	e.forgetAbsent()
+}
+
+// updateMembership does so with one service's. The caller holds mu.
+func (e *Engine) updateMembership(service string, now time.Time) {
+	if !e.listings.anyStays(service) {
+		return
+	}
+	before, known := e.memberships[service]
+	e.setMembership(service, before, known, e.newlyRecorded(service, known), now)
+}
+
+// tickMemberships brings those up to date that time, or what is remembered in the
+// table, may have changed since they were last. The caller holds mu.
+//
+// The load it answers: the members of a thousand groups, looked at once a second by each
+// of hundreds of instances.
+func (e *Engine) tickMemberships(now time.Time) {
+	for service := range e.listings.byService {
+		if !e.listings.anyStays(service) {
+			continue
 		}
-		if g := e.groups[service]; g != nil && after.Settled() != before.Settled() {
-			g.SetSize(after.Settled())
+		before, known := e.memberships[service]
+		n := e.newlyRecorded(service, known)
+		if !known || n > 0 || before.Pending() {
+			e.setMembership(service, before, known, n, now)
 		}
 	}
+	e.forgetAbsent()
+}
+
+// setMembership sets the membership of a service of which targets stay. Before is what it
+// was, if it was known, and atLeast how many members it has by what is newly remembered.
+// The caller holds mu.
+func (e *Engine) setMembership(service string, before cwgroup.Membership, known bool, atLeast int, now time.Time) {
+	ids := e.listings.staying(service)
+	after := before
+	if !known && !e.cfg.FirstStart {
+		after = after.WithUnknownSize(now.Add(recordedWait))
+	}
+	after = after.WithAtLeast(atLeast).WithListed(ids, now)
+	e.memberships[service] = after
+	if after.Size() != before.Size() {
+		e.cfg.Log.Info("groupSize", "group", service, "members", after.Size(), "before", before.Size(), "listed", len(ids), "known", after.Known())
+	}
+	if g := e.groups[service]; g != nil && after.Settled() != before.Settled() {
+		g.SetSize(after.Settled())
+	}
+}
+
+// forgetAbsent forgets the targets that are gone and have lost their places. The caller
+// holds mu.
+func (e *Engine) forgetAbsent() {
 	for id, l := range e.absent {
 		if !slices.Contains(e.memberships[l.Service].Absent(), id) {
 			delete(e.absent, id)
@@ -97,7 +130,7 @@
 			return nil
 		}
 		e.mu.Lock()
-		e.updateMemberships(e.cfg.Clock.Now())
+		e.tickMemberships(e.cfg.Clock.Now())
 		e.mu.Unlock()
 	}
 	return nil
@@ -106,23 +139,24 @@
 // membershipStep is how often they are looked at.
 const membershipStep = time.Second
 
-// Members returns the members of each group, also those that are gone and keep their
-// place. Groups of which not all are known are left out.
+// Members returns the members of each group that this instance holds, also those that
+// are gone and keep their place. Groups of which not all are known are left out.
 func (e *Engine) Members() map[string]cwmembers.Count {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	out := make(map[string]cwmembers.Count)
-	add := func(l cwport.Listing) {
-		c := out[l.Service]
-		c.Members, c.Of = append(c.Members, l), e.memberships[l.Service].Settled()
-		out[l.Service] = c
-	}
-	for _, l := range e.listings {
-		add(l)
-	}
+	absent := make(map[string][]cwport.Listing)
 	for _, l := range e.absent {
-		add(l)
+		absent[l.Service] = append(absent[l.Service], l)
+	}
+	out := make(map[string]cwmembers.Count)
+	for service, p := range e.plans {
+		if !p.held {
+			continue
+		}
+		c := cwmembers.Count{Members: append(e.listings.of(service), absent[service]...), Of: e.memberships[service].Settled()}
+		if len(c.Members) > 0 && len(c.Members) >= c.Of {
+			out[service] = c
+		}
 	}
-	maps.DeleteFunc(out, func(_ string, c cwmembers.Count) bool { return len(c.Members) < c.Of })
 	return out
 }
