holder, peers: a change of one instance is compared with the holders, nothing is sorted anew

What callers saw: each time that an instance comes or goes, all others spend milliseconds of their fifth of a core. Any row of an instance, also one that says what is known already, made each of 986 instances forget the holders of all groups that it uses, its place among those of all others, and the list of its data centre, and work them out again: a hash of every instance for each group. A whole list logged a line for each.

Change: cwholder.Placement keeps routes and places. One instance that comes or goes is compared with the present holders of each group, and its own place is counted up or down; other groups stay as they are. Rows without news tell nobody. Instances that are told together, more than eight, are one line of the log. The first few of a list are selected without sorting all.

TestChangeOfOneInstanceTouchesItsGroupsOnly counts what is worked out; TestPlacementIsWhatIsWorkedOutAnew draws changes and compares with a fresh one, and found that a place of a few groups depends on other data centres.

--- a/internal/core/cwholder/holder.go
+++ b/internal/core/cwholder/holder.go
@@ -19,7 +19,6 @@
 package cwholder
 
 import (
-	"maps"
 	"slices"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwplace"
@@ -81,40 +80,13 @@
 	return max(MinPerDataCentre, d.Connections/wanted/max(1, dataCentres))
 }
 
-// Holders returns the group's holders among all instances, of many groups in the order
-// in which all instances hand statements to them. Where a data centre has no more
-// instances than it needs holders, all of them hold the group and nothing is handed
-// over there.
+// Holders returns the holders of a group among all instances, as Placement does.
 func Holders(group string, all []Instance, d Demand) []Instance {
-	byCentre := make(map[string][]Instance)
+	var p Placement
 	for _, i := range all {
-		byCentre[i.DataCentre] = append(byCentre[i.DataCentre], i)
+		p.Set(i)
 	}
-	centres := cwplace.Order(group, slices.Collect(maps.Keys(byCentre)))
-	var out, others []Instance
-	for rank, c := range centres {
-		list := first(group, byCentre[c], d.inDataCentre(rank, len(centres)))
-		out = append(out, list[:min(1, len(list))]...)
-		others = append(others, list[min(1, len(list)):]...)
-	}
-	return append(out, others...)
-}
-
-// Holds reports whether an instance is among the holders of a group, without
-// working out who the others are. Centre has the names of its data centre's
-// instances, and centres those of all data centres.
-func (d Demand) Holds(self Instance, group string, centre, centres []string) bool {
-	n := min(len(centre), d.inDataCentre(cwplace.Rank(self.DataCentre, group, centres), len(centres)))
-	return n > 0 && cwplace.Rank(self.ID, group, centre) < n
-}
-
-// Route returns the holders in the order in which self hands statements to them. Those
-// of many groups are the same for all instances.
-func (d Demand) Route(self Instance, group string, holders []Instance) []Instance {
-	if d.Many {
-		return holders
-	}
-	return Order(self, group, holders)
+	return p.Holders(group, d)
 }
 
 // Order returns the holders in the order in which self hands statements to
--- a/internal/core/cwholder/holder_test.go
+++ b/internal/core/cwholder/holder_test.go
@@ -91,28 +91,6 @@
 	}
 }
 
-// Whether an instance holds a group is worked out in two ways, one of them without a
-// list of the holders; who believed the one and was told the other would neither watch
-// the group nor hand over its statements.
-func TestHoldsAgreesWithTheListOfHolders(t *testing.T) {
-	all := instances(9, "a", "b", "c")
-	for _, d := range []Demand{{}, {Connections: 36, Slots: 3}, {Connections: 216, Slots: 5}, {Connections: 900, Slots: 3}, {Connections: 278, Slots: 3, Many: true}} {
-		for g := range 40 {
-			group := string(rune('A' + g))
-			holders := Holders(group, all, d)
-			for _, self := range all {
-				var centre []string
-				for _, i := range all {
-					if i.DataCentre == self.DataCentre {
-						centre = append(centre, i.ID)
-					}
-				}
-				qt.Assert(t, d.Holds(self, group, centre, []string{"c", "a", "b"}), qt.Equals, slices.Contains(holders, self))
-			}
-		}
-	}
-}
-
 // Guards against groups that no instance knows well, since their few statements a second
 // are spread over a holder in each data centre for every few connections.
 func TestManyGroupsHaveFewHolders(t *testing.T) {
@@ -136,7 +114,7 @@
 		all := instances(20, "a", "b", "c", "d", "e", "f")
 		holders := Holders("g", all, many)
 		for _, self := range all {
-			qt.Assert(t, many.Route(self, "g", holders), qt.DeepEquals, holders)
+			qt.Assert(t, placementOf(self, all).Route("g", many), qt.DeepEquals, holders)
 		}
 	})
 	t.Run("the groups are spread", func(t *testing.T) {
--- /dev/null
+++ b/internal/core/cwholder/placement_test.go
@@ -0,0 +1,120 @@
+package cwholder
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// placementOf returns what an instance knows of all.
+func placementOf(self Instance, all []Instance) *Placement {
+	p := &Placement{Self: self}
+	for _, i := range all {
+		p.Set(i)
+	}
+	return p
+}
+
+var demands = []Demand{{}, {Connections: 36, Slots: 3}, {Connections: 216, Slots: 5}, {Connections: 900, Slots: 3}, {Connections: 278, Slots: 3, Many: true}}
+
+// Whether an instance holds a group is worked out in two ways, one of them without a
+// list of the holders; who believed the one and was told the other would neither watch
+// the group nor hand over its statements.
+func TestPlaceAgreesWithTheListOfHolders(t *testing.T) {
+	all := instances(9, "a", "b", "c")
+	for _, d := range demands {
+		for g := range 40 {
+			group := string(rune('A' + g))
+			holders := Holders(group, all, d)
+			for _, self := range all {
+				rank, held := placementOf(self, all).Place(group, d)
+				qt.Assert(t, rank, qt.Equals, slices.Index(holders, self))
+				qt.Assert(t, held, qt.Equals, rank >= 0)
+			}
+		}
+	}
+}
+
+// Guards against what is kept after a change of the instances that would have changed it.
+func TestPlacementIsWhatIsWorkedOutAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := instances(6, "a", "b", "c", "d", "e")
+		p := placementOf(all[0], all[:rapid.IntRange(1, len(all)).Draw(t, "first")])
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			i := rapid.SampledFrom(all).Draw(t, "instance")
+			switch rapid.IntRange(0, 2).Draw(t, "change") {
+			case 0:
+				p.Remove(i.ID)
+			case 1:
+				p.Set(i)
+			case 2:
+				i.DataCentre = rapid.SampledFrom([]string{"a", "b", "f"}).Draw(t, "data centre")
+				p.Set(i)
+			}
+			fresh := placementOf(p.Self, slices.Collect(maps.Values(p.Instances())))
+			for g := range 8 {
+				group := fmt.Sprint("group-", g)
+				d := demands[g%len(demands)]
+				rank, _ := p.Place(group, d)
+				want, _ := fresh.Place(group, d)
+				if rank != want {
+					t.Fatalf("%s: place %d, worked out anew %d", group, rank, want)
+				}
+				if got, want := p.Route(group, d), fresh.Route(group, d); !slices.Equal(got, want) {
+					t.Fatalf("%s: route %v, worked out anew %v", group, got, want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against one instance that comes or goes and makes all others work out the
+// holders of every group.
+func TestChangeOfOneInstanceTouchesItsGroupsOnly(t *testing.T) {
+	const groups = 1000
+	d := Demand{Connections: 278, Slots: 3, Many: true}
+	for _, n := range []int{5, 20, 50} {
+		all := instances(n, "a", "b", "c", "d", "e", "f")
+		p := placementOf(all[0], all[:len(all)-1])
+		for g := range groups {
+			p.Route(fmt.Sprint("group-", g), d)
+			p.Place(fmt.Sprint("group-", g), d)
+		}
+		p.Set(all[len(all)-1])
+		forgotten := groups - len(p.routes)
+		held := groups * holdersOfMany / len(all)
+		qt.Assert(t, forgotten < 2*held, qt.IsTrue, qt.Commentf("%d instances: %d forgotten, %d are held", len(all), forgotten, held))
+		p.Remove(all[len(all)-1].ID)
+		qt.Assert(t, groups-len(p.routes), qt.Equals, forgotten)
+		worked := 0
+		for g := range groups {
+			if _, ok := p.places[fmt.Sprint("group-", g)]; !ok {
+				worked++
+			}
+		}
+		qt.Assert(t, worked <= forgotten, qt.IsTrue, qt.Commentf("%d instances: %d places are to be worked out", len(all), worked))
+	}
+}
+
+func BenchmarkChangeOfOneInstance(b *testing.B) {
+	const groups = 1000
+	d := Demand{Connections: 278, Slots: 3, Many: true}
+	for _, n := range []int{50, 164, 330} {
+		b.Run(fmt.Sprintf("%d instances", 6*n), func(b *testing.B) {
+			all := instances(n, "a", "b", "c", "d", "e", "f")
+			p := placementOf(all[0], all)
+			b.ReportAllocs()
+			for b.Loop() {
+				for g := range groups {
+					p.Place(fmt.Sprint("group-", g), d)
+				}
+				p.Remove(all[1].ID)
+				p.Set(all[1])
+			}
+		})
+	}
+}
--- a/internal/core/cwplace/place.go
+++ b/internal/core/cwplace/place.go
@@ -49,6 +49,15 @@
 	return out
 }
 
+// Before reports whether a node comes before another one in the order of the key.
+func Before(node, other, key string) bool {
+	return before(weight(node, key), node, weight(other, key), other)
+}
+
+func before(w uint64, node string, than uint64, other string) bool {
+	return w > than || w == than && node < other
+}
+
 // Rank returns the place of self in the order of the key, or len(nodes) if it
 // is not among them.
 func Rank(self, key string, nodes []string) int {
@@ -57,15 +66,39 @@
 	}
 	mine, rank := weight(self, key), 0
 	for _, n := range nodes {
-		if w := weight(n, key); w > mine || w == mine && n < self {
+		if before(weight(n, key), n, mine, self) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// fewFirst is up to how many nodes First selects without putting all in order.
+const fewFirst = 8
+
 // First returns the first n nodes in the order of the key.
 func First(key string, nodes []string, n int) []string {
-	out := Order(key, nodes)
-	return out[:min(n, len(out))]
+	if n > fewFirst {
+		out := Order(key, nodes)
+		return out[:min(n, len(out))]
+	}
+	var weights [fewFirst]uint64
+	out := make([]string, 0, n)
+	for _, node := range nodes {
+		w := weight(node, key)
+		at := len(out)
+		for at > 0 && before(w, node, weights[at-1], out[at-1]) {
+			at--
+		}
+		if at == n {
+			continue
+		}
+		if len(out) == n {
+			out = out[:n-1]
+		}
+		copy(weights[at+1:], weights[at:len(out)])
+		weights[at] = w
+		out = slices.Insert(out, at, node)
+	}
+	return out
 }
--- a/internal/core/cwplace/place_test.go
+++ b/internal/core/cwplace/place_test.go
@@ -37,3 +37,19 @@
 	}
 	qt.Assert(t, moved, qt.Equals, count["e"])
 }
+
+// Guards against a selection of the first nodes that differs from their order.
+func TestFirstAgreesWithOrder(t *testing.T) {
+	var nodes []string
+	for i := range 40 {
+		nodes = append(nodes, fmt.Sprint("node-", i))
+	}
+	for key := range 50 {
+		order := Order(fmt.Sprint(key), nodes)
+		for n := range len(nodes) + 2 {
+			qt.Assert(t, First(fmt.Sprint(key), nodes, n), qt.DeepEquals, order[:min(n, len(order))])
+		}
+		qt.Assert(t, Before(order[0], order[1], fmt.Sprint(key)), qt.IsTrue)
+		qt.Assert(t, Before(order[1], order[0], fmt.Sprint(key)), qt.IsFalse)
+	}
+}
--- a/internal/proxy/cwpeers/demand_test.go
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -1,6 +1,7 @@
 package cwpeers
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -147,3 +148,35 @@
 		w.Assert(w.net.dialled(), qt.HasLen, 2)
 	})
 }
+
+// Guards against rows that say what is known already and make an instance work out anew
+// whether it holds a thousand groups.
+func TestRowsWithoutNewsAreNotTold(t *testing.T) {
+	c := qt.New(t)
+	told := 0
+	p := &Peers{Self: instance("a", "z"), Clock: clockwork.NewFakeClock(), Log: log.New(io.Discard), Changed: func() { told++ }}
+	rows := []cwport.Row{row(instance("a", "z")), row(instance("b", "z"))}
+	p.Rows(rows, true)
+	c.Assert(told, qt.Equals, 1)
+	p.Rows(rows[1:], false)
+	p.Rows(rows, true)
+	p.tell()
+	c.Assert(told, qt.Equals, 1)
+	p.Rows([]cwport.Row{row(instance("b", "y"))}, false)
+	p.tell()
+	c.Assert(told, qt.Equals, 2)
+}
+
+// Guards against a start of all that has each instance log a line for each other one.
+func TestInstancesThatAreToldTogetherAreOneLine(t *testing.T) {
+	for _, n := range []int{1, logEach, logEach + 1, 1000} {
+		var lines bytes.Buffer
+		p := &Peers{Self: instance("a", "z"), Clock: clockwork.NewFakeClock(), Log: log.New(&lines)}
+		var rows []cwport.Row
+		for i := range n {
+			rows = append(rows, row(instance(fmt.Sprint("i", i), "z")))
+		}
+		p.Rows(rows, true)
+		qt.Assert(t, bytes.Count(lines.Bytes(), []byte("\n")) <= logEach, qt.IsTrue, qt.Commentf("%d instances", n))
+	}
+}
--- a/internal/proxy/cwpeers/feeder.go
+++ b/internal/proxy/cwpeers/feeder.go
@@ -19,7 +19,7 @@
 func (p *Peers) Feeder() (cwport.Feeder, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.listed || p.instances[p.Self.ID] != p.Self {
+	if own, _ := p.placement.Instance(p.Self.ID); !p.listed || own != p.Self {
 		return nil, false
 	}
 	now := p.Clock.Now()
@@ -40,10 +40,7 @@
 // can, so that the next in order takes the place.
 func (p *Peers) parent(now time.Time) (cwholder.Instance, bool) {
 	var names []string
-	for name, i := range p.instances {
-		if i.DataCentre != p.Self.DataCentre {
-			continue
-		}
+	for _, name := range p.placement.Centre(p.Self.DataCentre) {
 		if l := p.links[name]; l != nil && l.failing() {
 			l.usable(now)
 			continue
@@ -51,7 +48,8 @@
 		names = append(names, name)
 	}
 	name, ok := p.Tree.Parent(p.Self.ID, names)
-	return p.instances[name], ok
+	parent, _ := p.placement.Instance(name)
+	return parent, ok
 }
 
 // feeder is the link to an instance that tells news.
--- a/internal/proxy/cwpeers/feeder_test.go
+++ b/internal/proxy/cwpeers/feeder_test.go
@@ -61,7 +61,7 @@
 		c, p, _, _ := startFollower(t)
 		rows := []cwport.Row{row(instance("far", "y"))}
 		p.mu.Lock()
-		for name := range p.instances {
+		for name := range p.placement.Instances() {
 			if name != p.Self.ID {
 				rows = append(rows, cwport.Row{Key: KeyPrefix + name, Removed: true})
 			}
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -73,18 +72,13 @@
 	// dirty is true if rows have changed since Changed was called.
 	dirty bool
 	// listed is true once the rows were read.
-	listed    bool
-	instances map[string]cwholder.Instance
+	listed bool
+	// placement knows the instances, and who holds groups.
+	placement cwholder.Placement
 	// lost is since when the rows of known instances have been missing.
 	lost map[string]time.Time
 	// version is that of the own row.
 	version string
-	// centre has the names of the instances of this data centre, centres those of
-	// the data centres; both as long as the rows do not change.
-	centre, centres []string
-	// orders are the holders of each group, as long as neither the rows nor the
-	// group's demand change.
-	orders map[string]order
 	// issuers are those of each workspace's quota, in the order in which this
 	// instance asks them, as long as the rows do not change.
 	issuers map[string][]cwholder.Instance
@@ -97,15 +91,6 @@
 	closed    bool
 }
 
-type order struct {
-	demand  cwholder.Demand
-	holders []cwholder.Instance
-	// route is how this instance hands statements over; place its own among
-	// the holders, -1 if it is none.
-	route []cwholder.Instance
-	place int
-}
-
 // Run keeps the own row until ctx ends, and closes the connections then.
 func (p *Peers) Run(ctx context.Context) error {
 	defer p.close()
@@ -163,7 +148,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	route := p.order(group, d).route
+	route := p.route(group, d)
 	if slices.Contains(tried, p.Self.ID) {
 		return choice{link: p.helper(group, route, tried, now)}
 	}
@@ -279,7 +264,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	route := p.order(group, d).route
+	route := p.route(group, d)
 	if len(route) == 0 || route[0] == p.Self {
 		return
 	}
@@ -295,55 +280,19 @@
 func (p *Peers) Holds(group string, d cwholder.Demand) (int, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case !p.listed:
+	if !p.listed {
 		return -1, !d.Many
-	case !p.mayHold(group, d):
-		return -1, false
-	}
-	place := p.order(group, d).place
-	return place, place >= 0
-}
-
-// mayHold reports whether this instance is a holder of the group.
-//
-// The load it answers: hundreds of instances before a thousand groups. Whoever
-// works out the holders of each group to learn that it is none of them keeps and
-// sorts lists that grow with the square of the deployment: with 300 instances and
-// 1,000 groups most of 33 MB of heap. The caller holds mu.
-func (p *Peers) mayHold(group string, d cwholder.Demand) bool {
-	if p.centre == nil {
-		centres := make(map[string]bool)
-		for name, i := range p.instances {
-			centres[i.DataCentre] = true
-			if i.DataCentre == p.Self.DataCentre {
-				p.centre = append(p.centre, name)
-			}
-		}
-		p.centres = slices.Collect(maps.Keys(centres))
 	}
-	return d.Holds(p.Self, group, p.centre, p.centres)
+	return p.placement.Place(group, d)
 }
 
-// order returns the holders of a group. The caller holds mu.
-func (p *Peers) order(group string, d cwholder.Demand) order {
-	if o, ok := p.orders[group]; ok && o.demand == d {
-		return o
-	}
-	all := make([]cwholder.Instance, 0, len(p.instances))
-	for _, i := range p.instances {
-		all = append(all, i)
-	}
-	o := order{demand: d, holders: cwholder.Holders(group, all, d)}
-	o.place = slices.Index(o.holders, p.Self)
-	if p.listed {
-		o.route = d.Route(p.Self, group, o.holders)
-	}
-	if p.orders == nil {
-		p.orders = make(map[string]order)
+// route returns the holders of a group in the order in which statements are handed to
+// them; none before the rows were read. The caller holds mu.
+func (p *Peers) route(group string, d cwholder.Demand) []cwholder.Instance {
+	if !p.listed {
+		return nil
 	}
-	p.orders[group] = o
-	return o
+	return p.placement.Route(group, d)
 }
 
 // link returns the link to an instance. The caller holds mu.
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -41,12 +41,8 @@
 	if list, ok := p.issuers[workspace]; ok {
 		return list
 	}
-	all := make([]cwholder.Instance, 0, len(p.instances))
-	for _, i := range p.instances {
-		all = append(all, i)
-	}
 	key := quotaKey + workspace
-	list := cwholder.Order(p.Self, key, cwholder.Holders(key, all, cwholder.Demand{}))
+	list := cwholder.Order(p.Self, key, p.placement.Holders(key, cwholder.Demand{}))
 	if p.issuers == nil {
 		p.issuers = make(map[string][]cwholder.Instance)
 	}
--- a/internal/proxy/cwpeers/rows.go
+++ b/internal/proxy/cwpeers/rows.go
@@ -59,55 +59,62 @@
 func (p *Peers) takeRows(rows []cwport.Row, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dirty = p.dirty || whole
-	before := p.instances
-	if p.instances == nil || whole {
-		p.instances, p.version = make(map[string]cwholder.Instance), ""
-	}
+	p.placement.Self = p.Self
+	p.dirty = p.dirty || whole && !p.listed
 	p.listed = p.listed || whole
+	told := make(map[string]bool)
+	var listed []cwholder.Instance
 	for _, r := range rows {
-		if name, ok := strings.CutPrefix(r.Key, KeyPrefix); ok {
-			p.row(name, r, before)
-			p.dirty = true
+		name, ok := strings.CutPrefix(r.Key, KeyPrefix)
+		if !ok {
+			continue
+		}
+		told[name] = true
+		if i, news := p.row(name, r); news {
+			listed = append(listed, i)
 		}
 	}
 	if whole {
-		p.keepLost(before)
-	}
-	if p.dirty {
-		p.reorder()
+		p.keepLost(told)
 	}
+	p.logListed(listed)
 }
 
-// reorder forgets what follows from the rows. The caller holds mu.
-func (p *Peers) reorder() {
-	p.centre, p.centres = nil, nil
-	clear(p.orders)
-	clear(p.issuers)
-	p.unlink()
+// logEach is up to how many instances that are told together are logged one by one.
+const logEach = 8
+
+func (p *Peers) logListed(listed []cwholder.Instance) {
+	if len(listed) > logEach {
+		p.Log.Info("instancesListed", "count", len(listed), "known", len(p.placement.Instances()))
+		return
+	}
+	for _, i := range listed {
+		p.Log.Info("instanceListed", "instance", i.ID, "dataCentre", i.DataCentre, "address", i.Address)
+	}
 }
 
-// keepLost keeps the instances that all rows lack. The caller holds mu.
+// keepLost keeps the instances that all rows lack; told has the names of those that they
+// have. The caller holds mu.
 //
 // The failure: the store comes back from an older copy and lacks the rows of
 // instances that registered a moment ago. Taken for gone, the statements that were
 // handed to them are cut off with an unknown outcome, and their groups and quotas move
 // to others and back. Nobody removes the row of an instance from the store, so one that
 // is missing was lost, and the instance, if it lives, writes it again.
-func (p *Peers) keepLost(before map[string]cwholder.Instance) {
+func (p *Peers) keepLost(told map[string]bool) {
 	now := p.Clock.Now()
 	if p.lost == nil {
 		p.lost = make(map[string]time.Time)
 	}
-	for name, i := range before {
-		if _, ok := p.instances[name]; ok {
+	if !told[p.Self.ID] {
+		p.version = ""
+	}
+	for name := range p.placement.Instances() {
+		if _, known := p.lost[name]; told[name] || known {
 			continue
 		}
-		p.instances[name] = i
-		if _, known := p.lost[name]; !known {
-			p.lost[name] = now
-			p.Log.Warn("instanceRowLost", "instance", name)
-		}
+		p.lost[name] = now
+		p.Log.Warn("instanceRowLost", "instance", name)
 	}
 }
 
@@ -121,44 +128,56 @@
 		}
 		p.Log.Info("instanceGone", "instance", name)
 		delete(p.lost, name)
-		delete(p.instances, name)
-		p.dirty = true
-		p.reorder()
+		p.remove(name)
 	}
 }
 
-// row takes one instance's row; before are the instances that were known. The
+// set takes an instance, and reports whether it is new or has moved. The caller holds mu.
+func (p *Peers) set(i cwholder.Instance) bool {
+	news := p.placement.Set(i)
+	if news {
+		p.noteChange(i.ID)
+	}
+	return news
+}
+
+// remove takes an instance out. The caller holds mu.
+func (p *Peers) remove(name string) {
+	if p.placement.Remove(name) {
+		p.noteChange(name)
+	}
+}
+
+// noteChange takes what follows from a change of an instance: the connection to where it
+// was is closed. The caller holds mu.
+func (p *Peers) noteChange(name string) {
+	p.dirty = true
+	clear(p.issuers)
+	l, linked := p.links[name]
+	if i, ok := p.placement.Instance(name); linked && (!ok || i != l.to) {
+		l.close()
+		delete(p.links, name)
+	}
+}
+
+// row takes one instance's row, and returns the instance if it is new or has moved. The
 // caller holds mu.
-func (p *Peers) row(name string, r cwport.Row, before map[string]cwholder.Instance) {
+func (p *Peers) row(name string, r cwport.Row) (i cwholder.Instance, news bool) {
 	if name == p.Self.ID {
 		p.version = r.Tag()
 	}
 	delete(p.lost, name)
 	if r.Removed {
-		delete(p.instances, name)
-		return
+		p.remove(name)
+		return i, false
 	}
 	var b instanceBody
 	if err := json.Unmarshal(r.Value, &b); err != nil {
 		p.Log.Error("instanceUnreadable", "key", r.Key, "cause", err)
-		return
-	}
-	i := cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}
-	if before[name] != i {
-		p.Log.Info("instanceListed", "instance", name, "dataCentre", i.DataCentre, "address", i.Address)
-	}
-	p.instances[name] = i
-}
-
-// unlink closes the connections to instances that are gone or have moved. The
-// caller holds mu.
-func (p *Peers) unlink() {
-	for name, l := range p.links {
-		if p.instances[name] != l.to {
-			l.close()
-			delete(p.links, name)
-		}
+		return i, false
 	}
+	i = cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}
+	return i, p.set(i)
 }
 
 // unregistered reports whether the table is known to lack the own row.
@@ -166,7 +185,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, lost := p.lost[p.Self.ID]
-	return p.listed && (lost || p.instances[p.Self.ID] != p.Self)
+	own, _ := p.placement.Instance(p.Self.ID)
+	return p.listed && (lost || own != p.Self)
 }
 
 // register writes the own row. An answer that was lost is made up for by the
