directory, engine: targets that are told together are one line of the log

What callers saw: nothing; an instance of a fifth of a core spends tens of milliseconds of its start on a line for each of 3,000 targets and 1,000 groups, most of which the log's budget then leaves out. More than 32 targets of one answer are one line with their number, and the size of a group is logged where the group is made or its size changes.

--- a/internal/proxy/cwdirectory/directory_test.go
+++ b/internal/proxy/cwdirectory/directory_test.go
@@ -1,8 +1,10 @@
 package cwdirectory
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -310,3 +312,18 @@
 	defer src.mu.Unlock()
 	qt.Assert(t, len(src.asked) >= 4, qt.IsTrue)
 }
+
+// Guards against a start of all that has each instance log a line for each target there is.
+func TestTargetsThatAreToldTogetherAreOneLine(t *testing.T) {
+	for _, n := range []int{1, logEach, logEach + 1, 3000} {
+		var lines bytes.Buffer
+		d := &Directory{Sink: &sink{present: map[cwgroup.MemberID]bool{}}, Decoder: decoder{}, Clock: clockwork.NewRealClock(), Log: log.New(&lines)}
+		d.prepare()
+		var rows []cwport.Row
+		for i := range n {
+			rows = append(rows, cwport.Row{Key: fmt.Sprint("i-", i), Version: 5})
+		}
+		d.takeTargets(decoder{}.Decode(cwport.Targets, 5, rows), true)
+		qt.Assert(t, bytes.Count(lines.Bytes(), []byte("\n")) <= logEach, qt.IsTrue, qt.Commentf("%d targets", n))
+	}
+}
--- a/internal/proxy/cwdirectory/gone.go
+++ b/internal/proxy/cwdirectory/gone.go
@@ -25,8 +25,8 @@
 		d.known[l.ID] = l
 		delete(d.vanished, l.ID)
 		delete(d.recalled, l.ID)
-		d.Log.Info("targetListed", "target", l.ID, "service", l.Service, "address", l.Address, "dataCentre", l.DataCentre, "leaving", l.Leaving, "role", l.Role)
 	}
+	d.logListed(b.Listed)
 	lapsed := d.vanish(removed, now)
 	if first {
 		d.Sink.SetListings(append(b.Listed, d.recall(now)...))
@@ -37,6 +37,20 @@
 	}
 }
 
+// logEach is up to how many targets that are told together are logged one by one: the
+// members of several groups, and not those of a fleet.
+const logEach = 32
+
+func (d *Directory) logListed(listed []cwport.Listing) {
+	if len(listed) > logEach {
+		d.Log.Info("targetsListed", "count", len(listed), "known", len(d.known))
+		return
+	}
+	for _, l := range listed {
+		d.Log.Info("targetListed", "target", l.ID, "service", l.Service, "address", l.Address, "dataCentre", l.DataCentre, "leaving", l.Leaving, "role", l.Role)
+	}
+}
+
 // vanish notes that entries are missing, and returns the targets whose were there. The
 // caller holds mu.
 func (d *Directory) vanish(removed []cwgroup.MemberID, now time.Time) []cwport.Listing {
--- a/internal/proxy/cwengine/membership.go
+++ b/internal/proxy/cwengine/membership.go
@@ -69,7 +69,7 @@
 	}
 	after = after.WithAtLeast(atLeast).WithListed(ids, now)
 	e.memberships[service] = after
-	if after.Size() != before.Size() {
+	if after.Size() != before.Size() && (known || e.groups[service] != nil) {
 		e.cfg.Log.Info("groupSize", "group", service, "members", after.Size(), "before", before.Size(), "listed", len(ids), "known", after.Known())
 	}
 	if g := e.groups[service]; g != nil && after.Settled() != before.Settled() {
