directory, peers, handover: a start takes its first rows from a feeder

What callers saw: nothing but the price, and a slow return after all were killed: at a start each instance reads everything from the store: the list of instances, the members of all groups, the list of targets, the desired state. At 986 instances before 1,000 groups that is some 2 MB in a dozen calls for each, two gigabytes for the fleet, where two instances of each data centre would do for all.

Change: the rows of instances are kept by data centre. An instance that starts reads those of its own, writes its row if it is missing, and with that has a place in the tree of feeders. Roots read the store as before; the others take all rows from their feeder, packed together once for all that ask. What is not told within 4 s of having a feeder, or 6 s without one, is read from the store.

Why it holds: rows that a feeder tells, with the age of their confirmation, are what an instance knows that read the store then and heard nothing since; they are taken only if they are younger than what a follower may rely on anyway. The list of targets is taken only if the feeder counts no member whose entry is missing and the store has told it of targets for as long as lapsed entries take to return, since it cannot tell those; and after the rows of the members. Otherwise the store is asked for it, as before.

Instances of before keep their rows under other keys and are not seen by these: restart all of them at once, or they serve beside each other, each for itself.

--- a/internal/proxy/cwdirectory/ask.go
+++ b/internal/proxy/cwdirectory/ask.go
@@ -12,8 +12,9 @@
 // poll is where the questions to the store about one topic stand.
 type poll struct {
 	topic cwport.Topic
-	// fresh is true if the next answer is a snapshot.
-	fresh bool
+	// fresh is true if the next answer is a snapshot; historyLost is true if that is so
+	// because changes were missed.
+	fresh, historyLost bool
 	// away is true while the store does not answer; pause is the next wait.
 	away  bool
 	pause time.Duration
@@ -24,7 +25,12 @@
 // loop asks the store about one topic whenever it is this instance's turn.
 func (d *Directory) loop(ctx context.Context, t cwport.Topic) error {
 	p := &poll{topic: t, fresh: true, pause: retryMin}
-	for d.awaitTurn(ctx, t, p.fresh) {
+	for d.awaitTurn(ctx, t, p.fresh && d.read(t)) {
+		if p.fresh && !p.historyLost && d.read(t) {
+			// A feeder has told the first rows.
+			p.fresh = false
+			continue
+		}
 		b, confirmed, err := d.ask(ctx, p)
 		if ctx.Err() != nil {
 			return nil
@@ -37,7 +43,7 @@
 			continue
 		}
 		d.take(t, b, p.fresh, confirmed)
-		p.fresh = false
+		p.fresh, p.historyLost = false, false
 		if b.Changed() {
 			d.sleep(ctx, settle(t))
 		}
@@ -50,7 +56,7 @@
 	var history *cwport.HistoryError
 	if errors.As(err, &history) {
 		d.Log.Warn("historyLost", "topic", p.topic, "after", history.After)
-		p.fresh = true
+		p.fresh, p.historyLost = true, true
 		// A store that drops its history again and again is not asked in a busy
 		// loop.
 		d.sleep(ctx, retryMin)
--- a/internal/proxy/cwdirectory/directory.go
+++ b/internal/proxy/cwdirectory/directory.go
@@ -1,9 +1,9 @@
 // Package cwdirectory keeps an instance up to date with what the platform's
 // store tells: the desired state, the list of targets, the product's own rows.
 //
-// Each topic begins with a snapshot from the store. Changes come from the store
-// by long poll, resumed where the last answer ended, or from another instance
-// that follows the store: cwfeed decides which. Every instance answers others
+// Each topic begins with all its rows, from the store or from another instance that
+// follows it. Changes come from the store by long poll, resumed where the last answer
+// ended, or from that instance: cwfeed decides which. Every instance answers others
 // the same way. While the store is away what was known stays in force. An entry
 // that vanishes may have lapsed only because the store was away, so a target is
 // taken as gone a while after its entry.
@@ -131,8 +131,14 @@
 	// while the store tells an older one.
 	revision cwcatalogue.Revision
 	older    bool
-	// away is true while the store does not answer about targets.
-	away bool
+	// away is true while the store does not answer about targets, backAt is when it last
+	// began to answer again.
+	away   bool
+	backAt time.Time
+	// startsAt is until when the topics that were not read yet wait for a feeder, and
+	// placed is true once there was one.
+	startsAt time.Time
+	placed   bool
 	// back is closed with the next confirmation of the desired state; nil if nobody
 	// waits for it.
 	back chan struct{}
@@ -168,6 +174,8 @@
 	// cancelPoll ends the question to the store that is being asked; nil if there is
 	// none.
 	cancelPoll context.CancelFunc
+	// unsettled is when a feeder last had no first rows to take; zero if none had.
+	unsettled time.Time
 	// after is up to where it is known; it never falls.
 	after cwfeed.Version
 	// read is true once a snapshot was taken.
@@ -214,6 +222,9 @@
 	if d.known != nil {
 		return
 	}
+	if d.Feeders != nil {
+		d.startsAt = d.Clock.Now().Add(placeWait)
+	}
 	d.known = make(map[cwgroup.MemberID]cwport.Listing)
 	d.vanished = make(map[cwgroup.MemberID]time.Time)
 	d.recalled = make(map[cwgroup.MemberID]bool)
--- a/internal/proxy/cwdirectory/gone.go
+++ b/internal/proxy/cwdirectory/gone.go
@@ -161,6 +161,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.away && !away {
+		d.backAt = d.Clock.Now()
 		for id := range d.vanished {
 			d.vanished[id] = d.Clock.Now()
 		}
--- a/internal/proxy/cwdirectory/tell.go
+++ b/internal/proxy/cwdirectory/tell.go
@@ -72,7 +72,7 @@
 		return n, false, d.renewed
 	}
 	now := d.Clock.Now()
-	n.TargetsAway = d.away
+	n.TargetsAway, n.TargetsUnsettled = d.away, !d.settled(now)
 	for i := range d.topics {
 		s := &d.topics[i]
 		rows, whole := s.history.Since(q.After[i])
@@ -82,6 +82,13 @@
 	return n, true, d.renewed
 }
 
+// settled reports whether the list of targets can be the first one of an instance that
+// starts: nothing that is missing in it counts here, and no entry that lapsed while the
+// store was away has yet to come back. The caller holds mu.
+func (d *Directory) settled(now time.Time) bool {
+	return !d.away && len(d.vanished) == 0 && now.Sub(d.backAt) >= MinGoneAfter
+}
+
 // told returns a row as it is told: a large one packed.
 func (d *Directory) told(r cwport.Row) cwport.Row {
 	if len(r.Value) < cwpack.Above {
--- a/internal/proxy/cwpeers/feeder.go
+++ b/internal/proxy/cwpeers/feeder.go
@@ -19,7 +19,7 @@
 func (p *Peers) Feeder() (cwport.Feeder, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if own, _ := p.placement.Instance(p.Self.ID); !p.listed || own != p.Self {
+	if own, _ := p.placement.Instance(p.Self.ID); !p.listed && !p.placed || own != p.Self {
 		return nil, false
 	}
 	now := p.Clock.Now()
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -67,12 +67,15 @@
 	Tree cwfeed.Tree
 	// Changed is called after the holders of groups may have changed.
 	Changed func()
+	// FirstStart is true if no instance was there before.
+	FirstStart bool
 
 	mu sync.Mutex
 	// dirty is true if rows have changed since Changed was called.
 	dirty bool
-	// listed is true once the rows were read.
-	listed bool
+	// listed is true once the rows were read, and placed once those of this data centre
+	// were, which tell whom this instance asks for the others.
+	listed, placed bool
 	// placement knows the instances, and who holds groups.
 	placement cwholder.Placement
 	// lost is since when the rows of known instances have been missing.
@@ -94,12 +97,9 @@
 // Run keeps the own row until ctx ends, and closes the connections then.
 func (p *Peers) Run(ctx context.Context) error {
 	defer p.close()
+	p.loopStart(ctx)
 	for ctx.Err() == nil {
-		select {
-		case <-p.Clock.After(registerEvery):
-		case <-ctx.Done():
-			return nil
-		}
+		p.sleep(ctx, registerEvery)
 		p.dropLost()
 		p.tell()
 		if p.unregistered() {
--- a/internal/proxy/cwpeers/rows.go
+++ b/internal/proxy/cwpeers/rows.go
@@ -11,9 +11,25 @@
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
-// KeyPrefix is where the rows of the instances are in the table.
+// KeyPrefix is where the rows of the instances are in the table; the data centre and the
+// instance's name follow.
 const KeyPrefix = "instance/"
 
+// KeyOf returns the key of an instance's row.
+func KeyOf(i cwholder.Instance) string { return keyOf(i.DataCentre, i.ID) }
+
+func keyOf(dataCentre, name string) string { return KeyPrefix + dataCentre + "/" + name }
+
+// nameOf returns whose row a key is of; false if it is no instance's.
+func nameOf(key string) (string, bool) {
+	rest, ok := strings.CutPrefix(key, KeyPrefix)
+	if !ok {
+		return "", false
+	}
+	_, name, ok := strings.Cut(rest, "/")
+	return name, ok
+}
+
 // Times of the rows.
 const (
 	// registerEvery is how often the own row is looked at, and the pause after
@@ -25,6 +41,9 @@
 	// within about a second, writes the row with the next look at it, and a write can
 	// take its whole time.
 	lostFor = registerEvery + registerTimeout + time.Second
+	// lostGrace is how long the own row may be missing before it is written again: a
+	// feeder may not have heard yet of one that was written a moment ago.
+	lostGrace = registerEvery
 )
 
 type instanceBody struct {
@@ -65,7 +84,7 @@
 	told := make(map[string]bool)
 	var listed []cwholder.Instance
 	for _, r := range rows {
-		name, ok := strings.CutPrefix(r.Key, KeyPrefix)
+		name, ok := nameOf(r.Key)
 		if !ok {
 			continue
 		}
@@ -171,38 +190,44 @@
 		p.remove(name)
 		return i, false
 	}
+	i, ok := p.decode(name, r)
+	return i, ok && p.set(i)
+}
+
+// decode reads an instance's row; false if it makes no sense.
+func (p *Peers) decode(name string, r cwport.Row) (cwholder.Instance, bool) {
 	var b instanceBody
 	if err := json.Unmarshal(r.Value, &b); err != nil {
 		p.Log.Error("instanceUnreadable", "key", r.Key, "cause", err)
-		return i, false
+		return cwholder.Instance{}, false
 	}
-	i = cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}
-	return i, p.set(i)
+	return cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}, true
 }
 
 // unregistered reports whether the table is known to lack the own row.
 func (p *Peers) unregistered() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, lost := p.lost[p.Self.ID]
+	since, lost := p.lost[p.Self.ID]
+	lost = lost && p.Clock.Since(since) >= lostGrace
 	own, _ := p.placement.Instance(p.Self.ID)
 	return p.listed && (lost || own != p.Self)
 }
 
-// register writes the own row. An answer that was lost is made up for by the
-// next look, since the row comes back with the others.
-func (p *Peers) register(ctx context.Context) {
+// register writes the own row, and reports whether that is certain. An answer that was
+// lost is made up for by the next look, since the row comes back with the others.
+func (p *Peers) register(ctx context.Context) bool {
 	value, err := json.Marshal(instanceBody{Address: p.Self.Address, DataCentre: p.Self.DataCentre})
 	if err != nil {
 		p.Log.Error("notRegistered", "cause", err)
-		return
+		return false
 	}
 	p.mu.Lock()
 	version := p.version
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	key := KeyPrefix + p.Self.ID
+	key := KeyOf(p.Self)
 	err = p.Table.Commit(ctx, cwplatform.Change{
 		Expect: []cwplatform.Expect{{Key: key, ETag: version}},
 		Put:    []cwplatform.Put{{Key: key, Value: value}},
@@ -210,4 +235,5 @@
 	if err != nil {
 		p.Log.Warn("notRegistered", "cause", err)
 	}
+	return err == nil
 }
--- /dev/null
+++ b/internal/proxy/cwpeers/start_test.go
@@ -0,0 +1,142 @@
+package cwpeers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
+)
+
+// rowTable is a table of rows that counts what is asked of it.
+type rowTable struct {
+	*network
+	reads int
+	away  bool
+}
+
+func (t *rowTable) List(_ context.Context, prefix string) ([]cwplatform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.away {
+		return nil, &cwplatform.UnavailableError{Cause: errSilent}
+	}
+	var out []cwplatform.Row
+	for key, value := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, cwplatform.Row{Key: key, Value: value, ETag: "5"})
+		}
+	}
+	return out, nil
+}
+
+// starting is an instance that starts before a table.
+func starting(t *testing.T, table *rowTable, self cwholder.Instance, first bool) *Peers {
+	p := &Peers{Self: self, Table: table, Dial: table.dial, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), FirstStart: first}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, <-done, qt.IsNil)
+	})
+	return p
+}
+
+func newRowTable() *rowTable {
+	return &rowTable{network: &network{silent: map[string]bool{}, rows: map[string][]byte{}, refused: map[string]bool{}}}
+}
+
+func (t *rowTable) put(i cwholder.Instance) { t.rows[KeyOf(i)] = row(i).Value }
+
+// feederSoon returns whom an instance asks for news, once it is connected.
+func feederSoon(p *Peers) (cwport.Feeder, bool) {
+	p.Feeder()
+	time.Sleep(10 * time.Millisecond)
+	return p.Feeder()
+}
+
+// Guards against starts of all that read a megabyte from the store for each instance, since
+// nobody knows whom to ask.
+func TestStartFindsItsFeederByTheRowsOfItsDataCentre(t *testing.T) {
+	t.Run("again", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			table := newRowTable()
+			for i := range 40 {
+				table.put(instance(fmt.Sprint("i", i), "z"))
+				table.put(instance(fmt.Sprint("i", i), "y"))
+			}
+			followers := 0
+			for i := range 40 {
+				p := starting(t, table, instance(fmt.Sprint("i", i), "z"), false)
+				time.Sleep(100 * time.Millisecond)
+				f, root := feederSoon(p)
+				if f != nil {
+					followers++
+				}
+				qt.Assert(t, f != nil || root, qt.IsTrue)
+			}
+			qt.Assert(t, followers, qt.Equals, 38)
+			qt.Assert(t, table.reads, qt.Equals, 40)
+			qt.Assert(t, table.writes, qt.Equals, 0)
+		})
+	})
+	t.Run("for the first time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			table := newRowTable()
+			var all []*Peers
+			for i := range 40 {
+				all = append(all, starting(t, table, instance(fmt.Sprint("i", i), "z"), true))
+			}
+			time.Sleep(2 * firstLook)
+			followers := 0
+			for _, p := range all {
+				if f, _ := feederSoon(p); f != nil {
+					followers++
+				}
+			}
+			qt.Assert(t, followers, qt.Equals, 38)
+			qt.Assert(t, table.reads, qt.Equals, 80)
+			qt.Assert(t, table.writes, qt.Equals, 40)
+		})
+	})
+	t.Run("added to others", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			table := newRowTable()
+			for i := range 40 {
+				table.put(instance(fmt.Sprint("i", i), "z"))
+			}
+			p := starting(t, table, instance("new", "z"), false)
+			time.Sleep(100 * time.Millisecond)
+			f, root := feederSoon(p)
+			qt.Assert(t, f != nil || root, qt.IsTrue)
+			qt.Assert(t, table.reads, qt.Equals, 1)
+			qt.Assert(t, table.writes, qt.Equals, 1)
+		})
+	})
+	t.Run("while the store is away", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			table := newRowTable()
+			table.away = true
+			p := starting(t, table, instance("i0", "z"), false)
+			time.Sleep(5 * time.Second)
+			_, root := p.Feeder()
+			qt.Assert(t, root, qt.IsFalse)
+			table.set(func() { table.away = false })
+			time.Sleep(time.Second)
+			_, root = p.Feeder()
+			qt.Assert(t, root, qt.IsTrue)
+		})
+	})
+}
--- a/internal/proxy/cwport/feed.go
+++ b/internal/proxy/cwport/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
@@ -15,12 +16,16 @@
 
 // NewsQuestion asks another instance what the platform's store has told.
 type NewsQuestion struct {
-	// After is the version up to which the asker knows each topic.
+	// After is the version up to which the asker knows each topic; zero if it has read
+	// nothing of it, and NotAsked if it wants to be told nothing.
 	After [TopicCount]cwfeed.Version
 	// Wait is how long the answer may be held while there is nothing to tell.
 	Wait time.Duration
 }
 
+// NotAsked stands for a topic of which nothing is to be told.
+const NotAsked cwfeed.Version = math.MaxUint64
+
 // News is what an instance has learnt from the platform's store, directly or
 // from other instances.
 type News struct {
@@ -29,6 +34,9 @@
 	Held time.Duration
 	// TargetsAway is true while the store does not tell about targets.
 	TargetsAway bool
+	// TargetsUnsettled is true while the teller counts targets whose entries are missing,
+	// or may soon: its rows are no first list for who has never seen those.
+	TargetsUnsettled bool
 }
 
 // TopicNews is what an instance has learnt of one topic.
--- a/internal/wire/cwhandover/conn.go
+++ b/internal/wire/cwhandover/conn.go
@@ -39,6 +39,8 @@
 	News cwport.NewsTeller
 	// Quotas may be nil; then this instance keeps none.
 	Quotas cwport.QuotaTeller
+
+	packer packer
 }
 
 // Run accepts connections until ctx ends.
@@ -97,7 +99,11 @@
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
-	return bodyOfNews(n), nil
+	b, err := s.packer.body(n)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+	return b, nil
 }
 
 // Conn is a connection to a holder.
