--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -18,7 +18,6 @@
 // plan is what is known of a group whether it is made or not.
 type plan struct {
 	contract cwcatalogue.Contract
-	members  []cwport.Listing
 	demand   cwholder.Demand
 	// held is true if this instance holds the group, and place its place among the
 	// holders; both by demand, if placed is true.
@@ -55,12 +54,12 @@
 // replan brings a group's plan up to date with the list of its targets, and the group
 // if it is made. The caller holds mu.
 func (e *Engine) replan(service string, p *plan) {
-	p.members = e.listings.of(service)
-	if d := demandOf(p.contract, p.members, len(e.plans)); d != p.demand {
+	members := e.listings.of(service)
+	if d := demandOf(p.contract, members, len(e.plans)); d != p.demand {
 		p.demand, p.placed = d, false
 	}
 	if g := e.groups[service]; g != nil {
-		g.SetMembers(p.members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
+		g.SetMembers(members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
 	}
 	e.rehold(service, p)
 }
@@ -98,7 +97,7 @@
 	switch {
 	case e.cfg.Holders == nil:
 		p.place, p.held = 0, true
-	case p.demand.Many && len(p.members) == 0:
+	case p.demand.Many && p.demand.Slots == 0:
 		// What its targets take is not known, and so neither is who holds it.
 		p.place, p.held, p.placed = -1, false, false
 	case !p.placed:
@@ -115,7 +114,7 @@
 	ctx, cancel := context.WithCancel(e.run)
 	g := &runningGroup{Group: e.cfg.NewGroup(service), cancel: cancel}
 	e.groups[service] = g
-	g.SetMembers(p.members, e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
+	g.SetMembers(e.listings.of(service), e.memberships[service].Settled(), p.contract.Connections, p.contract.Synchronous)
 	g.SetEra(e.era, e.restoredAt)
 	if row, ok := e.rows[service]; ok {
 		g.SetRow(row)
