members: the first rows of many groups come in turn

What callers saw: nothing but the price. At the first start of a thousand groups the first holder of each writes the row of its members within the same second, beside the rows of all instances. One part of the table takes 300 a second; what is beyond is refused, tried again by all a second later, and refused once more: some 5,700 calls in vain, worked out, for 2,000 rows.

Change: where a group never had a row, its holders wait for its turn, drawn by its name over 10 ms for each group there is: a hundred rows a second, three groups at once. A row that was lost with a restore is written at once, as before, since those that start wait for it. What it costs: for the first ten seconds of a thousand groups an instance that starts then, while entries have lapsed, knows less.

Differences of groups that are not held any more are forgotten.

--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -176,6 +176,13 @@
 	return g.Group, true
 }
 
+// Groups returns how many groups there are, made or not.
+func (e *Engine) Groups() int {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return len(e.plans)
+}
+
 // use returns the group of a service, and makes it if it is not there yet.
 func (e *Engine) use(service string) (*cwlead.Group, bool) {
 	if g, ok := e.Group(service); ok {
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -97,7 +97,7 @@
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart,
 	}
 	in.peers.Changed = in.rehold
-	in.members = &cwmembers.Record{Table: cfg.Table, Clock: cfg.Clock, Log: cfg.Log, Place: in.place}
+	in.members = &cwmembers.Record{Table: cfg.Table, Clock: cfg.Clock, Log: cfg.Log, Place: in.place, Groups: in.groups}
 	in.dir = &cwdirectory.Directory{
 		Waits: cfg.Waits, GoneAfter: cfg.GoneAfter, Source: cfg.Source, Sink: in, Clock: cfg.Clock, Log: cfg.Log,
 		Feeders: in.peers, Decoder: cfg.Decoder, Stale: cfg.Stale,
@@ -157,6 +157,8 @@
 // place returns this instance's place among the holders of a service's group.
 func (in *Instance) place(service string) (int, bool) { return in.engine.Place(service) }
 
+func (in *Instance) groups() int { return in.engine.Groups() }
+
 func (in *Instance) rehold() { in.engine.Rehold() }
 
 func dialPeer(ctx context.Context, name, address string) (cwpeers.Conn, error) {
--- a/internal/proxy/cwmembers/members.go
+++ b/internal/proxy/cwmembers/members.go
@@ -12,6 +12,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -37,6 +39,9 @@
 	placeDelay = 3 * time.Second
 	// lostDelay is the same where there is no row: an instance that starts finds none.
 	lostDelay = step / 2
+	// spacing is the time between the first rows of two groups, over all instances: a
+	// third of what one part of the table takes.
+	spacing = 10 * time.Millisecond
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
 )
@@ -52,9 +57,13 @@
 	// Place returns this instance's place among the holders of a group; false if
 	// it is none.
 	Place func(service string) (int, bool)
+	// Groups returns how many groups there are, held or not.
+	Groups func() int
 
 	mu   sync.Mutex
 	rows map[string]row
+	// seen are the groups that had a row at some time.
+	seen map[string]bool
 	// differs is since when a group's row and what is counted differ.
 	differs map[string]time.Time
 }
@@ -96,6 +105,10 @@
 			continue
 		}
 		r.rows[service] = row{members: members, of: of, tag: w.Tag()}
+		if r.seen == nil {
+			r.seen = make(map[string]bool)
+		}
+		r.seen[service] = true
 	}
 }
 
@@ -126,15 +139,29 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for service, c := range r.Counted() {
+		counted := r.Counted()
+		for service, c := range counted {
 			if tag, due := r.due(service, c); due {
 				r.write(ctx, service, c, tag)
 			}
 		}
+		if counted != nil {
+			r.forget(counted)
+		}
 	}
 	return nil
 }
 
+// forget forgets differences of groups that are not counted here any more.
+func (r *Record) forget(counted map[string]Count) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.differs, func(service string, _ time.Time) bool {
+		_, ok := counted[service]
+		return !ok
+	})
+}
+
 // due reports whether this instance is to write a group's row now, and the tag
 // of the row that it replaces.
 //
@@ -159,7 +186,23 @@
 		since = now
 		r.differs[service] = now
 	}
-	return w.tag, now.Sub(since) >= time.Duration(max(place, 0))*delayOf(c, w)
+	wait := time.Duration(max(place, 0)) * delayOf(c, w)
+	if w.tag == "" && !r.seen[service] {
+		wait += r.turn(service)
+	}
+	return w.tag, now.Sub(since) >= wait
+}
+
+// turn returns how long the first row of a group waits for those of others.
+//
+// The load it answers: all instances start at once before a thousand groups. The table
+// takes some hundred rows a second; what is beyond is refused, tried again by all after
+// the same pause, and refused once more. A row that was lost is written at once.
+func (r *Record) turn(service string) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service))
+	share := float64(h.Sum32()) / (1 << 32)
+	return time.Duration(share * float64(r.Groups()) * float64(spacing))
 }
 
 // delayOf returns how much longer each holder waits than the one before it.
--- a/internal/proxy/cwmembers/members_test.go
+++ b/internal/proxy/cwmembers/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -96,7 +97,7 @@
 			n.set("a", "b", "c")
 			r := &Record{
 				Table: s, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Counted: n.get,
-				Place: func(string) (int, bool) { return place, place >= 0 },
+				Place: func(string) (int, bool) { return place, place >= 0 }, Groups: func() int { return 1 },
 			}
 			r.Rows(nil, true)
 			s.records, all = append(s.records, r), append(all, n)
@@ -181,3 +182,38 @@
 		}, 0)
 	})
 }
+
+// Guards against a start of all whose first rows come at once, are refused, and come again.
+func TestFirstRowsOfManyGroupsComeInTurn(t *testing.T) {
+	const groups = 1000
+	r := &Record{Clock: clockwork.NewRealClock(), Groups: func() int { return groups }}
+	seconds := make(map[time.Duration]int)
+	for g := range groups {
+		seconds[r.turn(fmt.Sprintf("ledger%04d", g)).Truncate(time.Second)]++
+	}
+	for at, n := range seconds {
+		qt.Assert(t, n < 2*int(time.Second/spacing), qt.IsTrue, qt.Commentf("%d rows in the second after %v", n, at))
+	}
+	r.Groups = func() int { return 3 }
+	qt.Assert(t, r.turn("ledger0000") < 3*spacing, qt.IsTrue)
+}
+
+// Guards against a row that was lost and waits for its turn as if it were the first one.
+func TestRowThatWasLostIsWrittenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Count{Members: []cwport.Listing{{ID: "a"}}, Of: 1}
+		r := &Record{
+			Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Groups: func() int { return 100_000 },
+			Place: func(string) (int, bool) { return 0, true },
+		}
+		r.Rows(nil, true)
+		_, due := r.due("s", c)
+		qt.Assert(t, due, qt.IsFalse, qt.Commentf("the first row has its turn"))
+		r.Rows([]cwport.Row{{Key: KeyPrefix + "s", Value: []byte(`[{"id":"a","of":1}]`), Version: 3}}, false)
+		_, due = r.due("s", c)
+		qt.Assert(t, due, qt.IsFalse, qt.Commentf("the row is there"))
+		r.Rows(nil, true)
+		_, due = r.due("s", c)
+		qt.Assert(t, due, qt.IsTrue)
+	})
+}
