--- a/internal/proxy/cwpeers/start.go
+++ b/internal/proxy/cwpeers/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
@@ -35,7 +36,8 @@
 			p.sleep(ctx, lookRetry)
 		case p.placeAmong(rows):
 		case !p.register(ctx):
-			p.sleep(ctx, registerEvery)
+			// All that start together were refused together.
+			p.sleep(ctx, registerEvery+rand.N(2*registerEvery))
 		case p.FirstStart:
 			p.sleep(ctx, firstLook)
 		default:
