peers: silence of holders in other data centres counts as that of the path

What callers saw, by reading: an instance of a thousand groups hands nearly all statements over, to holders in all data centres. When its own is cut off it asks no database elsewhere, so nothing tells that the path is gone: it stays ready, and its callers find out for each group in turn, half a second for each holder that does not answer. Path took the word of databases only.

Change: links to other data centres record what answers and what is overdue, so that one statement that has waited for 250 ms, with nothing heard since from anywhere else, makes the instance not ready; any answer ends that, as before.

TestSilenceOfOtherDataCentresIsRecorded failed to compile before: a link knew no path.

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -94,7 +94,7 @@
 	in := &Instance{cfg: cfg, path: &cwlead.Path{}, metrics: cwengine.NewMetrics()}
 	in.peers = &cwpeers.Peers{
 		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.Peers},
-		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart,
+		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, Path: in.path,
 	}
 	in.peers.Changed = in.rehold
 	in.members = &cwmembers.Record{Table: cfg.Table, Clock: cfg.Clock, Log: cfg.Log, Place: in.place, Groups: in.groups}
--- a/internal/proxy/cwpeers/demand_test.go
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +27,8 @@
 type wide struct {
 	*qt.C
 	*Peers
-	net *network
+	net  *network
+	path *recordedPath
 	// holders are those of the group, in order.
 	holders []cwholder.Instance
 }
@@ -43,12 +45,13 @@
 		}
 		holders := cwholder.Holders("g", all, manyGroups)
 		self := all[slices.IndexFunc(all, func(i cwholder.Instance) bool { return !slices.Contains(holders, i) })]
-		p := &Peers{Self: self, Table: n, Dial: n.dial, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
+		path := &recordedPath{}
+		p := &Peers{Self: self, Table: n, Dial: n.dial, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Path: path}
 		p.Rows(rows, true)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
 		go func() { done <- p.Run(ctx) }()
-		f(wide{C: qt.New(t), Peers: p, net: n, holders: holders})
+		f(wide{C: qt.New(t), Peers: p, net: n, path: path, holders: holders})
 		cancel()
 		qt.Check(t, <-done, qt.IsNil)
 	})
@@ -126,6 +129,62 @@
 	})
 }
 
+// recordedPath is when something last came from other data centres, and what was sent
+// there last that had no answer. Either may be zero.
+type recordedPath struct {
+	mu              sync.Mutex
+	answered, unmet time.Time
+}
+
+func (p *recordedPath) RecordAnswer(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = now
+}
+
+func (p *recordedPath) RecordOverdue(sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unmet = sent
+}
+
+func (p *recordedPath) cut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered.Before(p.unmet)
+}
+
+// Guards against an instance that goes on taking callers for as long as its data centre is
+// cut off, since it has no traffic of its own with databases elsewhere.
+func TestSilenceOfOtherDataCentresIsRecorded(t *testing.T) {
+	runWide(t, func(w wide) {
+		var far cwholder.Instance
+		for _, h := range w.holders {
+			if h.DataCentre != w.Self.DataCentre {
+				far = h
+				break
+			}
+		}
+		var tried []string
+		for _, h := range w.holders {
+			if h != far {
+				tried = append(tried, h.ID)
+			}
+		}
+		h, _ := w.holder(tried...)
+		w.Assert(h.Name(), qt.Equals, far.ID)
+		_, err := hand(h, "s")
+		w.Assert(err, qt.IsNil)
+		w.Assert(w.path.cut(), qt.IsFalse)
+		w.net.set(func() { w.net.silent[far.ID] = true })
+		began := time.Now()
+		_, err = hand(h, "s")
+		w.Assert(err, qt.ErrorAs, new(*cwport.LostError))
+		w.Assert(w.path.cut(), qt.IsTrue)
+		w.Assert(time.Since(began) <= 2*silentAfter, qt.IsTrue)
+	})
+}
+
 // Guards against an instance that is connected to all others in time.
 func TestConnectionOnDemandIsClosedWhenItServesNothing(t *testing.T) {
 	runWide(t, func(w wide) {
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -43,6 +43,9 @@
 	log   *log.Logger
 	// dialled is called after each try to connect; it may be nil.
 	dialled func()
+	// path takes what the link tells of the way to other data centres; nil if the holder
+	// is in this one.
+	path Path
 
 	mu   sync.Mutex
 	conn Conn
@@ -262,16 +265,29 @@
 }
 
 func (l *link) hear() {
+	now := l.clock.Now()
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heard = l.clock.Now()
+	l.heard = now
+	l.mu.Unlock()
+	if l.path != nil {
+		l.path.RecordAnswer(now)
+	}
+}
+
+// overdue records that something that was sent at a time has had no answer for long.
+func (l *link) overdue(sent time.Time) {
+	if l.path != nil {
+		l.path.RecordOverdue(sent)
+	}
 }
 
 // try probes the connection and closes it if there is no answer.
 func (l *link) try(conn Conn) {
+	sent := l.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), silentAfter)
 	defer cancel()
 	if err := conn.Ping(ctx); err != nil {
+		l.overdue(sent)
 		l.lost(conn, errors.Join(errSilent, err))
 		return
 	}
@@ -313,7 +329,11 @@
 	if conn == nil {
 		return cwport.Handed{}, &cwport.LostError{Holder: l.to.ID, NotSent: true, Cause: errSilent}
 	}
-	overdue := l.clock.AfterFunc(silentAfter, func() { l.try(conn) })
+	sent := l.clock.Now()
+	overdue := l.clock.AfterFunc(silentAfter, func() {
+		l.overdue(sent)
+		l.try(conn)
+	})
 	defer overdue.Stop()
 	r, err := conn.Hand(ctx, h)
 	if err != nil {
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -56,6 +56,15 @@
 	Close() error
 }
 
+// Path is what an instance knows of its ways to other data centres.
+type Path interface {
+	// RecordAnswer records that something has come from another data centre.
+	RecordAnswer(now time.Time)
+	// RecordOverdue records that what was sent there at a time has had no answer for
+	// long.
+	RecordOverdue(sent time.Time)
+}
+
 // Peers implements cwport.Holders. Set the fields before Run.
 type Peers struct {
 	Self  cwholder.Instance
@@ -69,6 +78,8 @@
 	Changed func()
 	// FirstStart is true if no instance was there before.
 	FirstStart bool
+	// Path takes what connections to other data centres tell; it may be nil.
+	Path Path
 
 	mu sync.Mutex
 	// dirty is true if rows have changed since Changed was called.
@@ -300,6 +311,9 @@
 	l := p.links[to.ID]
 	if l == nil {
 		l = &link{to: to, dial: p.Dial, clock: p.Clock, log: p.Log, dialled: p.noteDialled}
+		if to.DataCentre != p.Self.DataCentre {
+			l.path = p.Path
+		}
 		if p.links == nil {
 			p.links = make(map[string]*link)
 		}
