engine: of many groups one that is neither held nor used is given up

An instance before a thousand groups runs a statement by itself when no holder takes it, and kept each such group, with its pools and its goroutine, until it ended. After two minutes without a statement, longer than any transaction, it is given up, and made again when a statement comes. The test failed before: the group stayed.

--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
@@ -39,11 +40,9 @@
 		e.plans[service] = p
 	}
 	e.updateMemberships(e.cfg.Clock.Now())
-	for service, g := range e.groups {
+	for service := range e.groups {
 		if e.plans[service] == nil {
-			g.cancel()
-			g.Close()
-			delete(e.groups, service)
+			e.stopGroup(service)
 		}
 	}
 	for service, p := range e.plans {
@@ -123,6 +122,30 @@
 	return g
 }
 
+// stopGroup ends a group that is made. The caller holds mu.
+func (e *Engine) stopGroup(service string) {
+	g := e.groups[service]
+	g.cancel()
+	g.Close()
+	delete(e.groups, service)
+}
+
+// idleGroup is how long no statement may come for a group, of many and held by others,
+// until it is given up here: longer than any transaction.
+const idleGroup = 2 * time.Minute
+
+// stopIdle ends the groups that this instance neither holds nor uses. The caller holds mu.
+//
+// The load it answers: an instance before a thousand groups runs a statement by itself
+// when no holder takes it, and in time has made all of them.
+func (e *Engine) stopIdle() {
+	for service, g := range e.groups {
+		if p := e.plans[service]; p != nil && p.demand.Many && !p.held && g.Idle(idleGroup) {
+			e.stopGroup(service)
+		}
+	}
+}
+
 // Rehold tells the groups anew whether this instance holds them.
 func (e *Engine) Rehold() {
 	e.mu.Lock()
--- a/internal/proxy/cwengine/groups_test.go
+++ b/internal/proxy/cwengine/groups_test.go
@@ -152,6 +152,29 @@
 	asked("another list of instances", front.Rehold, groups-1)
 }
 
+// Guards against an instance that keeps each group for good that it ran one statement of.
+func TestGroupThatIsNeitherHeldNorUsedIsGivenUp(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	front := w.engineWith("front", &holders{})
+	c := cwcatalogue.Catalogue{Revision: 2, Entries: []cwcatalogue.Entry{w.entry}}
+	for i := range cwholder.ManyGroups {
+		e := w.entry
+		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
+		c.Entries = append(c.Entries, e)
+	}
+	front.SetCatalogue(c)
+	s := w.session(front)
+	w.eventually("the caller is served", func() bool { return s.ask(cwstatement.Write, "WRITE i 1").Code == cwstatement.OK })
+	_, made := front.Group(testService)
+	w.c.Assert(made, qt.IsTrue)
+	w.clock.Advance(idleGroup)
+	w.eventually("the group is given up", func() bool {
+		_, made := front.Group(testService)
+		return !made
+	})
+	w.eventually("the caller is served again", func() bool { return s.ask(cwstatement.Write, "WRITE i 2").Code == cwstatement.OK })
+}
+
 // Guards against a list of targets that drifts away from what the platform has told.
 func TestListings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/proxy/cwengine/membership.go
+++ b/internal/proxy/cwengine/membership.go
@@ -131,6 +131,7 @@
 		}
 		e.mu.Lock()
 		e.tickMemberships(e.cfg.Clock.Now())
+		e.stopIdle()
 		e.mu.Unlock()
 	}
 	return nil
--- a/internal/proxy/cwlead/reach.go
+++ b/internal/proxy/cwlead/reach.go
@@ -128,6 +128,14 @@
 	return g.used(now) && now.Sub(g.usedSince) >= knownAfter
 }
 
+// Idle reports whether no statement came for the group for a time, and this proxy is not
+// changing its primary.
+func (g *Group) Idle(d time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cfg.Clock.Now().Sub(g.usedAt) >= d && !g.sup.Keeping()
+}
+
 // use notes that a statement came. The caller holds mu.
 func (g *Group) use(now time.Time) {
 	if !g.used(now) {
