peers: issuers of other data centres are asked as soon as they are connected

What callers saw, by reading: operations of a workspace refused as over its quota though other data centres have most of it left. An instance asks the issuers of its own data centre, and the others when these have none. Issuers without a connection were left out and connected in the background, so the first operations at each instance that needed another data centre were refused.

Change: an issuer that is being connected is asked once it is, within the 50 ms that a question may take; one that could not be connected is left out. The test failed before: no issuer was returned.

--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -52,6 +52,8 @@
 	// dialing is true while a connection is being opened, since dialSince.
 	dialing   bool
 	dialSince time.Time
+	// dialEnded is closed when it has been, or could not be.
+	dialEnded chan struct{}
 	// kept is true if the connection stays also while it serves nothing.
 	kept bool
 	// busy counts what is under way on the connection, usedAt is when something last was.
@@ -102,7 +104,7 @@
 	if l.dialing || l.closed || now.Before(l.redialAt) {
 		return
 	}
-	l.dialing, l.dialSince = true, now
+	l.dialing, l.dialSince, l.dialEnded = true, now, make(chan struct{})
 	go l.runDial()
 }
 
@@ -125,6 +127,20 @@
 	return now.Sub(l.dialSince), l.dialing && l.redial == 0
 }
 
+// awaitDial waits for the end of the try to connect that is under way, if one is.
+func (l *link) awaitDial(ctx context.Context) {
+	l.mu.Lock()
+	dialing, ended := l.dialing, l.dialEnded
+	l.mu.Unlock()
+	if !dialing {
+		return
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
 // keep lets the connection stay also while it serves nothing.
 func (l *link) keep() {
 	l.mu.Lock()
@@ -215,6 +231,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dialing = false
+	close(l.dialEnded)
 	if err != nil {
 		l.pause(now)
 		l.log.Debug("holderNotConnected", "holder", l.to.ID, "cause", err)
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -11,14 +11,19 @@
 // they differ from the holders of a group of the same name.
 const quotaKey = "quota of "
 
-// QuotaIssuers implements cwport.QuotaIssuers. Issuers without a connection are
-// left out, and connected in the background. Those of other data centres are
-// hardly ever asked, so they are connected only when they are.
+// QuotaIssuers implements cwport.QuotaIssuers. Those that are connected come first; one
+// that is being connected is asked as soon as it is, and one that could not be is left
+// out. Those of other data centres are hardly ever asked, so they are connected only when
+// they are.
+//
+// The failure: a workspace has used up what its own data centre's issuers give, and the
+// others have most of its quota. Without a connection to them yet they were left out,
+// and each instance refused its first operations as over the quota.
 func (p *Peers) QuotaIssuers(workspace string, far bool) []cwport.QuotaIssuer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	var out []cwport.QuotaIssuer
+	var out, later []cwport.QuotaIssuer
 	for _, i := range p.quotaIssuers(workspace) {
 		if far != (i.DataCentre != p.Self.DataCentre) {
 			continue
@@ -29,11 +34,14 @@
 		}
 		l := p.link(i)
 		l.keep()
-		if l.connected(now) {
-			out = append(out, cwport.QuotaIssuer{Name: i.ID, Ask: l.askQuota})
+		issuer := cwport.QuotaIssuer{Name: i.ID, Ask: l.askQuota}
+		if _, connecting := l.connecting(now); connecting {
+			later = append(later, issuer)
+		} else if l.connected(now) {
+			out = append(out, issuer)
 		}
 	}
-	return out
+	return append(out, later...)
 }
 
 // quotaIssuers returns the issuers of a workspace's quota. The caller holds mu.
@@ -50,8 +58,9 @@
 	return list
 }
 
-// askQuota asks the instance for one operation of a workspace.
+// askQuota asks the instance for one operation of a workspace, once it is connected.
 func (l *link) askQuota(ctx context.Context, workspace string) (cwport.Verdict, error) {
+	l.awaitDial(ctx)
 	conn := l.begin()
 	defer l.end()
 	if conn == nil {
--- /dev/null
+++ b/internal/proxy/cwpeers/quota_test.go
@@ -0,0 +1,39 @@
+package cwpeers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+)
+
+// Guards against operations that are refused as over the quota because no issuer of
+// another data centre was connected yet.
+func TestIssuersOfOtherDataCentresAreAskedAtOnce(t *testing.T) {
+	runWide(t, func(w wide) {
+		issuers := w.QuotaIssuers("north", true)
+		w.Assert(issuers, qt.HasLen, 3*cwholder.MinPerDataCentre)
+		for _, i := range issuers {
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			v, err := i.Ask(ctx, "north")
+			cancel()
+			w.Assert(err, qt.IsNil)
+			w.Assert(v.Allowed, qt.IsTrue)
+		}
+	})
+	t.Run("those that cannot be connected are left out", func(t *testing.T) {
+		runWide(t, func(w wide) {
+			w.net.set(func() {
+				for name := range w.placement.Instances() {
+					w.net.refused[name] = true
+				}
+			})
+			w.QuotaIssuers("north", true)
+			time.Sleep(time.Millisecond)
+			w.Assert(w.QuotaIssuers("north", true), qt.HasLen, 0)
+		})
+	})
+}
