peers: the first news may take longer; the row of a first start is written before it is looked for

Worked out from the counts, a third of the instances had read everything from the store: 986 of them start at once, sixteen ask one for all rows, which packs them once and sends them over 20 Mbit/s, and each gave it up after half a second with the answer on its way, closed the connection and asked the next.

Change: a question that asks for all rows of a topic may take 3 s; the others half a second, as before. At a first start the row is written without a look before it, which found nothing. A row that is missing from a feeder's word is written again after two seconds, not one: it has been on its way.

--- a/internal/proxy/cwpeers/feeder.go
+++ b/internal/proxy/cwpeers/feeder.go
@@ -14,6 +14,10 @@
 // times as slowly within a few hundred.
 const newsSlack = 500 * time.Millisecond
 
+// firstSlack is the same for a question of an instance that starts: sixteen of them ask
+// for all rows at once, which their feeder packs and sends over a narrow link.
+const firstSlack = 3 * time.Second
+
 // Feeder implements cwport.Feeders. An instance that has no row yet has no place
 // in the tree.
 func (p *Peers) Feeder() (cwport.Feeder, bool) {
@@ -52,6 +56,20 @@
 	return parent, ok
 }
 
+// slackOf returns how much longer than its wait a question may take.
+//
+// The failure: a data centre starts at once. Each instance gives its feeder up after half
+// a second, with the answer on its way, and closes the connection; the next one is asked
+// and given up as well, until all of them read the store.
+func slackOf(q cwport.NewsQuestion) time.Duration {
+	for _, after := range q.After {
+		if after == 0 {
+			return firstSlack
+		}
+	}
+	return newsSlack
+}
+
 // feeder is the link to an instance that tells news.
 type feeder struct{ *link }
 
@@ -67,7 +85,7 @@
 	if conn == nil {
 		return cwport.News{}, &cwport.LostError{Holder: l.to.ID, NotSent: true, Cause: errSilent}
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+newsSlack)
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+slackOf(q))
 	defer cancel()
 	n, err := conn.TellNews(ctx, q)
 	if errors.As(err, new(*cwport.NoNewsError)) {
--- a/internal/proxy/cwpeers/feeder_test.go
+++ b/internal/proxy/cwpeers/feeder_test.go
@@ -106,3 +106,14 @@
 		return f != nil && f.Name() == first.Name()
 	})
 }
+
+// Guards against starts at which each feeder is given up with its answer on the way.
+func TestFirstNewsMayTakeLonger(t *testing.T) {
+	known := cwport.NewsQuestion{After: [cwport.TopicCount]cwfeed.Version{5, 5, 5}}
+	qt.Assert(t, slackOf(known), qt.Equals, newsSlack)
+	qt.Assert(t, slackOf(cwport.NewsQuestion{}), qt.Equals, firstSlack)
+	known.After[cwport.Targets] = cwport.NotAsked
+	qt.Assert(t, slackOf(known), qt.Equals, newsSlack)
+	known.After[cwport.Own] = 0
+	qt.Assert(t, slackOf(known), qt.Equals, firstSlack)
+}
--- a/internal/proxy/cwpeers/rows.go
+++ b/internal/proxy/cwpeers/rows.go
@@ -37,13 +37,13 @@
 	registerEvery = time.Second
 	// registerTimeout bounds one write of it.
 	registerTimeout = 2 * time.Second
-	// lostFor is how long an instance counts without a row: it hears of the loss
-	// within about a second, writes the row with the next look at it, and a write can
-	// take its whole time.
-	lostFor = registerEvery + registerTimeout + time.Second
 	// lostGrace is how long the own row may be missing before it is written again: a
 	// feeder may not have heard yet of one that was written a moment ago.
-	lostGrace = registerEvery
+	lostGrace = 2 * registerEvery
+	// lostFor is how long an instance counts without a row: it hears of the loss
+	// within about a second, writes the row with the first look after lostGrace, and a
+	// write can take its whole time.
+	lostFor = lostGrace + registerEvery + registerTimeout + time.Second
 )
 
 type instanceBody struct {
--- a/internal/proxy/cwpeers/start.go
+++ b/internal/proxy/cwpeers/start.go
@@ -28,6 +28,9 @@
 // centre an instance finds the one that tells it all the others, and reads no more than
 // these from the store.
 func (p *Peers) loopStart(ctx context.Context) {
+	if p.FirstStart && !p.isPlaced() && p.register(ctx) {
+		p.sleep(ctx, firstLook)
+	}
 	for ctx.Err() == nil && !p.isPlaced() {
 		rows, err := p.look(ctx)
 		switch {
