members: the first row of one of many groups is written by its first holder

Of a thousand groups each holder waits half a second longer than the one before it with the first row of a group; the row of the one before takes longer than that through two steps of feeders, so that up to four wrote, three of them in vain. Nothing changes where a row was lost, or before few groups.

--- a/internal/proxy/cwmembers/members.go
+++ b/internal/proxy/cwmembers/members.go
@@ -188,11 +188,18 @@
 	}
 	wait := time.Duration(max(place, 0)) * delayOf(c, w)
 	if w.tag == "" && !r.seen[service] {
-		wait += r.turn(service)
+		wait = r.turn(service) + time.Duration(max(place, 0))*r.firstDelay()
 	}
 	return w.tag, now.Sub(since) >= wait
 }
 
+// firstDelay returns how much longer each holder waits than the one before it with the
+// first row of a group. Among many groups the row of the one before takes its time to
+// arrive, and who does not wait for it writes in vain.
+func (r *Record) firstDelay() time.Duration {
+	return min(placeDelay, lostDelay+time.Duration(r.Groups())*spacing)
+}
+
 // turn returns how long the first row of a group waits for those of others.
 //
 // The load it answers: all instances start at once before a thousand groups. The table
--- a/internal/proxy/cwmembers/members_test.go
+++ b/internal/proxy/cwmembers/members_test.go
@@ -198,6 +198,28 @@
 	qt.Assert(t, r.turn("ledger0000") < 3*spacing, qt.IsTrue)
 }
 
+// Guards against first rows that each holder of a group writes, since the one before takes
+// its time to arrive.
+func TestFirstRowOfManyGroupsIsWrittenByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for place, wait := range []time.Duration{0, placeDelay, 2 * placeDelay} {
+			r := &Record{
+				Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Groups: func() int { return 1000 },
+				Place: func(string) (int, bool) { return place, true },
+			}
+			r.Rows(nil, true)
+			c := Count{Members: []cwport.Listing{{ID: "a"}}, Of: 1}
+			r.due("s", c)
+			time.Sleep(wait + r.turn("s") - time.Millisecond)
+			_, due := r.due("s", c)
+			qt.Assert(t, due, qt.IsFalse)
+			time.Sleep(time.Millisecond)
+			_, due = r.due("s", c)
+			qt.Assert(t, due, qt.IsTrue)
+		}
+	})
+}
+
 // Guards against a row that was lost and waits for its turn as if it were the first one.
 func TestRowThatWasLostIsWrittenAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
