holder, peers: the choice among holders is a decision of its own, and its first is tried again

cwholder.Choose decides by the states of connections which holder takes a statement, which one is connected and what is worth waiting for; choose.go in cwpeers carries it out. Written down so, it showed a fault of the first version: while a spare is connected nobody connected the first choice again, so after a restart of a holder each instance stayed with the spare that it had found, for as long as it used it, and what is known of the group was spread over several. The first choice is now tried again with each statement that another one takes, within the pauses after a failure. Its test, "until it is there again", failed before.

--- a/internal/proxy/cwpeers/demand_test.go
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -94,7 +94,7 @@
 			w.net.set(func() { w.net.refused[w.holders[0].ID] = true })
 			h, took := w.holder()
 			w.Assert(h.Name(), qt.Equals, w.holders[1].ID)
-			w.Assert(took < spareAfter, qt.IsTrue)
+			w.Assert(took < cwholder.SpareAfter, qt.IsTrue)
 		})
 	})
 	t.Run("of one that does not answer", func(t *testing.T) {
@@ -114,6 +114,22 @@
 			w.Assert(h.Name(), qt.Equals, w.holders[1].ID)
 		})
 	})
+	t.Run("until it is there again", func(t *testing.T) {
+		runWide(t, func(w wide) {
+			w.net.set(func() { w.net.refused[w.holders[0].ID] = true })
+			for range 5 {
+				h, _ := w.holder()
+				w.Assert(h.Name(), qt.Equals, w.holders[1].ID)
+				time.Sleep(time.Second)
+			}
+			w.net.set(func() { w.net.refused[w.holders[0].ID] = false })
+			time.Sleep(redialMax)
+			w.holder()
+			time.Sleep(10 * time.Millisecond)
+			h, _ := w.holder()
+			w.Assert(h.Name(), qt.Equals, w.holders[0].ID)
+		})
+	})
 	t.Run("there is none", func(t *testing.T) {
 		runWide(t, func(w wide) {
 			w.net.set(func() {
@@ -192,7 +208,7 @@
 			w.mu.Lock()
 			l := w.links[w.holders[0].ID]
 			w.mu.Unlock()
-			return l.ready(time.Now())
+			return l.state(time.Now()).Ready
 		}
 		h, _ := w.holder()
 		for range 3 {
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -108,23 +108,16 @@
 	go l.runDial()
 }
 
-// ready reports whether statements can be handed over now. It opens no connection.
-func (l *link) ready(now time.Time) bool {
+// state returns where the connection stands. It opens none.
+func (l *link) state(now time.Time) cwholder.LinkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.conn != nil && !now.Before(l.avoidUntil)
-}
-
-// connecting opens a connection if there is none, and returns for how long one has
-// been under way; false if none is, or if the last try failed.
-func (l *link) connecting(now time.Time) (time.Duration, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil {
-		return 0, false
+	avoided := now.Before(l.avoidUntil)
+	out := cwholder.LinkState{Ready: l.conn != nil && !avoided, Failed: avoided || l.conn == nil && l.redial > 0, Connecting: -1}
+	if l.dialing {
+		out.Connecting = now.Sub(l.dialSince)
 	}
-	l.startDial(now)
-	return now.Sub(l.dialSince), l.dialing && l.redial == 0
+	return out
 }
 
 // awaitDial waits for the end of the try to connect that is under way, if one is.
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -30,17 +29,6 @@
 // they are needed: the first choice and the one that takes its place.
 const connectAhead = 2
 
-// Times of connections on demand.
-const (
-	// connectWait is how long a statement waits at most for a connection to a holder
-	// before it runs here: some round trips between data centres, and a busy
-	// instance's queue.
-	connectWait = 200 * time.Millisecond
-	// spareAfter is how long a connection may take until the next holder is connected,
-	// too.
-	spareAfter = 50 * time.Millisecond
-)
-
 // Dial connects to an instance.
 type Dial func(ctx context.Context, name, address string) (Conn, error)
 
@@ -100,9 +88,9 @@
 	// helpers is who was last asked to run a group's statements that this
 	// instance could not; who did is asked again first.
 	helpers map[string]string
-	// connected is closed when a try to connect has ended; nil if nobody waits for one.
-	connected chan struct{}
-	closed    bool
+	// dialled is closed when a try to connect has ended; nil if nobody waits for one.
+	dialled chan struct{}
+	closed  bool
 }
 
 // Run keeps the own row until ctx ends, and closes the connections then.
@@ -130,140 +118,6 @@
 	clear(p.links)
 }
 
-// Holder implements cwport.Holders.
-func (p *Peers) Holder(group string, d cwholder.Demand, tried []string) (cwport.Holder, bool) {
-	end := p.Clock.Now().Add(connectWait)
-	for {
-		c := p.choose(group, d, tried)
-		if c.link != nil {
-			return c.link, true
-		}
-		if c.pending == nil || !p.await(c, end) {
-			return nil, false
-		}
-	}
-}
-
-// choice is who takes a statement.
-type choice struct {
-	// link is to the holder that does; nil if there is none now.
-	link *link
-	// pending is closed when a connection to a holder may have come about that is worth
-	// waiting for; nil if there is none. After spare the next holder is connected, too.
-	pending <-chan struct{}
-	spare   time.Duration
-}
-
-// choose chooses the holder that takes a statement.
-func (p *Peers) choose(group string, d cwholder.Demand, tried []string) choice {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Clock.Now()
-	route := p.route(group, d)
-	if slices.Contains(tried, p.Self.ID) {
-		return choice{link: p.helper(group, route, tried, now)}
-	}
-	if n := slices.Index(route, p.Self); n >= 0 {
-		route = route[:n]
-	}
-	if d.Many {
-		return p.chooseOnDemand(route, tried, now)
-	}
-	for _, i := range route {
-		if l := p.link(i); !slices.Contains(tried, i.ID) && l.usable(now) {
-			return choice{link: l}
-		}
-	}
-	return choice{}
-}
-
-// helper returns the link to an instance that takes a statement which this one cannot
-// run; nil if there is none now. The caller holds mu.
-func (p *Peers) helper(group string, route []cwholder.Instance, tried []string, now time.Time) *link {
-	if l, ok := p.links[p.helpers[group]]; ok && !slices.Contains(tried, l.to.ID) && l.usable(now) && l.fresh(now) {
-		return l
-	}
-	for _, i := range route {
-		if slices.Contains(tried, i.ID) || i == p.Self {
-			continue
-		}
-		if l := p.link(i); l.usable(now) && l.fresh(now) {
-			p.noteHelper(group, i.ID)
-			return l
-		}
-	}
-	return nil
-}
-
-// chooseOnDemand chooses among holders that are not connected before they are needed.
-//
-// The load it answers: hundreds of instances before a thousand groups, each of which an
-// instance has a statement for once in a while. Tried in turn, all holders of all data
-// centres were connected for one statement, which ran here meanwhile: the group was
-// made here, on new connections to its targets, and nothing was known of it. Holders
-// that are connected come first; otherwise the first in order is connected and waited
-// for, and the next one only when that takes long. The caller holds mu.
-func (p *Peers) chooseOnDemand(route []cwholder.Instance, tried []string, now time.Time) choice {
-	left := slices.DeleteFunc(slices.Clone(route), func(i cwholder.Instance) bool { return slices.Contains(tried, i.ID) })
-	for _, i := range left {
-		if l := p.links[i.ID]; l != nil && l.ready(now) {
-			return choice{link: l}
-		}
-	}
-	c := choice{}
-	for _, i := range left {
-		since, connecting := p.link(i).connecting(now)
-		if !connecting {
-			continue
-		}
-		if p.connected == nil {
-			p.connected = make(chan struct{})
-		}
-		c.pending, c.spare = p.connected, spareAfter-since
-		if c.spare > 0 {
-			break
-		}
-	}
-	return c
-}
-
-// await waits until there may be another choice, and returns false at the end.
-func (p *Peers) await(c choice, end time.Time) bool {
-	left := end.Sub(p.Clock.Now())
-	if left <= 0 {
-		return false
-	}
-	if c.spare > 0 {
-		left = min(left, c.spare)
-	}
-	t := p.Clock.NewTimer(left)
-	defer t.Stop()
-	select {
-	case <-c.pending:
-	case <-t.Chan():
-	}
-	return true
-}
-
-// noteDialled wakes the statements that wait for a connection.
-func (p *Peers) noteDialled() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.connected != nil {
-		close(p.connected)
-		p.connected = nil
-	}
-}
-
-// noteHelper notes who is asked for help. One that cannot help is avoided for a
-// while, and another one takes its place. The caller holds mu.
-func (p *Peers) noteHelper(group, name string) {
-	if p.helpers == nil {
-		p.helpers = make(map[string]string)
-	}
-	p.helpers[group] = name
-}
-
 // Connect opens connections to the holders that this instance hands a group's
 // statements to.
 //
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -35,10 +35,11 @@
 		l := p.link(i)
 		l.keep()
 		issuer := cwport.QuotaIssuer{Name: i.ID, Ask: l.askQuota}
-		if _, connecting := l.connecting(now); connecting {
-			later = append(later, issuer)
-		} else if l.connected(now) {
+		switch {
+		case l.connected(now):
 			out = append(out, issuer)
+		case !l.failing():
+			later = append(later, issuer)
 		}
 	}
 	return append(out, later...)
