front: a large statement that is on its way is not taken for one that was lost

What callers saw: an insert of a megabyte answered 08007, "the connection to the database went silent before the outcome was known", though the database ran it.

Cause: after a second without an answer the database is asked over another connection whether it is busy for this one. Until the last byte has come it is not; the second such word counted as silence of the connection.

Change: the connection counts what it sends, and the question waits for as long as that takes at 256 kB a second.

--- a/internal/proxy/cwfront/promise_test.go
+++ b/internal/proxy/cwfront/promise_test.go
@@ -16,6 +16,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwsession"
 	"cicadawalk.example/cicadawalk/internal/standin/cwdatabase"
+	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
 	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
 )
 
@@ -198,6 +199,17 @@
 	c.Run("a long statement goes on", func(c *qt.C) {
 		exec(c, b.connect(c, 0), "SELECT pg_sleep(2.2)")
 	})
+	c.Run("a large statement that is on its way goes on", func(c *qt.C) {
+		conn := b.connect(c, 0)
+		exec(c, conn, "CREATE TABLE parte (id bigint, note text)")
+		for _, l := range b.links {
+			l.SetFaults(cwlink.Faults{Delay: 60 * time.Millisecond})
+		}
+		exec(c, conn, "INSERT INTO parte VALUES ($1, $2)", 1, strings.Repeat("x", 1<<20))
+		for _, l := range b.links {
+			l.SetFaults(cwlink.Faults{})
+		}
+	})
 	c.Run("in a transaction", func(c *qt.C) {
 		conn := b.connect(c, 0)
 		exec(c, conn, "BEGIN")
--- a/internal/proxy/cwfront/relay.go
+++ b/internal/proxy/cwfront/relay.go
@@ -21,6 +21,9 @@
 	// quietLimit is how long a target may bring nothing before it is asked, over
 	// another connection, what it is doing for this one.
 	quietLimit = time.Second
+	// slowestPath is the rate at which a statement reaches its target at the least, in
+	// bytes a second. Until then the target is not busy for the connection.
+	slowestPath = 256 << 10
 	// activityTimeout bounds that question.
 	activityTimeout = 400 * time.Millisecond
 	// streamAt is the size at which an answer is passed on before it is whole.
@@ -71,7 +74,7 @@
 	if hold {
 		limit = holdAt
 	}
-	w := watchdog{s: s, route: r, heard: s.server.Clock.Now()}
+	w := watchdog{s: s, route: r, heard: s.server.Clock.Now(), quiet: quietLimit + travel(r.lease.Conn.TakeSent())}
 	w.arm()
 	defer w.disarm()
 	for {
@@ -149,11 +152,18 @@
 	route route
 	heard time.Time
 	armed time.Time
+	// quiet is how long the target may bring nothing before it is asked.
+	quiet time.Duration
 	// doubted is true once the target said that it is not busy for this
 	// connection.
 	doubted bool
 }
 
+// travel returns how long a statement may be on its way.
+func travel(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / slowestPath
+}
+
 func (w *watchdog) arm() {
 	w.armed = time.Now()
 	_ = w.route.lease.Conn.SetReadDeadline(w.armed.Add(slice))
@@ -195,7 +205,7 @@
 	if now.After(w.route.deadline) {
 		return &lostError{why: "the statement ran out of time"}
 	}
-	if now.Sub(w.heard) < quietLimit {
+	if now.Sub(w.heard) < w.quiet {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), activityTimeout)
--- a/internal/wire/cwtarget/conn.go
+++ b/internal/wire/cwtarget/conn.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -44,6 +45,27 @@
 	// Parameters are those that the target reported at the start.
 	Parameters map[string]string
 	Address    string
+
+	sent sentBytes
+}
+
+// sentBytes passes bytes on and counts them.
+type sentBytes struct {
+	w io.Writer
+	n int
+}
+
+func (s *sentBytes) Write(b []byte) (int, error) {
+	n, err := s.w.Write(b)
+	s.n += n
+	return n, err
+}
+
+// TakeSent returns how many bytes were sent since it was last called.
+func (c *Conn) TakeSent() int {
+	n := c.sent.n
+	c.sent.n = 0
+	return n
 }
 
 // maxMessage bounds one message from a target, in bytes.
@@ -58,10 +80,11 @@
 	}
 	c := &Conn{
 		Conn:       nc,
-		Front:      pgproto3.NewFrontend(nc, nc),
 		Parameters: make(map[string]string),
 		Address:    address,
+		sent:       sentBytes{w: nc},
 	}
+	c.Front = pgproto3.NewFrontend(nc, &c.sent)
 	c.Front.SetMaxBodyLen(maxMessage)
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
 	err = c.start(s)
