load: what is refused as not run before the load begins is tried again

Sessions of the load come back when an answer tells them to; the statements that make its table ready did not, and a proxy that has just started refuses until it knows its groups.

TestLoadComesBackWhenItIsTold refuses paths to the databases for two seconds: before, the load ended with that refusal at that statement.

--- a/internal/proxy/cwnode/failure_test.go
+++ b/internal/proxy/cwnode/failure_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// Guards against a load that ends with its first statement, which was refused as not run.
+func TestLoadComesBackWhenItIsTold(t *testing.T) {
+	t.Parallel()
+	c, b := newBench(t, cwdemo.Options{})
+	for _, l := range b.links {
+		l.SetFaults(cwlink.Faults{Refuse: true})
+	}
+	time.AfterFunc(2*time.Second, func() {
+		for _, l := range b.links {
+			l.SetFaults(cwlink.Faults{})
+		}
+	})
+	assertKept(c, b.load(c, time.Second, nil, func() {}))
+}
+
 // An operator asks the next day why another database is in charge. The audit
 // trail must say what the proxies did by themselves.
 func TestFailoverStandsInTheAuditTrail(t *testing.T) {
--- a/internal/tool/cwload/load.go
+++ b/internal/tool/cwload/load.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -18,6 +19,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 )
@@ -122,7 +124,7 @@
 	}
 	l := &Load{plan: p, ledger: make(map[int]*ledger)}
 	l.report.ReadLatency, l.report.WriteLatency = newHistogram(), newHistogram()
-	if err := l.createTable(ctx); err != nil {
+	if err := l.prepare(ctx); err != nil {
 		return nil, err
 	}
 	began := time.Now()
@@ -136,6 +138,32 @@
 	return &l.report, nil
 }
 
+// prepareWait bounds the time for which the table is tried while it is refused as not run.
+const prepareWait = 10 * time.Second
+
+// prepare makes the table ready. What is refused as not run is tried again when the answer
+// says so, as sessions do: proxies that have just started refuse until they know their
+// groups.
+func (l *Load) prepare(ctx context.Context) error {
+	end := time.Now().Add(prepareWait)
+	for {
+		err := l.createTable(ctx)
+		var pe *pgconn.PgError
+		if !errors.As(err, &pe) {
+			return err
+		}
+		after, refused := refusal(pe)
+		if !refused || time.Now().Add(after).After(end) {
+			return err
+		}
+		select {
+		case <-time.After(after):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 func (l *Load) createTable(ctx context.Context) error {
 	conn, err := pgx.Connect(ctx, l.plan.URLs[0])
 	if err != nil {
--- a/internal/tool/cwload/session.go
+++ b/internal/tool/cwload/session.go
@@ -217,6 +217,20 @@
 
 var retryAfterText = regexp.MustCompile(`retryAfterMs=(\d+)`)
 
+// refusal returns when to come back with a request that certainly did not run; false if
+// that is not said.
+func refusal(pe *pgconn.PgError) (time.Duration, bool) {
+	m := retryAfterText.FindStringSubmatch(pe.Detail)
+	if m == nil || !strings.Contains(pe.Detail, "notRun=true") {
+		return 0, false
+	}
+	ms, err := strconv.Atoi(m[1])
+	if err != nil {
+		return defaultRetry, true
+	}
+	return max(time.Duration(ms)*time.Millisecond, time.Millisecond), true
+}
+
 // note counts an error. It returns whether the request certainly did not run,
 // and the pause before a repeat.
 func (s *session) note(err error) (refused bool, pause time.Duration) {
@@ -237,13 +251,12 @@
 	if s.conn != nil && s.conn.IsClosed() {
 		s.conn = nil
 	}
-	if m := retryAfterText.FindStringSubmatch(pe.Detail); m != nil && strings.Contains(pe.Detail, "notRun=true") {
+	if after, refused := refusal(pe); refused {
 		l.report.NotRun++
 		if l.report.FirstRefusal == "" {
 			l.report.FirstRefusal = err.Error()
 		}
-		ms, _ := strconv.Atoi(m[1])
-		return true, max(time.Duration(ms)*time.Millisecond, time.Millisecond)
+		return true, after
 	}
 	if pe.Code == "08007" {
 		l.report.Unknown++
