directory, holder: tests of each guard of a start by a feeder, and of places without routes

With each guard of the first list taken out a test fails: the store that is away, entries that have yet to come back, the age, the order after the rows of members. Places that are counted up and down are drawn without a route beside them, too; before, a route that was worked out hid a place that was not counted.

--- a/internal/core/cwholder/placement_test.go
+++ b/internal/core/cwholder/placement_test.go
@@ -56,14 +56,18 @@
 				p.Set(i)
 			}
 			fresh := placementOf(p.Self, slices.Collect(maps.Values(p.Instances())))
-			for g := range 8 {
+			for g := range 2 * len(demands) {
 				group := fmt.Sprint("group-", g)
-				d := demands[g%len(demands)]
+				d := demands[g/2]
 				rank, _ := p.Place(group, d)
 				want, _ := fresh.Place(group, d)
 				if rank != want {
 					t.Fatalf("%s: place %d, worked out anew %d", group, rank, want)
 				}
+				if g%2 == 0 {
+					// Of most groups an instance knows its place and no route.
+					continue
+				}
 				if got, want := p.Route(group, d), fresh.Route(group, d); !slices.Equal(got, want) {
 					t.Fatalf("%s: route %v, worked out anew %v", group, got, want)
 				}
--- a/internal/proxy/cwdirectory/start_test.go
+++ b/internal/proxy/cwdirectory/start_test.go
@@ -226,3 +226,59 @@
 	}
 	return s.askedBy.Snapshot(ctx, t)
 }
+
+// Guards against a first list that lacks members which its feeder counts, or may be about
+// to, because their entries lapsed while the store was away.
+func TestSettled(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name   string
+		change func(d *Directory)
+		want   bool
+	}{
+		{"nothing is missing", func(*Directory) {}, true},
+		{"the store is away", func(d *Directory) { d.away = true }, false},
+		{"an entry is missing", func(d *Directory) { d.vanished["a"] = now.Add(-time.Second) }, false},
+		{"the store was away a moment ago", func(d *Directory) { d.backAt = now.Add(-MinGoneAfter / 2) }, false},
+		{"entries have had the time to come back", func(d *Directory) { d.backAt = now.Add(-MinGoneAfter) }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := &Directory{Clock: clockwork.NewRealClock()}
+			d.prepare()
+			tc.change(d)
+			qt.Assert(t, d.settled(now), qt.Equals, tc.want)
+		})
+	}
+}
+
+// Guards against first rows that are taken from a feeder before those that they need, or
+// that are older than what an instance relies on.
+func TestTakesFirst(t *testing.T) {
+	whole := func() cwport.News {
+		var n cwport.News
+		for i := range n.Topics {
+			n.Topics[i].Whole = true
+		}
+		return n
+	}
+	for _, tc := range []struct {
+		name   string
+		change func(d *Directory, n *cwport.News, a *cwfeed.FeederAnswer)
+		want   bool
+	}{
+		{"all is well", func(*Directory, *cwport.News, *cwfeed.FeederAnswer) {}, true},
+		{"the feeder counts more", func(_ *Directory, n *cwport.News, _ *cwfeed.FeederAnswer) { n.TargetsUnsettled = true }, false},
+		{"who belongs to the groups is not known", func(d *Directory, _ *cwport.News, _ *cwfeed.FeederAnswer) { d.topics[cwport.Own].read = false }, false},
+		{"changes alone", func(_ *Directory, n *cwport.News, _ *cwfeed.FeederAnswer) { n.Topics[cwport.Targets].Whole = false }, false},
+		{"an old word", func(_ *Directory, _ *cwport.News, a *cwfeed.FeederAnswer) { a.Age = fleetStale.Targets }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := &Directory{Clock: clockwork.NewRealClock(), Stale: fleetStale}
+			d.prepare()
+			d.topics[cwport.Own].read = true
+			n, a := whole(), cwfeed.FeederAnswer{Sent: time.Now()}
+			tc.change(d, &n, &a)
+			qt.Assert(t, d.takesFirst(cwport.Targets, n, a), qt.Equals, tc.want)
+		})
+	}
+}
