members: nobody is asked with the record's lock held

Its log ends at 10:58:33; at 10:58:54 the directory still logs a target that changed, and nothing follows from it.

Cause: since the first rows of many groups come in turn the record asks the engine how many groups there are, with its own lock held; once a second the engine asks the record how many members a group has, with its lock held. An instance in which both met stood still for good.

Change: the number of groups is asked before the lock is taken, as the place is. TestNobodyIsAskedWithTheLockHeld waited for itself before.

--- a/internal/proxy/cwmembers/members.go
+++ b/internal/proxy/cwmembers/members.go
@@ -57,7 +57,8 @@
 	// Place returns this instance's place among the holders of a group; false if
 	// it is none.
 	Place func(service string) (int, bool)
-	// Groups returns how many groups there are, held or not.
+	// Groups returns how many groups there are, held or not. Like Counted and Place it is
+	// called without the record's lock: who answers may ask the record meanwhile.
 	Groups func() int
 
 	mu   sync.Mutex
@@ -170,6 +171,7 @@
 // few, until the turn of one comes that knows better. That one does not wait for it.
 func (r *Record) due(service string, c Count) (tag string, due bool) {
 	place, held := r.Place(service)
+	groups := r.Groups()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, w := r.Clock.Now(), r.rows[service]
@@ -188,7 +190,7 @@
 	}
 	wait := time.Duration(max(place, 0)) * delayOf(c, w)
 	if w.tag == "" && !r.seen[service] {
-		wait = r.turn(service) + time.Duration(max(place, 0))*r.firstDelay()
+		wait = turn(service, groups) + time.Duration(max(place, 0))*firstDelay(groups)
 	}
 	return w.tag, now.Sub(since) >= wait
 }
@@ -196,8 +198,8 @@
 // firstDelay returns how much longer each holder waits than the one before it with the
 // first row of a group. Among many groups the row of the one before takes its time to
 // arrive, and who does not wait for it writes in vain.
-func (r *Record) firstDelay() time.Duration {
-	return min(placeDelay, lostDelay+time.Duration(r.Groups())*spacing)
+func firstDelay(groups int) time.Duration {
+	return min(placeDelay, lostDelay+time.Duration(groups)*spacing)
 }
 
 // turn returns how long the first row of a group waits for those of others.
@@ -205,11 +207,11 @@
 // The load it answers: all instances start at once before a thousand groups. The table
 // takes some hundred rows a second; what is beyond is refused, tried again by all after
 // the same pause, and refused once more. A row that was lost is written at once.
-func (r *Record) turn(service string) time.Duration {
+func turn(service string, groups int) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(service))
 	share := float64(h.Sum32()) / (1 << 32)
-	return time.Duration(share * float64(r.Groups()) * float64(spacing))
+	return time.Duration(share * float64(groups) * float64(spacing))
 }
 
 // delayOf returns how much longer each holder waits than the one before it.
--- a/internal/proxy/cwmembers/members_test.go
+++ b/internal/proxy/cwmembers/members_test.go
@@ -186,16 +186,34 @@
 // Guards against a start of all whose first rows come at once, are refused, and come again.
 func TestFirstRowsOfManyGroupsComeInTurn(t *testing.T) {
 	const groups = 1000
-	r := &Record{Clock: clockwork.NewRealClock(), Groups: func() int { return groups }}
 	seconds := make(map[time.Duration]int)
 	for g := range groups {
-		seconds[r.turn(fmt.Sprintf("ledger%04d", g)).Truncate(time.Second)]++
+		seconds[turn(fmt.Sprintf("ledger%04d", g), groups).Truncate(time.Second)]++
 	}
 	for at, n := range seconds {
 		qt.Assert(t, n < 2*int(time.Second/spacing), qt.IsTrue, qt.Commentf("%d rows in the second after %v", n, at))
 	}
-	r.Groups = func() int { return 3 }
-	qt.Assert(t, r.turn("ledger0000") < 3*spacing, qt.IsTrue)
+	qt.Assert(t, turn("ledger0000", 3) < 3*spacing, qt.IsTrue)
+}
+
+// Guards against an instance that stands still for good: the record asks the engine with
+// its lock held, and the engine asks the record with its own.
+func TestNobodyIsAskedWithTheLockHeld(t *testing.T) {
+	r := &Record{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
+	ask := func() { r.Recorded("s") }
+	r.Groups = func() int { ask(); return 1000 }
+	r.Place = func(string) (int, bool) { ask(); return 0, true }
+	r.Rows(nil, true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.due("s", Count{Members: []cwport.Listing{{ID: "a"}}, Of: 1})
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the record waits for itself")
+	}
 }
 
 // Guards against first rows that each holder of a group writes, since the one before takes
@@ -210,7 +228,7 @@
 			r.Rows(nil, true)
 			c := Count{Members: []cwport.Listing{{ID: "a"}}, Of: 1}
 			r.due("s", c)
-			time.Sleep(wait + r.turn("s") - time.Millisecond)
+			time.Sleep(wait + turn("s", 1000) - time.Millisecond)
 			_, due := r.due("s", c)
 			qt.Assert(t, due, qt.IsFalse)
 			time.Sleep(time.Millisecond)
