engine: a probe asks for the age of the desired state without the engine's lock

The balancer's probe asked the directory for the age of the desired state with the engine's lock held, and the directory tells the engine of targets with the lock held that the answer takes.

Change: the age is asked first.

--- a/internal/proxy/cwengine/access_test.go
+++ b/internal/proxy/cwengine/access_test.go
@@ -1,6 +1,7 @@
 package cwengine
 
 import (
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -228,3 +229,41 @@
 	o.neverRan("WRITE a 3")
 	succeeds(o.c, o.caller("s1").ask(cwstatement.Write, "WRITE d 1"))
 }
+
+// Guards against an instance that stands still for good: the balancer's probe asks how old
+// the desired state is with the engine's lock held, and whoever tells of targets holds the
+// lock that the answer takes.
+func TestProbeAsksWithoutTheLockHeld(t *testing.T) {
+	w := newWorld(t, cwcatalogue.ReadNewest)
+	var mu sync.Mutex
+	e := w.engineOf("x", func(cfg *Config) {
+		cfg.KeyBound = time.Hour
+		cfg.Confirmed = func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return w.clock.Now()
+		}
+	})
+	e.SetCatalogue(cwcatalogue.Catalogue{Revision: 2, Keyed: true, Entries: []cwcatalogue.Entry{w.entry}})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() {
+			for range 20_000 {
+				e.Ready()
+			}
+		})
+		for range 20_000 {
+			mu.Lock()
+			e.ChangeListings(nil, nil)
+			mu.Unlock()
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the engine waits for itself")
+	}
+}
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -148,9 +148,11 @@
 
 // Ready reports whether callers may come.
 func (e *Engine) Ready() bool {
+	// Whoever tells of targets holds the lock that this answer takes.
+	stale := e.keysStale(e.cfg.Clock.Now())
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	if e.access.keyed && e.keysStale(e.cfg.Clock.Now()) {
+	if e.access.keyed && stale {
 		return false
 	}
 	return e.revision > 0 && e.listed.Load() && !e.draining.Load() && !e.isolated.Load() && !e.cfg.Path.Suspected()
