load: a fault of a test begins with the sessions

Its fault came a second after the load was called. Since what is refused there is tried again, the table can be ready later than that beside other tests, and the fault that is to break commits of the load broke its preparation; before, the load ended with the refusal.

Change: the plan tells when its sessions begin, and the fault comes a quarter of the load's time after that, in all cases of the test. No check has changed.

--- a/internal/proxy/cwnode/bench_test.go
+++ b/internal/proxy/cwnode/bench_test.go
@@ -82,8 +82,11 @@
 	if change != nil {
 		change(&plan)
 	}
-	timer := time.AfterFunc(d/4, fault)
-	defer timer.Stop()
+	// A fault that comes while the table is made ready is none of the load.
+	plan.Begin = func() {
+		timer := time.AfterFunc(d/4, fault)
+		c.Cleanup(func() { timer.Stop() })
+	}
 	rep, err := cwload.Run(background, plan, b.URL(0))
 	c.Assert(err, qt.IsNil)
 	return rep
--- a/internal/tool/cwload/load.go
+++ b/internal/tool/cwload/load.go
@@ -51,6 +51,8 @@
 	Seed      uint64
 	// Table is where the records go; it is created if it is not there.
 	Table string
+	// Begin is called when the table is ready and the sessions begin; it may be nil.
+	Begin func()
 }
 
 // Report is what a load led to.
@@ -127,6 +129,9 @@
 	if err := l.prepare(ctx); err != nil {
 		return nil, err
 	}
+	if p.Begin != nil {
+		p.Begin()
+	}
 	began := time.Now()
 	if err := l.drive(ctx); err != nil {
 		return nil, err
