--- a/internal/core/cwholder/choose_test.go
+++ b/internal/core/cwholder/choose_test.go
@@ -7,8 +7,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against statements that connect every holder, or wait for one that is gone while
-// another one is there.
+// Guards against statements that connect every holder or wait for one that is gone.
 func TestChoose(t *testing.T) {
 	const ms = time.Millisecond
 	none, ready, failed := LinkState{Connecting: -1}, LinkState{Ready: true, Connecting: -1}, LinkState{Failed: true, Connecting: -1}
--- a/internal/core/cwholder/holder_test.go
+++ b/internal/core/cwholder/holder_test.go
@@ -91,8 +91,7 @@
 	}
 }
 
-// Guards against groups that no instance knows well, since their few statements a second
-// are spread over a holder in each data centre for every few connections.
+// Guards against groups whose few statements a second are spread over many holders.
 func TestManyGroupsHaveFewHolders(t *testing.T) {
 	many := Demand{Connections: 278, Slots: 3, Many: true}
 	centresOf := func(list []Instance) map[string]bool {
--- a/internal/core/cwholder/placement.go
+++ b/internal/core/cwholder/placement.go
@@ -86,8 +86,7 @@
 // Centre returns the names of a data centre's instances. It is not to be changed.
 func (p *Placement) Centre(name string) []string { return p.centres[name] }
 
-// changed takes that an instance has come, by 1, or gone, by -1, and drops what that may
-// change.
+// changed drops what an instance may change that was added, by 1, or removed, by -1.
 func (p *Placement) changed(i Instance, by int) {
 	if n := len(p.centres[i.DataCentre]); n == 0 || n == 1 && by > 0 {
 		// The data centres have changed with it.
--- a/internal/core/cwholder/placement_test.go
+++ b/internal/core/cwholder/placement_test.go
@@ -21,9 +21,7 @@
 
 var demands = []Demand{{}, {Connections: 36, Slots: 3}, {Connections: 216, Slots: 5}, {Connections: 900, Slots: 3}, {Connections: 278, Slots: 3, Many: true}}
 
-// Whether an instance holds a group is worked out in two ways, one of them without a
-// list of the holders; who believed the one and was told the other would neither watch
-// the group nor hand over its statements.
+// Guards against an instance that neither watches a group nor hands its statements over.
 func TestPlaceAgreesWithTheListOfHolders(t *testing.T) {
 	all := instances(9, "a", "b", "c")
 	for _, d := range demands {
@@ -76,8 +74,7 @@
 	})
 }
 
-// Guards against one instance that comes or goes and makes all others work out the
-// holders of every group.
+// Guards against one change that makes all instances work out every group.
 func TestChangeOfOneInstanceTouchesItsGroupsOnly(t *testing.T) {
 	const groups = 1000
 	d := Demand{Connections: 278, Slots: 3, Many: true}
--- a/internal/proxy/cwdirectory/start_test.go
+++ b/internal/proxy/cwdirectory/start_test.go
@@ -151,8 +151,7 @@
 	}, out
 }
 
-// Guards against a first list without a member whose entry has lapsed, which the feeder
-// goes on counting and cannot tell, and against a feeder that is asked for it without end.
+// Guards against a first list that lacks a member which its feeder counts.
 func TestFirstListOfAFeederIsWhole(t *testing.T) {
 	t.Run("nothing is missing", func(t *testing.T) {
 		run(t, fleetSize, func(c *qt.C, fl *fleet) {
@@ -227,8 +226,7 @@
 	return s.askedBy.Snapshot(ctx, t)
 }
 
-// Guards against a first list that lacks members which its feeder counts, or may be about
-// to, because their entries lapsed while the store was away.
+// Guards against a first list from a feeder whose entries have yet to come back.
 func TestSettled(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, tc := range []struct {
@@ -251,8 +249,7 @@
 	}
 }
 
-// Guards against first rows that are taken from a feeder before those that they need, or
-// that are older than what an instance relies on.
+// Guards against first rows of a feeder that are old, or come before those they need.
 func TestTakesFirst(t *testing.T) {
 	whole := func() cwport.News {
 		var n cwport.News
--- a/internal/proxy/cwengine/access_test.go
+++ b/internal/proxy/cwengine/access_test.go
@@ -230,9 +230,7 @@
 	succeeds(o.c, o.caller("s1").ask(cwstatement.Write, "WRITE d 1"))
 }
 
-// Guards against an instance that stands still for good: the balancer's probe asks how old
-// the desired state is with the engine's lock held, and whoever tells of targets holds the
-// lock that the answer takes.
+// Guards against a probe and news of targets that wait for each other for good.
 func TestProbeAsksWithoutTheLockHeld(t *testing.T) {
 	w := newWorld(t, cwcatalogue.ReadNewest)
 	var mu sync.Mutex
--- a/internal/proxy/cwengine/groups_test.go
+++ b/internal/proxy/cwengine/groups_test.go
@@ -77,8 +77,7 @@
 	w.c.Assert(made, qt.IsFalse)
 }
 
-// Guards against an instance that takes part in a quarter of all groups for good, since it
-// worked out their holders before it knew what their targets take.
+// Guards against groups that are held by a demand that is not known yet.
 func TestNoGroupIsHeldBeforeItsTargetsAreKnown(t *testing.T) {
 	w := newWorld(t, cwcatalogue.ReadNewest)
 	w.listed = nil
@@ -116,8 +115,7 @@
 	return -1, false
 }
 
-// Guards against news of one target that make each of hundreds of instances look at all
-// of a thousand groups.
+// Guards against news of one target that look at a thousand groups.
 func TestNewsOfOneTargetLookAtItsGroupOnly(t *testing.T) {
 	const groups = 1000
 	w := newWorld(t, cwcatalogue.ReadNewest)
--- a/internal/proxy/cwinstance/fleet_test.go
+++ b/internal/proxy/cwinstance/fleet_test.go
@@ -226,8 +226,7 @@
 	}
 }
 
-// Guards against an instance without callers whose work a second grows with the fleet. Its
-// memory is logged and asserts nothing: it grows with what the platform lists.
+// Guards against work at rest for groups that others hold.
 func TestInstanceOfAFleetAtRest(t *testing.T) {
 	for _, size := range []struct{ instances, groups int }{{30, 100}, {100, 333}, {300, 1000}, {986, 1000}, {2000, 2000}} {
 		t.Run(fmt.Sprintf("%d instances, %d groups", size.instances, size.groups), func(t *testing.T) {
--- a/internal/proxy/cwmembers/members_test.go
+++ b/internal/proxy/cwmembers/members_test.go
@@ -196,8 +196,7 @@
 	qt.Assert(t, turn("ledger0000", 3) < 3*spacing, qt.IsTrue)
 }
 
-// Guards against an instance that stands still for good: the record asks the engine with
-// its lock held, and the engine asks the record with its own.
+// Guards against a record and an engine that wait for each other for good.
 func TestNobodyIsAskedWithTheLockHeld(t *testing.T) {
 	r := &Record{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard)}
 	ask := func() { r.Recorded("s") }
@@ -216,8 +215,7 @@
 	}
 }
 
-// Guards against first rows that each holder of a group writes, since the one before takes
-// its time to arrive.
+// Guards against first rows that each holder of a group writes.
 func TestFirstRowOfManyGroupsIsWrittenByOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for place, wait := range []time.Duration{0, placeDelay, 2 * placeDelay} {
--- a/internal/proxy/cwpeers/demand_test.go
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -72,8 +72,7 @@
 	return slices.Clone(n.dials)
 }
 
-// Guards against one statement of a group that connects its instance to every holder, and
-// runs on the spot meanwhile.
+// Guards against one statement that connects every holder of its group.
 func TestStatementOfManyGroupsConnectsOneHolder(t *testing.T) {
 	runWide(t, func(w wide) {
 		for range 3 {
@@ -170,8 +169,7 @@
 	return p.answered.Before(p.unmet)
 }
 
-// Guards against an instance that goes on taking callers for as long as its data centre is
-// cut off, since it has no traffic of its own with databases elsewhere.
+// Guards against an instance that takes callers while its data centre is cut off.
 func TestSilenceOfOtherDataCentresIsRecorded(t *testing.T) {
 	runWide(t, func(w wide) {
 		var far cwholder.Instance
@@ -224,8 +222,7 @@
 	})
 }
 
-// Guards against rows that say what is known already and make an instance work out anew
-// whether it holds a thousand groups.
+// Guards against rows without news that have every group placed anew.
 func TestRowsWithoutNewsAreNotTold(t *testing.T) {
 	c := qt.New(t)
 	told := 0
--- a/internal/proxy/cwpeers/quota_test.go
+++ b/internal/proxy/cwpeers/quota_test.go
@@ -10,8 +10,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 )
 
-// Guards against operations that are refused as over the quota because no issuer of
-// another data centre was connected yet.
+// Guards against refusals because no far issuer was connected yet.
 func TestIssuersOfOtherDataCentresAreAskedAtOnce(t *testing.T) {
 	runWide(t, func(w wide) {
 		issuers := w.QuotaIssuers("north", true)
--- a/internal/proxy/cwpeers/start_test.go
+++ b/internal/proxy/cwpeers/start_test.go
@@ -67,8 +67,7 @@
 	return p.Feeder()
 }
 
-// Guards against starts of all that read a megabyte from the store for each instance, since
-// nobody knows whom to ask.
+// Guards against starts that read everything from the store.
 func TestStartFindsItsFeederByTheRowsOfItsDataCentre(t *testing.T) {
 	t.Run("again", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
