--- a/internal/proxy/cwengine/groups_test.go
+++ b/internal/proxy/cwengine/groups_test.go
@@ -16,6 +16,13 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
+// other returns an entry of another group than the world's.
+func (w *world) other(i int) cwcatalogue.Entry {
+	e := w.entry
+	e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
+	return e
+}
+
 // An instance stands before more groups than it could watch, and a caller comes for
 // one that it has no part in. It is served; the claim on the group that was told
 // before counts, and the other groups are not made.
@@ -24,9 +31,7 @@
 	front := w.engineWith("front", &holders{})
 	c := cwcatalogue.Catalogue{Revision: 2, Entries: []cwcatalogue.Entry{w.entry}}
 	for i := range 2 * cwholder.ManyGroups {
-		e := w.entry
-		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
-		c.Entries = append(c.Entries, e)
+		c.Entries = append(c.Entries, w.other(i))
 	}
 	front.SetCatalogue(c)
 	_, made := front.Group("other1")
@@ -61,9 +66,7 @@
 	front := w.engineWith("front", &holders{list: []*holder{h}})
 	c := cwcatalogue.Catalogue{Revision: 2}
 	for i := range 2 * cwholder.ManyGroups {
-		e := w.entry
-		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
-		c.Entries = append(c.Entries, e)
+		c.Entries = append(c.Entries, w.other(i))
 	}
 	front.SetCatalogue(c)
 	c.Revision, c.Entries = 3, append(c.Entries, w.entry)
@@ -85,9 +88,7 @@
 	front := w.engineWith("front", h)
 	c := cwcatalogue.Catalogue{Revision: 2}
 	for i := range 2 * cwholder.ManyGroups {
-		e := w.entry
-		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
-		c.Entries = append(c.Entries, e)
+		c.Entries = append(c.Entries, w.other(i))
 	}
 	front.SetCatalogue(c)
 	_, made := front.Group("other1")
@@ -125,10 +126,8 @@
 	c := cwcatalogue.Catalogue{Revision: 2}
 	var all []cwport.Listing
 	for i := range groups {
-		e := w.entry
-		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
-		c.Entries = append(c.Entries, e)
-		all = append(all, cwport.Listing{ID: memberID(fmt.Sprintf("t%d", i)), Service: e.Groups[0].Name, Address: "t", DataCentre: "dc-a", Slots: 3})
+		c.Entries = append(c.Entries, w.other(i))
+		all = append(all, cwport.Listing{ID: memberID(fmt.Sprintf("t%d", i)), Service: fmt.Sprintf("other%d", i), Address: "t", DataCentre: "dc-a", Slots: 3})
 	}
 	front.SetCatalogue(c)
 	front.SetListings(all)
@@ -156,9 +155,7 @@
 	front := w.engineWith("front", &holders{})
 	c := cwcatalogue.Catalogue{Revision: 2, Entries: []cwcatalogue.Entry{w.entry}}
 	for i := range cwholder.ManyGroups {
-		e := w.entry
-		e.Service, e.Groups = fmt.Sprintf("database%d", i), []cwcatalogue.Group{{Name: fmt.Sprintf("other%d", i)}}
-		c.Entries = append(c.Entries, e)
+		c.Entries = append(c.Entries, w.other(i))
 	}
 	front.SetCatalogue(c)
 	s := w.session(front)
