wire/cwforward: method path

Instances of a data centre tell each other whether other data centres answer. Malformed reports are refused and counted; the connection stays open.

--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -36,13 +36,18 @@
 }
 
 // Server handles requests from other instances: forwarded statements, requests for
-// store changes and quota requests.
+// store changes, quota requests and path reports.
 type Server struct {
 	Handler Handler
 	// News answers requests for store changes. If it is nil, they are refused.
 	News cwport.ChangesServer
 	// Quotas answers quota requests. If it is nil, they are refused.
 	Quotas cwport.QuotaServer
+	// Path processes path reports. If it is nil, they are refused.
+	Path cwport.PathServer
+	// OnMalformed is called with the method of a message that was dropped because it is
+	// malformed; it may be nil.
+	OnMalformed func(method string)
 
 	encoder newsEncoder
 }
@@ -65,6 +70,8 @@
 			return s.answerNews(ctx, req)
 		case methodQuota:
 			return s.answerQuota(req)
+		case methodPath:
+			return s.answerPath(req)
 		}
 		return s.answerPingOrStatement(bounded, req)
 	}
