proxy/cwpeers: sends path reports and pings

A ping that is not answered closes its connection, so that the next one uses a new one. A new connection to another data centre counts as an answer, since the instance has answered a ping on it. Statements are not forwarded to other data centres while these do not answer.

--- a/internal/proxy/cwpeers/choose.go
+++ b/internal/proxy/cwpeers/choose.go
@@ -45,7 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	route := p.route(group, d)
+	route := p.withoutCutOff(p.route(group, d))
 	if slices.Contains(tried, p.Self.ID) {
 		return choice{link: p.helper(group, route, tried, now)}
 	}
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -207,7 +207,7 @@
 }
 
 func (l *link) runProbe(conn Conn) {
-	l.probe(conn)
+	_ = l.probe(conn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probing = false
@@ -239,6 +239,10 @@
 	}
 	l.log.Info("holderConnected", "holder", l.remote.ID, "dataCentre", l.remote.DataCentre)
 	l.conn, l.lastAnswerAt, l.lastUsedAt, l.dialBackoff = conn, now, now, 0
+	if l.path != nil {
+		// The remote instance has answered a ping.
+		l.path.RecordAnswer(now)
+	}
 	go l.runConn(conn)
 }
 
@@ -267,7 +271,7 @@
 			return
 		}
 		if l.clock.Since(l.lastAnswer()) >= pingInterval {
-			l.probe(conn)
+			_ = l.probe(conn)
 		}
 	}
 }
@@ -296,18 +300,19 @@
 	}
 }
 
-// probe pings the remote instance and closes the connection if no answer arrives
-// within answerTimeout.
-func (l *link) probe(conn Conn) {
+// probe pings the remote instance. If no answer arrives within answerTimeout, it closes
+// the connection and returns an error.
+func (l *link) probe(conn Conn) error {
 	sent := l.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	if err := conn.Ping(ctx); err != nil {
 		l.recordOverdue(sent)
 		l.dropConn(conn, errors.Join(errNoAnswer, err))
-		return
+		return err
 	}
 	l.recordAnswer()
+	return nil
 }
 
 // dropConn closes a connection that failed and backs off. Calls in progress on it
@@ -348,7 +353,7 @@
 	sent := l.clock.Now()
 	overdue := l.clock.AfterFunc(answerTimeout, func() {
 		l.recordOverdue(sent)
-		l.probe(conn)
+		_ = l.probe(conn)
 	})
 	defer overdue.Stop()
 	resp, err := conn.Forward(ctx, h)
--- /dev/null
+++ b/internal/proxy/cwpeers/path_test.go
@@ -0,0 +1,107 @@
+package cwpeers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwpath"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// pathInstances returns one neighbour and one instance of another data centre.
+func (w manyGroupsTest) pathInstances() (neighbour, remote string) {
+	neighbours, others := w.PathNeighbours()
+	w.Assert(neighbours, qt.HasLen, 5)
+	w.Assert(others, qt.HasLen, 3)
+	for _, names := range others {
+		return neighbours[0], names[0]
+	}
+	return "", ""
+}
+
+func (w manyGroupsTest) sendReport(to string) (time.Duration, error) {
+	began := time.Now()
+	_, err := w.SendPathReport(context.Background(), to, cwport.PathReport{ID: "r/1", Instance: w.Self.ID})
+	return time.Since(began), err
+}
+
+func TestPathReportsConnectOnDemand(t *testing.T) {
+	runManyGroups(t, func(w manyGroupsTest) {
+		to, _ := w.pathInstances()
+		_, err := w.sendReport(to)
+		w.Assert(err, qt.IsNil)
+		w.Assert(w.net.dialled(), qt.DeepEquals, []string{to})
+	})
+}
+
+// Guards against a spread that stops at connections that went silent without a reset:
+// the call must end soon, and the next one must use a new connection.
+func TestSilentConnectionToNeighbourIsReplaced(t *testing.T) {
+	runManyGroups(t, func(w manyGroupsTest) {
+		to, _ := w.pathInstances()
+		_, err := w.sendReport(to)
+		w.Assert(err, qt.IsNil)
+		time.Sleep(answerTimeout)
+		w.net.withLock(func() { w.net.unresponsive[to] = true })
+		took, err := w.sendReport(to)
+		w.Assert(err, qt.IsNotNil)
+		w.Assert(took <= cwpath.CallTimeout, qt.IsTrue, qt.Commentf("%v", took))
+		time.Sleep(answerTimeout)
+		w.net.withLock(func() { w.net.unresponsive[to] = false })
+		_, err = w.sendReport(to)
+		w.Assert(err, qt.IsNil)
+		w.Assert(w.net.dialled(), qt.DeepEquals, []string{to, to})
+	})
+}
+
+// Guards against a report that waits for a neighbour that accepts no connection.
+func TestReportToHangingNeighbourEnds(t *testing.T) {
+	runManyGroups(t, func(w manyGroupsTest) {
+		to, _ := w.pathInstances()
+		hang := make(chan struct{})
+		defer close(hang)
+		w.net.withLock(func() { w.net.hanging = map[string]chan struct{}{to: hang} })
+		took, err := w.sendReport(to)
+		w.Assert(err, qt.IsNotNil)
+		w.Assert(took <= cwpath.CallTimeout, qt.IsTrue, qt.Commentf("%v", took))
+	})
+}
+
+// Guards against a sentinel whose pings are not recorded, so that it never finds a cut or
+// its end.
+func TestPingRecordsThePath(t *testing.T) {
+	runManyGroups(t, func(w manyGroupsTest) {
+		_, to := w.pathInstances()
+		w.Assert(w.PingRemote(context.Background(), to), qt.IsNil)
+		w.Assert(w.path.answered.IsZero(), qt.IsFalse)
+		time.Sleep(time.Millisecond)
+		w.net.withLock(func() { w.net.unresponsive[to] = true })
+		w.Assert(w.PingRemote(context.Background(), to), qt.IsNotNil)
+		w.Assert(w.path.cut(), qt.IsTrue)
+		w.net.withLock(func() { w.net.unresponsive[to] = false })
+		w.Assert(w.PingRemote(context.Background(), to), qt.IsNil)
+		w.Assert(w.path.cut(), qt.IsFalse)
+	})
+}
+
+// Guards against statements that wait for holders behind a cut path.
+func TestNoHolderBehindCutPath(t *testing.T) {
+	runManyGroups(t, func(w manyGroupsTest) {
+		down := false
+		w.PathDown = func() bool { return down }
+		var tried []string
+		for _, h := range w.holders {
+			if h.DataCentre == w.Self.DataCentre {
+				tried = append(tried, h.ID)
+			}
+		}
+		h, _ := w.chooseHolder(tried...)
+		w.Assert(h.Name(), qt.Not(qt.Equals), "")
+		down = true
+		_, ok := w.Holder("g", manyGroupsCapacity, tried)
+		w.Assert(ok, qt.IsFalse)
+	})
+}
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -40,6 +40,9 @@
 	// if no answer arrives.
 	Forward(ctx context.Context, h cwport.ForwardRequest) (cwport.ForwardResponse, error)
 	cwport.ChangesServer
+	// SendPathReport sends a path report to the other instance. The error is a
+	// *cwport.MethodUnknownError if its build does not know the method.
+	SendPathReport(ctx context.Context, r cwport.PathReport) (cwport.PathReply, error)
 	// TakeQuota asks the other instance to admit one operation of a workspace.
 	TakeQuota(ctx context.Context, workspace string) (cwport.QuotaDecision, error)
 	// Ping returns an error if the other end does not answer before ctx ends.
@@ -60,8 +63,8 @@
 }
 
 // Peers tracks the instances and the connections to them. It implements
-// cwport.Holders, cwport.Feeders and cwport.QuotaIssuers. Set the exported fields
-// before Run.
+// cwport.Holders, cwport.Feeders, cwport.QuotaIssuers and cwport.PathNetwork. Set the
+// exported fields before Run.
 type Peers struct {
 	// Self is this instance.
 	Self cwholder.Instance
@@ -81,6 +84,9 @@
 	// PathMonitor records answers and missing answers on connections to other data centres;
 	// it may be nil.
 	PathMonitor PathMonitor
+	// PathDown reports whether other data centres do not answer, so that statements are
+	// not forwarded there; it may be nil.
+	PathDown func() bool
 
 	mu sync.Mutex
 	// dirty is true if the set of instances has changed since OnChange was last called.
@@ -200,6 +206,7 @@
 	_ cwport.Holders      = (*Peers)(nil)
 	_ cwport.Feeders      = (*Peers)(nil)
 	_ cwport.QuotaIssuers = (*Peers)(nil)
+	_ cwport.PathNetwork  = (*Peers)(nil)
 )
 
 // errNoAnswer is the cause for which a connection is closed whose probe was not
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -122,6 +122,10 @@
 	return cwport.QuotaDecision{Allowed: true}, c.awaitAnswer(ctx)
 }
 
+func (c *fakeConn) SendPathReport(ctx context.Context, _ cwport.PathReport) (cwport.PathReply, error) {
+	return cwport.PathReply{}, c.awaitAnswer(ctx)
+}
+
 func (c *fakeConn) Ping(ctx context.Context) error { return c.awaitAnswer(ctx) }
 func (c *fakeConn) Done() <-chan struct{}          { return c.done }
 
