proxy/cwleadership: statements do not wait for members behind a cut path

While the path is suspected, a read goes to a member of this data centre if one can serve it. Once it has been suspected for the isolation delay, statements that need a member in another data centre are refused as not run, with a retry time.

--- a/internal/proxy/cwleadership/place.go
+++ b/internal/proxy/cwleadership/place.go
@@ -80,6 +80,9 @@
 	if !ok {
 		return refuse(string(p.Member) + " is gone")
 	}
+	if g.isRemote(m) && g.cfg.RemotePath.Down(now) {
+		return nil, cwgroup.Report{}, g.pathDownError(now, true)
+	}
 	return m, p, nil
 }
 
@@ -112,7 +115,7 @@
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
 	m, p, err := g.leader(now)
-	if err == nil && g.majorityUnreachable.Load() {
+	if err == nil && (g.majorityUnreachable.Load() || g.majorityBehindPath(now)) {
 		err = &NoPrimaryError{Group: g.cfg.Service, Reason: "most of its members cannot be reached", RetryAfter: g.retryAfter(now)}
 	}
 	if err != nil {
@@ -136,6 +139,7 @@
 		validFor := g.confirmedAt.Add(Lease).Sub(arrivedAt)
 		evidence := g.newEvidence(BasisConfirmed, arrivedAt)
 		changed := g.changed
+		down := g.majorityBehindPath(now)
 		g.mu.Unlock()
 		if validFor < Lease-confirmRefreshAge {
 			g.requestConfirmation()
@@ -143,6 +147,9 @@
 		if validFor > 0 {
 			return Placement{Member: *m, Term: p.AdoptedTerm, Primary: true, Evidence: evidence}, nil
 		}
+		if down {
+			return Placement{}, g.pathDownError(now, false)
+		}
 		if !g.awaitChange(ctx, changed, deadline.Sub(now)) {
 			return Placement{}, &NoPrimaryError{Group: g.cfg.Service, Reason: "no second member confirms it", RetryAfter: typicalDetectionTime}
 		}
@@ -194,6 +201,7 @@
 		stale := rd.ArrivedAt.Sub(g.confirmedAt) > min(confirmRefreshAge, rd.MaxAge/2)
 		changed := g.changed
 		_, _, leaderErr := g.leader(now)
+		down := g.majorityBehindPath(now)
 		var place Placement
 		var found bool
 		if ok {
@@ -208,14 +216,14 @@
 			return place, nil
 		}
 		if ok {
-			return Placement{}, &NoPrimaryError{Group: g.cfg.Service, Reason: "no member can serve the read", RetryAfter: typicalDetectionTime}
+			return Placement{}, &NoPrimaryError{Group: g.cfg.Service, Reason: "no member can serve the read", RetryAfter: typicalDetectionTime, MayServeElsewhere: down}
 		}
 		if leaderErr != nil && g.awaitQuorum(ctx, changed, rd, deadline) {
 			continue
 		}
-		if leaderErr != nil || !g.awaitChange(ctx, changed, deadline.Sub(now)) {
+		if leaderErr != nil || down || !g.awaitChange(ctx, changed, deadline.Sub(now)) {
 			return Placement{}, &NoPrimaryError{
-				Group: g.cfg.Service, Reason: "the age of the data is not known", RetryAfter: typicalDetectionTime, MayServeElsewhere: leaderErr != nil,
+				Group: g.cfg.Service, Reason: "the age of the data is not known", RetryAfter: typicalDetectionTime, MayServeElsewhere: leaderErr != nil || down,
 			}
 		}
 	}
@@ -268,7 +276,7 @@
 			Wait: load.ExpectedWait, Latency: load.Latency, InFlight: load.InFlight + load.Waiting, Slots: m.Slots,
 		})
 	}
-	o, ok := cwroute.FastestTarget(options)
+	o, ok := cwroute.FastestTarget(g.reachableOptions(options, now))
 	if !ok {
 		return Placement{}, false
 	}
--- a/internal/proxy/cwleadership/quorum.go
+++ b/internal/proxy/cwleadership/quorum.go
@@ -59,9 +59,9 @@
 	defer g.mu.Unlock()
 	v := g.sup.View()
 	p, _ := v.Primary()
-	reached := 0
+	reached, down := 0, g.cfg.RemotePath.Down(now)
 	for _, id := range v.Members() {
-		if id == p.Member || g.unreachable[id] {
+		if m := g.members[id]; id == p.Member || g.unreachable[id] || down && m != nil && g.isRemote(m) {
 			continue
 		}
 		reached++
