proxy/cwengine, proxy/cwinstance: instances of a data centre find a cut together

The engine sends the reports and pings that cwpath decides on, and counts the data centre as isolated 100 ms after at least two of its instances suspect the path, unless a group has its majority here. Idle sessions are closed two probes of the load balancer after the last instance known to have joined. Adopted suspicion probes no members of groups at first, so that a false report costs targets nothing.

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwpath"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
@@ -71,9 +73,16 @@
 	// Holders tells which instances hold a group. If it is nil, this instance holds
 	// all groups.
 	Holders cwport.Holders
-	// RemotePath tracks whether targets in other data centres answer. All groups share it;
-	// if it is nil, New creates one.
+	// DataCentre is that of this instance.
+	DataCentre string
+	// RemotePath tracks whether other data centres answer. All groups share it; if it is
+	// nil, New creates one. If it has no clock, it gets that of the engine.
 	RemotePath *cwleadership.RemotePath
+	// PathNetwork reaches other instances to find out whether other data centres answer;
+	// if it is nil, this instance finds out by itself. PathSeed seeds the choice of the
+	// instances that it uses.
+	PathNetwork cwport.PathNetwork
+	PathSeed    uint64
 	// KeyRevocationBound is the time within which a revoked key must be out of use;
 	// zero means no bound. CatalogueConfirmedAt returns a time at which the store
 	// certainly had nothing newer than the catalogue in force.
@@ -129,8 +138,17 @@
 	catalogueLoaded chan struct{}
 	listingsLoaded  atomic.Bool
 	draining        atomic.Bool
-	// isolated is true while this instance reaches a majority of no group.
-	isolated atomic.Bool
+	// isolated is true while this instance or its data centre is cut off. groupsCutOff
+	// is true while this instance by itself reaches a majority of no group.
+	isolated, groupsCutOff atomic.Bool
+	// pathActive is true while this instance knows others of its data centre, and other
+	// data centres, so that path reports are exchanged.
+	pathActive atomic.Bool
+	// path exchanges path reports; nil if there is no PathNetwork. Start sets it.
+	path     *pathWatch
+	probesMu sync.Mutex
+	// probes measures the interval of the load balancer's probes. Protected by probesMu.
+	probes cwpath.ProbeInterval
 	// failedProbes counts the consecutive probes of the load balancer that were
 	// answered with "not ready".
 	failedProbes atomic.Int64
@@ -150,6 +168,9 @@
 	if cfg.RemotePath == nil {
 		cfg.RemotePath = &cwleadership.RemotePath{}
 	}
+	if cfg.RemotePath.Clock == nil {
+		cfg.RemotePath.Clock = cfg.Clock
+	}
 	return &Engine{
 		cfg:                   cfg,
 		memberships:           make(map[string]cwgroup.Membership),
@@ -165,7 +186,7 @@
 
 // Ready reports whether this instance can serve new callers: it has a catalogue and
 // a list of targets, is not shutting down, can check keys, is not isolated, and does
-// not suspect its network path to other data centres.
+// not suspect the network path to other data centres.
 func (e *Engine) Ready() bool {
 	// CatalogueConfirmedAt may need a lock that is held while UpdateTargets waits
 	// for e.mu, so it is called before e.mu is locked.
@@ -283,6 +304,12 @@
 func (e *Engine) Start(ctx context.Context, eg *errgroup.Group) {
 	e.runCtx, e.eg = ctx, eg
 	e.cfg.RemotePath.OnSuspicion = e.handlePathSuspicion
+	if e.cfg.PathNetwork != nil {
+		e.path = newPathWatch(e)
+		e.cfg.RemotePath.Configure(e.cfg.Name, rand.New(rand.NewPCG(e.cfg.PathSeed, 1)))
+		e.cfg.RemotePath.OnMessages = e.path.wake
+		eg.Go(func() error { return e.path.loop(ctx) })
+	}
 	eg.Go(func() error { return e.loopIsolation(ctx) })
 	eg.Go(func() error { return e.loopForwarded(ctx) })
 	eg.Go(func() error { return e.loopMemberships(ctx) })
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -154,9 +154,12 @@
 	}
 }
 
-// RefreshHolders determines again which groups this instance holds, after the list of
-// instances has changed.
+// RefreshHolders determines again which groups this instance holds, and which instances
+// path reports are exchanged with, after the list of instances has changed.
 func (e *Engine) RefreshHolders() {
+	if e.path != nil {
+		e.path.instancesChanged()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.cfg.Holders == nil {
--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"time"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwpath"
 )
 
 // Timing and limits of the detection of isolation.
 const (
 	// isolationCheckInterval is the time between two checks.
 	isolationCheckInterval = 100 * time.Millisecond
+	// suspectedCheckInterval is the time between two checks while the path to other
+	// data centres is suspected and the instance does not count as isolated yet.
+	suspectedCheckInterval = 20 * time.Millisecond
 	// isolatedAfter is how long all groups must look unreachable before the
 	// instance reports itself not ready. A lost primary or a few refused connections
 	// are over sooner, or leave other groups reachable.
@@ -37,33 +43,124 @@
 // not ready and closes idle sessions, so that callers reconnect to instances that can
 // serve them. If all members of one group are lost to everybody, other groups are
 // still reachable, and the instance stays ready.
+//
+// If other instances of the data centre do not reach other data centres either, the
+// instance counts as isolated sooner: see jointlyIsolated.
 func (e *Engine) loopIsolation(ctx context.Context) error {
-	var since, lastClosed time.Time
+	var c isolationCheck
 	for ctx.Err() == nil {
 		select {
-		case <-e.cfg.Clock.After(isolationCheckInterval):
+		case <-e.cfg.Clock.After(e.isolationCheckWait()):
 		case <-ctx.Done():
 			return nil
 		}
-		now := e.cfg.Clock.Now()
-		if e.cfg.RemotePath.Suspected() {
-			// Probing goes on until a member answers, even without callers.
-			e.probeOtherDataCentres()
-		}
-		elsewhere := e.primaryElsewhere()
-		if !elsewhere && !e.allGroupsCutOff() {
-			since = time.Time{}
-		} else if since.IsZero() {
-			since = now
+		e.checkIsolation(&c, e.cfg.Clock.Now())
+	}
+	return nil
+}
+
+// isolationCheck is the state of loopIsolation.
+type isolationCheck struct {
+	// since is the time since which all groups have looked unreachable; zero if they
+	// don't.
+	since time.Time
+	// closedAt is when idle sessions were last closed, and probedAt when members in
+	// other data centres were last probed.
+	closedAt, probedAt time.Time
+}
+
+// isolationCheckWait returns the time until the next check.
+func (e *Engine) isolationCheckWait() time.Duration {
+	if e.cfg.RemotePath.Suspected() && !e.isolated.Load() {
+		return suspectedCheckInterval
+	}
+	return isolationCheckInterval
+}
+
+func (e *Engine) checkIsolation(c *isolationCheck, now time.Time) {
+	if e.probesMembers(now) && now.Sub(c.probedAt) >= isolationCheckInterval {
+		// Probing goes on until a member answers, even without callers.
+		c.probedAt = now
+		e.probeOtherDataCentres()
+	}
+	elsewhere := e.primaryElsewhere()
+	if !elsewhere && !e.allGroupsCutOff() {
+		c.since = time.Time{}
+	} else if c.since.IsZero() {
+		c.since = now
+	}
+	alone := !c.since.IsZero() && now.Sub(c.since) >= isolatedAfter
+	e.groupsCutOff.Store(alone)
+	e.setIsolated(alone || e.jointlyIsolated(now))
+	closeIdle := e.isolated.Load() && e.mayCloseIdle(now, c.since)
+	if closeIdle && (!elsewhere || now.Sub(c.closedAt) >= closeIdleAfter) {
+		c.closedAt = now
+		e.closeIdleSessions(false)
+	}
+}
+
+// probesMembers reports whether members in other data centres are probed: if a request
+// of this instance is overdue, or a neighbour's report has not been refuted in time.
+//
+// A report reaches a whole data centre within some tens of milliseconds. If all its
+// instances probed the members of all their groups at once, a false report would cost
+// the targets thousands of connections.
+func (e *Engine) probesMembers(now time.Time) bool {
+	probes := false
+	e.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { probes = d.SuspectedDirectly() || d.Down(now) })
+	return probes
+}
+
+// jointlyIsolated reports whether this data centre as a whole is cut off from the
+// others, according to the reports of its instances.
+func (e *Engine) jointlyIsolated(now time.Time) bool {
+	if !e.pathActive.Load() {
+		return false
+	}
+	isolated := false
+	e.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { isolated = d.Isolated(now) })
+	return isolated && e.groupsElsewhere()
+}
+
+// groupsElsewhere reports whether the majority of the members of each group that has
+// any is in other data centres.
+func (e *Engine) groupsElsewhere() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	known := false
+	for service := range e.plans {
+		members := e.listings.byService[service]
+		remote := 0
+		for _, id := range members {
+			if e.listings.byID[id].DataCentre != e.cfg.DataCentre {
+				remote++
+			}
 		}
-		e.setIsolated(!since.IsZero() && now.Sub(since) >= isolatedAfter)
-		closeIdle := e.isolated.Load() && (e.failedProbes.Load() >= failedProbesToClose || now.Sub(since) >= closeIdleAfter)
-		if closeIdle && (!elsewhere || now.Sub(lastClosed) >= closeIdleAfter) {
-			lastClosed = now
-			e.closeIdleSessions(false)
+		if len(members) > 0 && remote < cwgroup.Majority(len(members)) {
+			return false
 		}
+		known = known || len(members) > 0
 	}
-	return nil
+	return known
+}
+
+// mayCloseIdle reports whether the load balancer sends callers whose sessions are closed
+// elsewhere. since is the time since which all groups have looked unreachable.
+func (e *Engine) mayCloseIdle(now, since time.Time) bool {
+	joined, closes := 0, false
+	interval := e.probeInterval()
+	e.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { joined, closes = d.Joined(), d.MayCloseIdle(interval, now) })
+	if joined > 1 {
+		return closes
+	}
+	return e.failedProbes.Load() >= failedProbesToClose || !since.IsZero() && now.Sub(since) >= closeIdleAfter
+}
+
+// probeInterval returns the interval of the load balancer's probes.
+func (e *Engine) probeInterval() time.Duration {
+	e.probesMu.Lock()
+	defer e.probesMu.Unlock()
+	return e.probes.Interval()
 }
 
 // primaryElsewhere reports whether other instances are likely to serve some group
@@ -78,12 +175,12 @@
 	return elsewhere
 }
 
-// allGroupsCutOff reports whether every group in use is cut off. While the instance is
-// isolated, it returns true until a majority of some group answers.
+// allGroupsCutOff reports whether every group in use is cut off. Once it has
+// been so for isolatedAfter, it returns true until a majority of some group answers.
 func (e *Engine) allGroupsCutOff() bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	if e.isolated.Load() {
+	if e.groupsCutOff.Load() {
 		return !e.reachesAny()
 	}
 	seen := false
@@ -117,9 +214,15 @@
 	return reached
 }
 
+// Isolated reports whether this instance or its data centre is cut off.
+func (e *Engine) Isolated() bool { return e.isolated.Load() }
+
 // AnswerProbe answers a health probe of the load balancer: it reports whether callers
 // may connect.
 func (e *Engine) AnswerProbe() bool {
+	e.probesMu.Lock()
+	e.probes.Observe(e.cfg.Clock.Now())
+	e.probesMu.Unlock()
 	ready := e.Ready()
 	if ready {
 		e.failedProbes.Store(0)
@@ -129,11 +232,16 @@
 	return ready
 }
 
-// handlePathSuspicion is called when no member in another data centre answers any
-// more.
+// handlePathSuspicion is called when the path to other data centres begins to be
+// suspected.
 func (e *Engine) handlePathSuspicion() {
-	e.cfg.Log.Warn("pathSuspected", "sessions", e.SessionCount())
-	e.probeOtherDataCentres()
+	direct := false
+	e.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { direct = d.SuspectedDirectly() })
+	e.cfg.Metrics.countPathSuspicion(direct)
+	e.cfg.Log.Warn("pathSuspected", "direct", direct, "sessions", e.SessionCount())
+	if direct {
+		e.probeOtherDataCentres()
+	}
 }
 
 // probeOtherDataCentres makes all groups that this instance watches probe their
@@ -164,7 +272,9 @@
 		return
 	}
 	if isolated {
-		e.cfg.Log.Warn("isolated", "sessions", e.SessionCount())
+		joined := 0
+		e.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { joined = d.Joined() })
+		e.cfg.Log.Warn("isolated", "sessions", e.SessionCount(), "joined", joined)
 		return
 	}
 	e.cfg.Log.Info("reconnected", "sessions", e.SessionCount())
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -31,6 +31,12 @@
 	QuotaRefused, QuotaUnknown, Unauthorised *metrics.Counter
 	// TargetConnections counts the connections opened to targets.
 	TargetConnections *metrics.Counter
+	// PathReports counts the path reports sent, PathReportsLost those without an answer,
+	// PathReportsReceived those that were processed, and PathReportsIgnored those from
+	// another data centre or before the list of instances was known.
+	PathReports, PathReportsLost, PathReportsReceived, PathReportsIgnored *metrics.Counter
+	// PathPings counts the pings to instances of other data centres.
+	PathPings *metrics.Counter
 	// AckWait is how long commits waited for a second member, in seconds.
 	AckWait *metrics.Histogram
 	// ReadAge is the maximum possible age of the data of reads, in seconds.
@@ -59,6 +65,12 @@
 		Unauthorised:      set.NewCounter("cicadawalk_unauthorised_total"),
 		TargetConnections: set.NewCounter("cicadawalk_target_connections_total"),
 
+		PathReports:         set.NewCounter("cicadawalk_path_reports_sent_total"),
+		PathReportsLost:     set.NewCounter("cicadawalk_path_reports_unanswered_total"),
+		PathReportsReceived: set.NewCounter("cicadawalk_path_reports_received_total"),
+		PathReportsIgnored:  set.NewCounter("cicadawalk_path_reports_ignored_total"),
+		PathPings:           set.NewCounter("cicadawalk_path_pings_total"),
+
 		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
 		ReadAge:   set.NewHistogram("cicadawalk_read_age_seconds"),
 		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
@@ -81,6 +93,37 @@
 // called at most once.
 func (m *Metrics) AddEraGauge(era func() float64) { m.set.NewGauge("cicadawalk_store_era", era) }
 
+// AddIsolationGauges adds gauges that are 1 while the path to other data centres is
+// suspected and while the instance is isolated, and 0 otherwise. It must be called at
+// most once.
+func (m *Metrics) AddIsolationGauges(suspected, isolated func() bool) {
+	m.set.NewGauge("cicadawalk_path_suspected", func() float64 { return indicator(suspected()) })
+	m.set.NewGauge("cicadawalk_isolated", func() float64 { return indicator(isolated()) })
+}
+
+func indicator(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// countPathSuspicion counts the beginning of a suspicion, by whether a request of this
+// instance or a report of another one is the cause.
+func (m *Metrics) countPathSuspicion(direct bool) {
+	cause := "report"
+	if direct {
+		cause = "overdue"
+	}
+	m.set.GetOrCreateCounter(`cicadawalk_path_suspicions_total{cause="` + cause + `"}`).Inc()
+}
+
+// CountMalformed counts a message of another instance that was dropped because it is
+// malformed.
+func (m *Metrics) CountMalformed(method string) {
+	m.set.GetOrCreateCounter(`cicadawalk_messages_malformed_total{method="` + method + `"}`).Inc()
+}
+
 // countStatement counts the answer to a statement.
 func (m *Metrics) countStatement(v cwstatement.Verb, c cwstatement.Code) {
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"net"
 	"net/http"
 	"time"
@@ -102,10 +103,11 @@
 
 // New returns an instance that serves once Run is called.
 func New(cfg Config) *Instance {
-	in := &Instance{cfg: cfg, remotePath: &cwleadership.RemotePath{}, metrics: cwengine.NewMetrics()}
+	in := &Instance{cfg: cfg, remotePath: &cwleadership.RemotePath{Clock: cfg.Clock}, metrics: cwengine.NewMetrics()}
 	in.peers = &cwpeers.Peers{
 		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen},
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
+		PathDown: in.pathDown,
 	}
 	in.peers.OnChange = in.refreshHolders
 	in.members = &cwmembers.Recorder{Table: cfg.Table, Clock: cfg.Clock, Log: cfg.Log, HolderRank: in.holderRank, GroupCount: in.groupCount}
@@ -121,7 +123,8 @@
 	in.members.Counted = in.countMembers
 	engine := cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, GracePeriod: cfg.GracePeriod, Metrics: in.metrics, NewGroup: in.newGroup,
-		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, RemotePath: in.remotePath,
+		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, DataCentre: cfg.DataCentre,
+		RemotePath: in.remotePath, PathNetwork: in.peers, PathSeed: seedOf(cfg.Name, cfg.RunID),
 		KeyRevocationBound: cfg.KeyRevocationBound, CatalogueConfirmedAt: in.directory.Confirmed, RecordedSize: in.members.RecordedSize,
 		FirstStart: cfg.FirstStart,
 	}
@@ -133,12 +136,23 @@
 		engine.Meter = in.meter
 	}
 	in.engine = cwengine.New(engine)
+	in.metrics.AddIsolationGauges(in.remotePath.Suspected, in.engine.Isolated)
 	in.metrics.AddAgeGauge(in.catalogueAge)
 	in.metrics.AddRevisionGauge(func() float64 { return float64(in.engine.Revision()) })
 	in.metrics.AddEraGauge(func() float64 { return float64(in.directory.Era()) })
 	return in
 }
 
+// pathDown reports whether other data centres do not answer.
+func (in *Instance) pathDown() bool { return in.remotePath.Down(in.cfg.Clock.Now()) }
+
+// seedOf returns a seed of random numbers that differs for each run of an instance.
+func seedOf(name, runID string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name + "/" + runID))
+	return h.Sum64()
+}
+
 // catalogueAge returns an upper bound for the age of the desired state in force, in
 // seconds. Before there is one, the result is centuries.
 func (in *Instance) catalogueAge() float64 {
@@ -231,7 +245,10 @@
 	eg.Go(func() error { return in.members.Run(run) })
 	eg.Go(func() error { return in.peers.Run(run) })
 	eg.Go(func() error {
-		return (&cwforward.Server{Handler: in.engine, News: in.directory, Quotas: in.quotaServer()}).Run(run, peerListener)
+		s := &cwforward.Server{
+			Handler: in.engine, News: in.directory, Quotas: in.quotaServer(), Path: in.engine, OnMalformed: in.metrics.CountMalformed,
+		}
+		return s.Run(run, peerListener)
 	})
 	eg.Go(func() error { return in.engine.Serve(callerListener, in.cfg.NewCallerConn) })
 	in.cfg.Log.Info("started", "instance", in.cfg.Name, "dataCentre", in.cfg.DataCentre, "listen", in.cfg.CallerListen)
