core/cwpath, proxy: path reports only where no group has its majority here

A data centre with the majority of a group can still serve it while it is cut off, but its idle instances adopted reports and left the rotation with the others. Such a data centre now neither sends nor adopts reports. An answer that was under way when the path was cut no longer refutes a report, and pings after a missing answer use a new connection, since a network device that loses its state makes all open ones silent.

--- a/internal/core/cwpath/detector.go
+++ b/internal/core/cwpath/detector.go
@@ -31,6 +31,9 @@
 	// MaxReportAge is the longest silence that a report may state. An instance that was
 	// suspended passes on older ones.
 	MaxReportAge = 2 * time.Second
+	// readDelay is how late an answer may be read that arrived before a cut, because the
+	// instance was paused. Such an answer does not refute a report.
+	readDelay = 100 * time.Millisecond
 	// IsolationDelay is how long suspicion must last, with probes unanswered, until the
 	// instance counts as isolated: an instance of another data centre that pauses
 	// answers sooner.
@@ -153,11 +156,9 @@
 	switch {
 	case r.Ended:
 		delete(d.joined, r.Instance)
-		// The message may have been under way for a while, so the answer is older than
-		// the message says.
-		d.hear(r.SilentSince.Add(-CallTimeout))
+		d.hear(r.SilentSince)
 	case now.Sub(r.SilentSince) > MaxReportAge:
-	case d.newestAnswer().After(r.SilentSince), !d.Suspected() && d.spread.seen(r.ID):
+	case refutes(d.newestAnswer(), r.SilentSince), !d.Suspected() && d.spread.seen(r.ID):
 		return Reply{AnsweredAt: d.newestAnswer(), NotReadySince: d.begunAt}, false
 	default:
 		if !d.spread.seen(r.ID) && r.SilentSince.After(d.adoptedSince) {
@@ -182,6 +183,13 @@
 	}
 }
 
+// refutes reports whether an answer from another data centre shows that a silence has
+// ended. The time that a message is under way makes both times seem later, by less than
+// readDelay for all but a paused instance.
+func refutes(answeredAt, silentSince time.Time) bool {
+	return answeredAt.After(silentSince.Add(readDelay))
+}
+
 // newestAnswer returns when an answer from another data centre last arrived here or at
 // a neighbour, as far as known.
 func (d *Detector) newestAnswer() time.Time {
@@ -216,7 +224,7 @@
 	if answeredAt.After(d.heardAt) {
 		d.heardAt = answeredAt
 	}
-	if d.adoptedSince.IsZero() || !answeredAt.After(d.adoptedSince) {
+	if d.adoptedSince.IsZero() || !refutes(answeredAt, d.adoptedSince) {
 		return
 	}
 	d.adoptedSince = time.Time{}
--- a/internal/core/cwpath/isolation.go
+++ b/internal/core/cwpath/isolation.go
@@ -12,8 +12,21 @@
 // data centres. Otherwise this data centre can still serve some, and callers must not be
 // sent away.
 func (d *Detector) Isolated(now time.Time) bool {
-	alone := !d.directSince.IsZero() && d.heardAt.After(d.directSince)
-	return d.Joined() > 1 && !alone && !d.probedAt.IsZero() && now.Sub(d.probedAt) >= IsolationDelay
+	alone := !d.directSince.IsZero() && refutes(d.heardAt, d.directSince)
+	return d.Joined() > 1 && !alone && !d.probedAt.IsZero() && d.UntilIsolated(now) <= 0
+}
+
+// UntilIsolated returns how long the suspicion in effect must still last until Isolated
+// may become true. It is negative if the time has passed, and zero without suspicion.
+func (d *Detector) UntilIsolated(now time.Time) time.Duration {
+	if !d.Suspected() {
+		return 0
+	}
+	began := d.begunAt
+	if d.probedAt.After(began) {
+		began = d.probedAt
+	}
+	return began.Add(IsolationDelay).Sub(now)
 }
 
 // Down reports whether suspicion has lasted for IsolationDelay. Requests to other data
--- a/internal/core/cwpath/play_test.go
+++ b/internal/core/cwpath/play_test.go
@@ -221,6 +221,10 @@
 			n.frozenUntil = begun.Add(100 * ms)
 		}
 		p.nodes[46].oldBuild, p.nodes[47].oldBuild = true, true
+		for i, n := range p.nodes[1:10] {
+			// An answer that was under way when the path was cut.
+			p.at(n, time.Duration(10*i)*ms, func() { n.ObserveAnswer(p.now) })
+		}
 		p.run(begun.Add(500 * ms))
 		for i, n := range p.nodes {
 			if n.oldBuild {
--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -12,9 +12,6 @@
 const (
 	// isolationCheckInterval is the time between two checks.
 	isolationCheckInterval = 100 * time.Millisecond
-	// suspectedCheckInterval is the time between two checks while the path to other
-	// data centres is suspected and the instance does not count as isolated yet.
-	suspectedCheckInterval = 20 * time.Millisecond
 	// isolatedAfter is how long all groups must look unreachable before the
 	// instance reports itself not ready. A lost primary or a few refused connections
 	// are over sooner, or leave other groups reachable.
@@ -71,8 +68,10 @@
 
 // isolationCheckWait returns the time until the next check.
 func (e *Engine) isolationCheckWait() time.Duration {
-	if e.cfg.RemotePath.Suspected() && !e.isolated.Load() {
-		return suspectedCheckInterval
+	var until time.Duration
+	e.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { until = d.UntilIsolated(e.cfg.Clock.Now()) })
+	if until > 0 {
+		return min(until, isolationCheckInterval)
 	}
 	return isolationCheckInterval
 }
@@ -114,32 +113,35 @@
 // jointlyIsolated reports whether this data centre as a whole is cut off from the
 // others, according to the reports of its instances.
 func (e *Engine) jointlyIsolated(now time.Time) bool {
-	if !e.pathActive.Load() {
-		return false
-	}
 	isolated := false
 	e.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { isolated = d.Isolated(now) })
-	return isolated && e.groupsElsewhere()
+	return isolated && e.sharesPathReports()
 }
 
-// groupsElsewhere reports whether the majority of the members of each group that has
-// any is in other data centres.
-func (e *Engine) groupsElsewhere() bool {
+// sharesPathReports reports whether this instance finds out together with others whether
+// its data centre is cut off: it knows other instances of its data centre, and other
+// data centres, and no group has the majority of its members here.
+//
+// While a data centre that has the majority of a group is cut off, only its own
+// instances can serve the group, so they must not leave the rotation together.
+func (e *Engine) sharesPathReports() bool {
+	if !e.pathActive.Load() {
+		return false
+	}
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	known := false
 	for service := range e.plans {
-		members := e.listings.byService[service]
-		remote := 0
-		for _, id := range members {
-			if e.listings.byID[id].DataCentre != e.cfg.DataCentre {
-				remote++
+		here := 0
+		for _, id := range e.listings.byService[service] {
+			known = true
+			if e.listings.byID[id].DataCentre == e.cfg.DataCentre {
+				here++
 			}
 		}
-		if len(members) > 0 && remote < cwgroup.Majority(len(members)) {
+		if here > 0 && here >= cwgroup.Majority(e.memberships[service].Size()) {
 			return false
 		}
-		known = known || len(members) > 0
 	}
 	return known
 }
--- a/internal/proxy/cwengine/path.go
+++ b/internal/proxy/cwengine/path.go
@@ -14,7 +14,8 @@
 const (
 	// idlePathWait is the longest pause of the loop.
 	idlePathWait = 5 * time.Second
-	// pingTimeout bounds the connection attempt of a ping.
+	// pingTimeout bounds the connection attempt of a ping, or the ping on a new
+	// connection.
 	pingTimeout = 250 * time.Millisecond
 	// settleTime is the wait for answers that have arrived but have not been read when
 	// the timeout of a ping ends. An instance that was paused reads them at once.
@@ -115,10 +116,14 @@
 	w.suspectedSince, w.nextPingAt = begunAt, time.Time{}
 }
 
-// sendReports sends the reports that are due, each in a goroutine of its own.
+// sendReports sends the reports that are due, each in a goroutine of its own. It drops
+// them if this instance does not share reports.
 func (w *pathWatch) sendReports(ctx context.Context) {
 	var due []cwpath.Message
 	w.engine.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { due = d.TakeMessages() })
+	if len(due) == 0 || !w.engine.sharesPathReports() {
+		return
+	}
 	for _, m := range due {
 		go w.runReport(ctx, m)
 	}
@@ -155,19 +160,24 @@
 	if !w.active || !suspected && !w.sentinel || now.Before(w.nextPingAt) {
 		return
 	}
-	planned := !w.nextPingAt.IsZero()
+	if suspected {
+		w.nextPingAt = now.Add(cwpath.SuspectedPingInterval)
+	} else {
+		planned := !w.nextPingAt.IsZero()
+		w.nextPingAt = cwpath.NextPing(w.sentinelRank, now)
+		if !planned {
+			return
+		}
+	}
 	switch {
+	case !w.engine.sharesPathReports():
 	case suspected:
-		w.nextPingAt = now.Add(cwpath.SuspectedPingInterval)
 		w.engine.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { d.ObserveProbe(now) })
 		for _, to := range cwpath.PingTargets(w.candidates, cwpath.ConfirmPings, w.rand) {
-			go w.runPing(ctx, to, nil)
+			go w.runPing(ctx, to, true, nil)
 		}
 	default:
-		w.nextPingAt = cwpath.NextPing(w.sentinelRank, now)
-		if planned {
-			go w.runPingRound(ctx, cwpath.PingTargets(w.candidates, 1+cwpath.ConfirmPings, w.rand))
-		}
+		go w.runPingRound(ctx, cwpath.PingTargets(w.candidates, 1+cwpath.ConfirmPings, w.rand))
 	}
 }
 
@@ -190,12 +200,12 @@
 	}
 	sentAt := w.engine.cfg.Clock.Now()
 	answered := make(chan struct{}, len(targets))
-	go w.runPing(ctx, targets[0], answered)
+	go w.runPing(ctx, targets[0], false, answered)
 	if w.awaitPing(ctx, answered, cwpath.PingPatience) {
 		return
 	}
 	for _, to := range targets[1:] {
-		go w.runPing(ctx, to, answered)
+		go w.runPing(ctx, to, true, answered)
 	}
 	if !w.awaitPing(ctx, answered, cwpath.ConfirmTimeout) && !w.awaitPing(ctx, answered, settleTime) {
 		w.engine.cfg.RemotePath.RecordOverdue(sentAt)
@@ -216,15 +226,15 @@
 	}
 }
 
-// runPing pings an instance of another data centre. It sends to answered, which may be
-// nil and must have room, if there was an answer.
-func (w *pathWatch) runPing(ctx context.Context, to string, answered chan<- struct{}) {
+// runPing pings an instance of another data centre, on a new connection if fresh is true.
+// It sends to answered, which may be nil and must have room, if there was an answer.
+func (w *pathWatch) runPing(ctx context.Context, to string, fresh bool, answered chan<- struct{}) {
 	cfg := &w.engine.cfg
 	cfg.Metrics.PathPings.Inc()
 	sentAt := cfg.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	err := cfg.PathNetwork.PingRemote(ctx, to)
+	err := cfg.PathNetwork.PingRemote(ctx, to, fresh)
 	if err != nil {
 		cfg.Log.Debug("pathPingLost", "to", to, "cause", err)
 		// An instance that refuses connections at once says nothing about the path.
@@ -239,9 +249,9 @@
 }
 
 // ServePathReport implements cwport.PathServer. Reports are ignored if they come from
-// another data centre, or while this instance does not know of any other instance.
+// another data centre, or while this instance does not share reports.
 func (e *Engine) ServePathReport(r cwport.PathReport) cwport.PathReply {
-	if r.DataCentre != e.cfg.DataCentre || r.Instance == e.cfg.Name || !e.pathActive.Load() {
+	if r.DataCentre != e.cfg.DataCentre || r.Instance == e.cfg.Name || !e.sharesPathReports() {
 		e.cfg.Metrics.PathReportsIgnored.Inc()
 		return cwport.PathReply{}
 	}
--- a/internal/proxy/cwengine/path_test.go
+++ b/internal/proxy/cwengine/path_test.go
@@ -51,7 +51,7 @@
 	return e.ServePathReport(r), nil
 }
 
-func (n centreNetwork) PingRemote(_ context.Context, to string) error {
+func (n centreNetwork) PingRemote(_ context.Context, to string, _ bool) error {
 	n.mu.Lock()
 	e, cut := n.engines[n.self], n.cut[n.self]
 	n.mu.Unlock()
@@ -143,7 +143,9 @@
 	c := newCentre(t, "x", "y")
 	e := c.engines["x"]
 	e.UpdateTargets([]cwport.ListedTarget{{ID: "b", Service: testService, Address: "b", DataCentre: "dc-a", Slots: 3}}, nil)
-	c.c.Assert(e.groupsElsewhere(), qt.IsFalse)
+	r := cwport.PathReport{ID: "y/1", DataCentre: "dc-a", Instance: "y", Silent: 300 * time.Millisecond}
+	c.c.Assert(e.ServePathReport(r), qt.Equals, cwport.PathReply{})
+	c.c.Assert(e.Ready(), qt.IsTrue)
 }
 
 func TestPathReportsThatAreIgnored(t *testing.T) {
--- a/internal/proxy/cwpeers/path.go
+++ b/internal/proxy/cwpeers/path.go
@@ -59,12 +59,18 @@
 }
 
 // PingRemote implements cwport.PathNetwork. A connection on which no answer arrives is
-// closed, so that the next ping uses a new one.
-func (p *Peers) PingRemote(ctx context.Context, to string) error {
+// closed.
+//
+// A network device that loses its state makes all open connections silent, while new
+// ones work. With a new connection that is found at once.
+func (p *Peers) PingRemote(ctx context.Context, to string, fresh bool) error {
 	l, ok := p.pathLink(to)
 	if !ok {
 		return &cwport.NoResponseError{Instance: to, NotSent: true, Cause: errNoAnswer}
 	}
+	if fresh && l.connected() && !l.answeredRecently(p.Clock.Now()) {
+		return l.dialOnce(ctx)
+	}
 	conn := l.acquireConnected(ctx)
 	defer l.release()
 	if conn == nil {
@@ -73,6 +79,24 @@
 	return l.probe(conn)
 }
 
+func (l *link) connected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil
+}
+
+// dialOnce opens a connection of its own, which includes a ping, and closes it.
+func (l *link) dialOnce(ctx context.Context) error {
+	conn, err := l.dial(ctx, l.remote.ID, l.remote.Address)
+	if err != nil {
+		return &cwport.NoResponseError{Instance: l.remote.ID, NotSent: true, Cause: err}
+	}
+	if l.path != nil {
+		l.path.RecordAnswer(l.clock.Now())
+	}
+	return conn.Close()
+}
+
 // pathLink returns the link to an instance; false if the instance is not known.
 func (p *Peers) pathLink(to string) (*link, bool) {
 	p.mu.Lock()
--- a/internal/proxy/cwpeers/path_test.go
+++ b/internal/proxy/cwpeers/path_test.go
@@ -28,15 +28,6 @@
 	return time.Since(began), err
 }
 
-func TestPathReportsConnectOnDemand(t *testing.T) {
-	runManyGroups(t, func(w manyGroupsTest) {
-		to, _ := w.pathInstances()
-		_, err := w.sendReport(to)
-		w.Assert(err, qt.IsNil)
-		w.Assert(w.net.dialled(), qt.DeepEquals, []string{to})
-	})
-}
-
 // Guards against a spread that stops at connections that went silent without a reset:
 // the call must end soon, and the next one must use a new connection.
 func TestSilentConnectionToNeighbourIsReplaced(t *testing.T) {
@@ -75,18 +66,30 @@
 func TestPingRecordsThePath(t *testing.T) {
 	runManyGroups(t, func(w manyGroupsTest) {
 		_, to := w.pathInstances()
-		w.Assert(w.PingRemote(context.Background(), to), qt.IsNil)
+		w.Assert(w.PingRemote(context.Background(), to, false), qt.IsNil)
 		w.Assert(w.path.answered.IsZero(), qt.IsFalse)
 		time.Sleep(time.Millisecond)
 		w.net.withLock(func() { w.net.unresponsive[to] = true })
-		w.Assert(w.PingRemote(context.Background(), to), qt.IsNotNil)
+		w.Assert(w.PingRemote(context.Background(), to, false), qt.IsNotNil)
 		w.Assert(w.path.cut(), qt.IsTrue)
 		w.net.withLock(func() { w.net.unresponsive[to] = false })
-		w.Assert(w.PingRemote(context.Background(), to), qt.IsNil)
+		w.Assert(w.PingRemote(context.Background(), to, false), qt.IsNil)
 		w.Assert(w.path.cut(), qt.IsFalse)
 	})
 }
 
+// Guards against a path that counts as cut although only old connections are silent.
+func TestFreshPingUsesNewConnection(t *testing.T) {
+	runManyGroups(t, func(w manyGroupsTest) {
+		_, to := w.pathInstances()
+		w.Assert(w.PingRemote(context.Background(), to, true), qt.IsNil)
+		time.Sleep(answerTimeout)
+		w.net.withLock(func() { w.net.unresponsive[to] = true })
+		w.Assert(w.PingRemote(context.Background(), to, true), qt.IsNil)
+		w.Assert(w.net.dialled(), qt.DeepEquals, []string{to, to})
+	})
+}
+
 // Guards against statements that wait for holders behind a cut path.
 func TestNoHolderBehindCutPath(t *testing.T) {
 	runManyGroups(t, func(w manyGroupsTest) {
--- a/internal/proxy/cwport/path.go
+++ b/internal/proxy/cwport/path.go
@@ -47,8 +47,9 @@
 	// error is a *MethodUnknownError if the neighbour's build does not know reports.
 	SendPathReport(ctx context.Context, to string, r PathReport) (PathReply, error)
 	// PingRemote pings an instance of another data centre, and connects to it if
-	// necessary. Its answer is recorded like any other from that data centre.
-	PingRemote(ctx context.Context, to string) error
+	// necessary. If fresh is true, it does not use a connection that was open before.
+	// The answer is recorded like any other from that data centre.
+	PingRemote(ctx context.Context, to string, fresh bool) error
 }
 
 // MethodUnknownError reports that the build of another instance does not know a method.
