--- a/internal/proxy/cwengine/path.go
+++ b/internal/proxy/cwengine/path.go
@@ -11,17 +11,6 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
-const (
-	// idlePathWait is the longest pause of the loop.
-	idlePathWait = 5 * time.Second
-	// pingTimeout bounds the connection attempt of a ping, or the ping on a new
-	// connection.
-	pingTimeout = 250 * time.Millisecond
-	// settleTime is the wait for answers that have arrived but have not been read when
-	// the timeout of a ping ends. An instance that was paused reads them at once.
-	settleTime = 10 * time.Millisecond
-)
-
 // pathWatch exchanges reports and pings with other instances to find out whether other
 // data centres answer. Only its loop uses its state, except for wakeups and stale.
 type pathWatch struct {
@@ -152,102 +141,6 @@
 	w.wake()
 }
 
-// ping starts the pings that are due: a round of a sentinel, or probes because of a
-// suspicion.
-func (w *pathWatch) ping(ctx context.Context) {
-	now := w.engine.cfg.Clock.Now()
-	suspected := !w.suspectedSince.IsZero()
-	if !w.active || !suspected && !w.sentinel || now.Before(w.nextPingAt) {
-		return
-	}
-	if suspected {
-		w.nextPingAt = now.Add(cwpath.SuspectedPingInterval)
-	} else {
-		planned := !w.nextPingAt.IsZero()
-		w.nextPingAt = cwpath.NextPing(w.sentinelRank, now)
-		if !planned {
-			return
-		}
-	}
-	switch {
-	case !w.engine.sharesPathReports():
-	case suspected:
-		w.engine.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { d.ObserveProbe(now) })
-		for _, to := range cwpath.PingTargets(w.candidates, cwpath.ConfirmPings, w.rand) {
-			go w.runPing(ctx, to, true, nil)
-		}
-	default:
-		go w.runPingRound(ctx, cwpath.PingTargets(w.candidates, 1+cwpath.ConfirmPings, w.rand))
-	}
-}
-
-// untilNext returns the time until the loop has something to do without being woken.
-func (w *pathWatch) untilNext() time.Duration {
-	if !w.active || w.nextPingAt.IsZero() || !w.sentinel && w.suspectedSince.IsZero() {
-		return idlePathWait
-	}
-	return max(time.Millisecond, w.nextPingAt.Sub(w.engine.cfg.Clock.Now()))
-}
-
-// runPingRound pings the first target, and the others if it does not answer soon. If
-// none answers, the path is suspected.
-//
-// An instance of another data centre may be lost or paused, so a single ping shows
-// nothing.
-func (w *pathWatch) runPingRound(ctx context.Context, targets []string) {
-	if len(targets) == 0 {
-		return
-	}
-	sentAt := w.engine.cfg.Clock.Now()
-	answered := make(chan struct{}, len(targets))
-	go w.runPing(ctx, targets[0], false, answered)
-	if w.awaitPing(ctx, answered, cwpath.PingPatience) {
-		return
-	}
-	for _, to := range targets[1:] {
-		go w.runPing(ctx, to, true, answered)
-	}
-	if !w.awaitPing(ctx, answered, cwpath.ConfirmTimeout) && !w.awaitPing(ctx, answered, settleTime) {
-		w.engine.cfg.RemotePath.RecordOverdue(sentAt)
-	}
-}
-
-// awaitPing waits up to d for an answer. It returns true if one came or ctx ended.
-func (w *pathWatch) awaitPing(ctx context.Context, answered <-chan struct{}, d time.Duration) bool {
-	t := w.engine.cfg.Clock.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-answered:
-		return true
-	case <-ctx.Done():
-		return true
-	case <-t.Chan():
-		return false
-	}
-}
-
-// runPing pings an instance of another data centre, on a new connection if fresh is true.
-// It sends to answered, which may be nil and must have room, if there was an answer.
-func (w *pathWatch) runPing(ctx context.Context, to string, fresh bool, answered chan<- struct{}) {
-	cfg := &w.engine.cfg
-	cfg.Metrics.PathPings.Inc()
-	sentAt := cfg.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	err := cfg.PathNetwork.PingRemote(ctx, to, fresh)
-	if err != nil {
-		cfg.Log.Debug("pathPingLost", "to", to, "cause", err)
-		// An instance that refuses connections at once says nothing about the path.
-		if cfg.Clock.Since(sentAt) >= cwpath.ConfirmTimeout {
-			cfg.RemotePath.RecordOverdue(sentAt)
-		}
-		return
-	}
-	if answered != nil {
-		answered <- struct{}{}
-	}
-}
-
 // ServePathReport implements cwport.PathServer. Reports are ignored if they come from
 // another data centre, or while this instance does not share reports.
 func (e *Engine) ServePathReport(r cwport.PathReport) cwport.PathReply {
--- a/internal/tool/cwcommand/explain.go
+++ b/internal/tool/cwcommand/explain.go
@@ -34,7 +34,7 @@
 // instanceEvents are the log messages about an instance that can explain a failed
 // request.
 var instanceEvents = []string{
-	"storeLost", "storeRegained", "pathSuspected", "isolated", "reconnected", "draining", "drained", "started", "stopped",
+	"storeLost", "storeRegained", "pathSuspected", "pathAnswers", "isolated", "reconnected", "draining", "drained", "started", "stopped",
 	"historyLost", "linesLeftOut", "newsSource", "feederLost",
 }
 
