proxy/cwpeers, proxy/cwengine: pings to other data centres use connections of their own

A connection that stays open for pings is also probed every two seconds, so that the sentinels of a data centre would have sent several times the four pings a second that are meant, and it may go silent without a reset. Each ping now opens a connection, which includes a ping, and closes it.

--- a/internal/proxy/cwengine/pathping.go
+++ b/internal/proxy/cwengine/pathping.go
@@ -10,8 +10,7 @@
 const (
 	// idlePathWait is the longest pause of the loop.
 	idlePathWait = 5 * time.Second
-	// pingTimeout bounds the connection attempt of a ping, or the ping on a new
-	// connection.
+	// pingTimeout bounds a ping with the connection that it opens.
 	pingTimeout = 250 * time.Millisecond
 	// settleTime is the wait for answers that have arrived but have not been read when
 	// the timeout of a ping ends. An instance that was paused reads them at once.
@@ -40,7 +39,7 @@
 	case suspected:
 		w.engine.cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { d.ObserveProbe(now) })
 		for _, to := range cwpath.PingTargets(w.candidates, cwpath.ConfirmPings, w.rand) {
-			go w.runPing(ctx, to, true, nil)
+			go w.runPing(ctx, to, nil)
 		}
 	default:
 		go w.runPingRound(ctx, cwpath.PingTargets(w.candidates, 1+cwpath.ConfirmPings, w.rand))
@@ -66,12 +65,12 @@
 	}
 	sentAt := w.engine.cfg.Clock.Now()
 	answered := make(chan struct{}, len(targets))
-	go w.runPing(ctx, targets[0], false, answered)
+	go w.runPing(ctx, targets[0], answered)
 	if w.awaitPing(ctx, answered, cwpath.PingPatience) {
 		return
 	}
 	for _, to := range targets[1:] {
-		go w.runPing(ctx, to, true, answered)
+		go w.runPing(ctx, to, answered)
 	}
 	if !w.awaitPing(ctx, answered, cwpath.ConfirmTimeout) && !w.awaitPing(ctx, answered, settleTime) {
 		w.engine.cfg.RemotePath.RecordOverdue(sentAt)
@@ -92,15 +91,15 @@
 	}
 }
 
-// runPing pings an instance of another data centre, on a new connection if fresh is true.
-// It sends to answered, which may be nil and must have room, if there was an answer.
-func (w *pathWatch) runPing(ctx context.Context, to string, fresh bool, answered chan<- struct{}) {
+// runPing pings an instance of another data centre. It sends to answered, which may be
+// nil and must have room, if there was an answer.
+func (w *pathWatch) runPing(ctx context.Context, to string, answered chan<- struct{}) {
 	cfg := &w.engine.cfg
 	cfg.Metrics.PathPings.Inc()
 	sentAt := cfg.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	err := cfg.PathNetwork.PingRemote(ctx, to, fresh)
+	err := cfg.PathNetwork.PingRemote(ctx, to)
 	if err != nil {
 		cfg.Log.Debug("pathPingLost", "to", to, "cause", err)
 		// An instance that refuses connections at once says nothing about the path.
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -207,7 +207,7 @@
 }
 
 func (l *link) runProbe(conn Conn) {
-	_ = l.probe(conn)
+	l.probe(conn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probing = false
@@ -271,7 +271,7 @@
 			return
 		}
 		if l.clock.Since(l.lastAnswer()) >= pingInterval {
-			_ = l.probe(conn)
+			l.probe(conn)
 		}
 	}
 }
@@ -300,19 +300,18 @@
 	}
 }
 
-// probe pings the remote instance. If no answer arrives within answerTimeout, it closes
-// the connection and returns an error.
-func (l *link) probe(conn Conn) error {
+// probe pings the remote instance and closes the connection if no answer arrives
+// within answerTimeout.
+func (l *link) probe(conn Conn) {
 	sent := l.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	if err := conn.Ping(ctx); err != nil {
 		l.recordOverdue(sent)
 		l.dropConn(conn, errors.Join(errNoAnswer, err))
-		return err
+		return
 	}
 	l.recordAnswer()
-	return nil
 }
 
 // dropConn closes a connection that failed and backs off. Calls in progress on it
@@ -353,7 +352,7 @@
 	sent := l.clock.Now()
 	overdue := l.clock.AfterFunc(answerTimeout, func() {
 		l.recordOverdue(sent)
-		_ = l.probe(conn)
+		l.probe(conn)
 	})
 	defer overdue.Stop()
 	resp, err := conn.Forward(ctx, h)
--- a/internal/proxy/cwpeers/path.go
+++ b/internal/proxy/cwpeers/path.go
@@ -58,43 +58,26 @@
 	return reply, err
 }
 
-// PingRemote implements cwport.PathNetwork. A connection on which no answer arrives is
-// closed.
+// PingRemote implements cwport.PathNetwork. Dial includes a ping.
 //
-// A network device that loses its state makes all open connections silent, while new
-// ones work. With a new connection that is found at once.
-func (p *Peers) PingRemote(ctx context.Context, to string, fresh bool) error {
-	l, ok := p.pathLink(to)
+// A connection that stays open would be probed all the time, and may go silent without a
+// reset although new ones work.
+func (p *Peers) PingRemote(ctx context.Context, to string) error {
+	p.mu.Lock()
+	i, ok := p.placement.Instance(to)
+	p.mu.Unlock()
 	if !ok {
 		return &cwport.NoResponseError{Instance: to, NotSent: true, Cause: errNoAnswer}
 	}
-	if fresh && l.connected() && !l.answeredRecently(p.Clock.Now()) {
-		return l.dialOnce(ctx)
-	}
-	conn := l.acquireConnected(ctx)
-	defer l.release()
-	if conn == nil {
-		return &cwport.NoResponseError{Instance: to, NotSent: true, Cause: errNoAnswer}
-	}
-	return l.probe(conn)
-}
-
-func (l *link) connected() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.conn != nil
-}
-
-// dialOnce opens a connection of its own, which includes a ping, and closes it.
-func (l *link) dialOnce(ctx context.Context) error {
-	conn, err := l.dial(ctx, l.remote.ID, l.remote.Address)
+	conn, err := p.Dial(ctx, i.ID, i.Address)
 	if err != nil {
-		return &cwport.NoResponseError{Instance: l.remote.ID, NotSent: true, Cause: err}
+		return &cwport.NoResponseError{Instance: to, NotSent: true, Cause: err}
 	}
-	if l.path != nil {
-		l.path.RecordAnswer(l.clock.Now())
+	if p.PathMonitor != nil && i.DataCentre != p.Self.DataCentre {
+		p.PathMonitor.RecordAnswer(p.Clock.Now())
 	}
-	return conn.Close()
+	_ = conn.Close()
+	return nil
 }
 
 // pathLink returns the link to an instance; false if the instance is not known.
--- a/internal/proxy/cwport/path.go
+++ b/internal/proxy/cwport/path.go
@@ -46,10 +46,9 @@
 	// SendPathReport sends a report to a neighbour, and connects to it if necessary. The
 	// error is a *MethodUnknownError if the neighbour's build does not know reports.
 	SendPathReport(ctx context.Context, to string, r PathReport) (PathReply, error)
-	// PingRemote pings an instance of another data centre, and connects to it if
-	// necessary. If fresh is true, it does not use a connection that was open before.
-	// The answer is recorded like any other from that data centre.
-	PingRemote(ctx context.Context, to string, fresh bool) error
+	// PingRemote pings an instance of another data centre on a new connection. The
+	// answer is recorded like any other from that data centre.
+	PingRemote(ctx context.Context, to string) error
 }
 
 // MethodUnknownError reports that the build of another instance does not know a method.
