--- a/internal/core/cwpath/detector.go
+++ b/internal/core/cwpath/detector.go
@@ -42,8 +42,9 @@
 
 // Report is a message to a neighbour about the path to other data centres.
 type Report struct {
-	// ID identifies the suspicion that the report is about. It stays the same when the
-	// report is passed on. Instance is the sender.
+	// ID identifies the suspicion that the report is about, by the instance and the time
+	// at which it began. It stays the same when the report is passed on. Instance is the
+	// sender.
 	ID, Instance string
 	// SilentSince is when the request was sent whose answer is overdue. If Ended is
 	// true, it is when the last answer from another data centre arrived.
@@ -90,8 +91,6 @@
 	// joined has the neighbours that are known to suspect the path too, with the time
 	// at which each became not ready. It is empty if there is no suspicion.
 	joined map[string]time.Time
-	// begun is the number of direct suspicions so far. It makes the IDs of their reports.
-	begun  int
 	spread spread
 }
 
@@ -132,8 +131,7 @@
 		return false
 	}
 	d.directSince = sentAt
-	d.begun++
-	return d.begin(d.Self+"/"+strconv.Itoa(d.begun), "", sentAt, now)
+	return d.begin(d.Self+"/"+strconv.FormatInt(now.UnixMicro(), 10), "", sentAt, now)
 }
 
 // ObserveProbe records that a probe was sent to another data centre because of the
