--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -239,6 +239,10 @@
 	}
 	l.log.Info("holderConnected", "holder", l.remote.ID, "dataCentre", l.remote.DataCentre)
 	l.conn, l.lastAnswerAt, l.lastUsedAt, l.dialBackoff = conn, now, now, 0
+	if l.path != nil {
+		// The remote instance has answered a ping.
+		l.path.RecordAnswer(now)
+	}
 	go l.runConn(conn)
 }
 
