cwleadership, cwevidence: checks of members that do not answer back off

A member that can't be reached was checked in every tick of an unsettled group, 20 times a second, and so were all members at an instance that can't reach a majority. A row of the store, a new primary, the first answer of a member or from other data centres, and a changed list entry reset it. Each check carries its cause.

A test with three unreachable members counts at most 21 checks in 3 s; the former loop begins one for each member in each of the 60 ticks.

--- a/internal/proxy/cwleadership/ack.go
+++ b/internal/proxy/cwleadership/ack.go
@@ -54,11 +54,11 @@
 		}
 		p, _ := g.sup.View().Primary()
 		ask := g.othersByProximity(p.Member)
-		g.mu.Unlock()
 		// Start with the nearest replica alone, which usually has the record, and add
 		// one replica in each round.
-		ask = ask[:min(n, len(ask))]
-		g.checkHealthOfAll(ask)
+		ask = g.limitChecks(ask[:min(n, len(ask))], g.cfg.Clock.Now())
+		g.mu.Unlock()
+		g.check(ask, CauseAck)
 		g.cfg.Clock.Sleep(pause)
 		pause = min(pause*3/2, ackPollMax)
 	}
--- a/internal/proxy/cwleadership/confirm.go
+++ b/internal/proxy/cwleadership/confirm.go
@@ -27,8 +27,9 @@
 		ask = append(ask, m)
 		need--
 	}
+	ask = g.limitChecks(ask, now)
 	g.mu.Unlock()
-	g.checkHealthOfAll(ask)
+	g.check(ask, CauseConfirmation)
 }
 
 // othersByProximity returns all members except one: first those in this data centre,
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -22,6 +22,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwack"
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
@@ -101,6 +102,8 @@
 	// MinHolderInterval is the minimum time between changes of primary by two different
 	// holders.
 	MinHolderInterval time.Duration
+	// CountCheck is called for each health check that begins; it may be nil.
+	CountCheck func(CheckCause)
 	// ClaimSeed makes claim ids unique; it must differ between processes.
 	ClaimSeed string
 }
@@ -167,6 +170,13 @@
 	// unreachable holds the members whose last connection attempt failed, including
 	// members that never reported.
 	unreachable map[cwgroup.MemberID]bool
+	// backoffs space the checks of members that can't be reached, and roundBackoff those
+	// of the other members while a majority can't be reached.
+	backoffs     map[cwgroup.MemberID]cwevidence.Backoff
+	roundBackoff cwevidence.Backoff
+	// pathSuspected is whether the path to other data centres was in doubt at the last
+	// tick.
+	pathSuspected bool
 	// lastUnservedAt is when this proxy last refused a statement that holders of the
 	// group could not run either.
 	lastUnservedAt time.Time
@@ -215,6 +225,7 @@
 		readLog:     make(map[readLogKey]readLogEntry),
 		checking:    make(map[cwgroup.MemberID]bool),
 		unreachable: make(map[cwgroup.MemberID]bool),
+		backoffs:    make(map[cwgroup.MemberID]cwevidence.Backoff),
 		changed:     make(chan struct{}),
 		restarts:    make(map[cwgroup.MemberID]restart),
 		wakeups:     make(chan struct{}, 1),
--- a/internal/proxy/cwleadership/health.go
+++ b/internal/proxy/cwleadership/health.go
@@ -47,9 +47,11 @@
 
 // Probe probes a member over a fresh connection after an existing connection went
 // silent. If the probe succeeds, idle connections older than the probe are closed.
-func (g *Group) Probe(id cwgroup.MemberID) {
+func (g *Group) Probe(id cwgroup.MemberID) { g.probe(id, CauseOverdue) }
+
+func (g *Group) probe(id cwgroup.MemberID, cause CheckCause) {
 	m, ok := g.Member(id)
-	if !ok || !g.beginHealthCheck(id) {
+	if !ok || !g.beginHealthCheck(id, cause) {
 		return
 	}
 	go g.runProbe(m)
@@ -88,13 +90,16 @@
 
 // beginHealthCheck marks a health check or probe of the member as in progress. It
 // returns false if one already is.
-func (g *Group) beginHealthCheck(id cwgroup.MemberID) bool {
+func (g *Group) beginHealthCheck(id cwgroup.MemberID, cause CheckCause) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.checking[id] {
 		return false
 	}
 	g.checking[id] = true
+	if g.cfg.CountCheck != nil {
+		g.cfg.CountCheck(cause)
+	}
 	return true
 }
 
@@ -104,18 +109,18 @@
 	delete(g.checking, id)
 }
 
-// checkHealth starts a health check of a member over a pooled connection.
-func (g *Group) checkHealth(m Member) {
-	if !g.beginHealthCheck(m.ID) {
-		return
-	}
-	go g.runHealthCheck(m)
-}
-
-// checkHealthOfAll starts a health check of each member in the list.
-func (g *Group) checkHealthOfAll(all []Member) {
+// check starts a health check of each member in the list: over a pooled connection, or
+// over a fresh one if the member can't be reached.
+func (g *Group) check(all []Member, cause CheckCause) {
 	for _, m := range all {
-		g.checkHealth(m)
+		g.mu.Lock()
+		unreachable := g.unreachable[m.ID]
+		g.mu.Unlock()
+		if unreachable {
+			g.probe(m.ID, cause)
+		} else if g.beginHealthCheck(m.ID, cause) {
+			go g.runHealthCheck(m)
+		}
 	}
 }
 
--- a/internal/proxy/cwleadership/loop.go
+++ b/internal/proxy/cwleadership/loop.go
@@ -27,6 +27,7 @@
 	}
 	g.cfg.Log.Info("claimSeen", "group", g.cfg.Service, "term", row.Term, "claim", row.Claim, "keeper", row.Owner, "primary", row.Primary, "done", row.Done)
 	g.row, g.rowSeenAt, g.termWhenRowSeen = row, g.cfg.Clock.Now(), g.term
+	g.resetBackoffs()
 	if p, ok := g.sup.View().Primary(); ok && p.Member == row.Primary && g.term > 0 {
 		// The change of primary that the row records is already visible.
 		g.termWhenRowSeen = g.term - 1
@@ -106,6 +107,7 @@
 	}
 	g.updateCountedMembers(now)
 	g.updateReachability(now)
+	g.observePath()
 	g.startRowRead(now)
 	g.startRowRestore(now)
 	if !g.watched(now) {
@@ -119,14 +121,13 @@
 	}
 	commands := g.sup.Tick(now, c)
 	result, ended := g.sup.TakeResult(now, c)
-	ask := g.membersToCheck(now)
+	ask, cause := g.membersToCheck(now)
+	ask = g.limitChecks(ask, now)
 	g.mu.Unlock()
 	if ended {
 		g.logResult(result)
 	}
-	for _, m := range ask {
-		g.checkOrProbe(m)
-	}
+	g.check(ask, cause)
 	g.dispatch(ctx, eg, commands)
 }
 
@@ -148,22 +149,9 @@
 // the replicas must report the loss of the primary as well.
 const assumedWatchers = 2
 
-// checkOrProbe starts a probe of an unreachable member, or a health check of a
-// reachable one.
-func (g *Group) checkOrProbe(m Member) {
-	g.mu.Lock()
-	unreachable := g.unreachable[m.ID]
-	g.mu.Unlock()
-	if unreachable {
-		g.Probe(m.ID)
-		return
-	}
-	g.checkHealth(m)
-}
-
-// membersToCheck returns the members that need a health check or a probe now. The
-// caller holds mu.
-func (g *Group) membersToCheck(now time.Time) []Member {
+// membersToCheck returns the members that need a health check or a probe now, and the
+// cause. The caller holds mu.
+func (g *Group) membersToCheck(now time.Time) ([]Member, CheckCause) {
 	v := g.sup.View()
 	p, ok := v.Primary()
 	var ask []Member
@@ -171,20 +159,21 @@
 		for _, m := range g.members {
 			ask = append(ask, *m)
 		}
-		return ask
+		return ask, CauseUnsettled
 	}
 	// Only proxies of the first rank check the primary of a group without traffic.
 	// Checks by all proxies would use up the target's connections.
 	checksIdle := g.rank == 0 || g.inUse(now)
+	cause := CauseUnreachable
 	if m := g.members[p.Member]; m != nil && checksIdle && now.Sub(p.At) > idleCheckInterval {
-		ask = append(ask, *m)
+		ask, cause = append(ask, *m), CauseIdle
 	}
 	for id, m := range g.members {
 		if g.unreachable[id] && id != p.Member {
 			ask = append(ask, *m)
 		}
 	}
-	return ask
+	return ask, cause
 }
 
 // dispatch executes commands of the supervisor, each in its own goroutine, and passes
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -37,6 +37,7 @@
 			delete(g.members, id)
 			delete(g.logProgress, id)
 			delete(g.unreachable, id)
+			delete(g.backoffs, id)
 			delete(g.restarts, id)
 		}
 	}
@@ -87,6 +88,9 @@
 		m.Pool.Close()
 		ok = false
 	}
+	if !ok || restarted || l.Draining != m.Draining {
+		g.resetBackoffs()
+	}
 	if !ok {
 		to := cwport.Endpoint{ID: l.ID, Service: l.Service, Address: l.Address}
 		m = &Member{Pool: cwtargetpool.NewPool(to, ceiling, g.cfg.Dialer, g.cfg.Clock, g)}
--- a/internal/proxy/cwleadership/observe.go
+++ b/internal/proxy/cwleadership/observe.go
@@ -157,7 +157,10 @@
 // mu.
 func (g *Group) applyReport(r cwgroup.Report) {
 	now := g.cfg.Clock.Now()
-	delete(g.unreachable, r.Member)
+	if g.unreachable[r.Member] {
+		delete(g.unreachable, r.Member)
+		g.resetBackoffs()
+	}
 	if m, ok := g.members[r.Member]; ok && g.isRemote(m) {
 		g.cfg.RemotePath.RecordAnswer(now)
 	}
@@ -192,6 +195,7 @@
 		// Confirmations of an earlier term don't apply to this one.
 		g.confirmedAt = time.Time{}
 	}
+	g.resetBackoffs()
 	g.history = cwroute.PositionHistory{Spacing: historySpacing}
 	g.history.Observe(p.Durable, p.At)
 	// The members were fenced before the change was recorded in the row, so the time at
--- a/internal/proxy/cwleadership/quorum.go
+++ b/internal/proxy/cwleadership/quorum.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	ask, enough := g.quorumMembersToCheck(rd, now)
-	g.checkHealthOfAll(ask)
+	g.check(ask, CauseQuorumRead)
 	if enough {
 		g.awaitChange(ctx, changed, confirmInterval)
 	}
@@ -74,5 +74,5 @@
 	} else {
 		g.nextConfirmAt = now.Add(confirmInterval)
 	}
-	return ask, reached >= v.Size()-1
+	return g.limitChecks(ask, now), reached >= v.Size()-1
 }
--- a/internal/proxy/cwleadership/remotepath.go
+++ b/internal/proxy/cwleadership/remotepath.go
@@ -78,7 +78,7 @@
 	}
 	g.mu.Unlock()
 	for _, m := range ask {
-		g.Probe(m.ID)
+		g.probe(m.ID, CausePath)
 	}
 	return len(ask) > 0
 }
--- a/internal/proxy/cwleadership/suspect.go
+++ b/internal/proxy/cwleadership/suspect.go
@@ -21,7 +21,7 @@
 	if g.primarySilentSince.IsZero() {
 		g.primarySilentSince = g.cfg.Clock.Now()
 	}
-	ask := g.othersByProximity(id)
+	ask := g.limitChecks(g.othersByProximity(id), g.cfg.Clock.Now())
 	g.mu.Unlock()
-	g.checkHealthOfAll(ask)
+	g.check(ask, CauseOverdue)
 }
