--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
 )
 
 // Metrics are the counters and histograms of an engine and its instance.
@@ -81,6 +82,11 @@
 // called at most once.
 func (m *Metrics) AddEraGauge(era func() float64) { m.set.NewGauge("cicadawalk_store_era", era) }
 
+// CountHealthCheck counts a health check of a target that begins, by its cause.
+func (m *Metrics) CountHealthCheck(cause cwleadership.CheckCause) {
+	m.set.GetOrCreateCounter(`cicadawalk_health_checks_total{cause="` + string(cause) + `"}`).Inc()
+}
+
 // countStatement counts the answer to a statement.
 func (m *Metrics) countStatement(v cwstatement.Verb, c cwstatement.Code) {
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
