--- /dev/null
+++ b/internal/core/cwevidence/source_test.go
@@ -0,0 +1,69 @@
+package cwevidence
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against requests to observers that can't answer, and against checks by an instance
+// whose neighbour observes the group.
+func TestChooseObserver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holders := []Candidate{{Name: "h1"}, {Name: "h2"}}
+	var s Source
+	for _, tc := range []struct {
+		name       string
+		source     Source
+		candidates []Candidate
+		after      time.Duration
+		want       string
+	}{
+		{"the first holder", s, holders, 0, "h1"},
+		{"the first one is silent", s.WithOutcome("h1", NoAnswer, now), holders, SilenceBackoff - 1, "h2"},
+		{"it may be asked again", s.WithOutcome("h1", NoAnswer, now), holders, SilenceBackoff, "h1"},
+		{"an older build", s.WithOutcome("h1", Unsupported, now), holders, UnsupportedBackoff - 1, "h2"},
+		{"it answers again", s.WithOutcome("h1", Unsupported, now).WithOutcome("h1", Used, now), holders, 0, "h1"},
+		{"reports that are too old", s.WithOutcome("h1", TooOld, now), holders, 0, "h1"},
+		{"nobody answers", s.WithOutcome("h1", NotObserving, now).WithOutcome("h2", Malformed, now), holders, 0, ""},
+		{"this instance is the first holder", s, []Candidate{{Name: "h1", Self: true}, {Name: "h2"}}, 0, ""},
+		{"this instance is the second holder", s, []Candidate{{Name: "h1"}, {Name: "h2", Self: true}}, 0, "h1"},
+		{"no holder in this data centre", s, nil, 0, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := ""
+			if i, ok := tc.source.Choose(tc.candidates, now.Add(tc.after)); ok {
+				got = tc.candidates[i].Name
+			}
+			qt.Assert(t, got, qt.Equals, tc.want)
+		})
+	}
+}
+
+// Guards against instances that stop checking the members themselves because an observer
+// answers, and against requests more often than the observer checks.
+func TestRounds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name                 string
+		cutOff               bool
+		wantAsks, wantChecks int
+	}{{"a majority is reachable", false, 100, 4}, {"cut off", true, 15, 4}} {
+		t.Run(tc.name, func(t *testing.T) {
+			var r Rounds
+			asks, checks := 0, 0
+			for now := start; now.Sub(start) < 5*time.Second; now = now.Add(AskInterval) {
+				if r.CheckDue(now) {
+					r, checks = r.WithCheck(now), checks+1
+				}
+				if r.AskDue(now) {
+					r, asks = r.WithAsk(now, tc.cutOff), asks+1
+				}
+			}
+			qt.Assert(t, asks, qt.Equals, tc.wantAsks)
+			qt.Assert(t, checks, qt.Equals, tc.wantChecks)
+			qt.Assert(t, r.WithNews().AskDue(start), qt.IsTrue)
+		})
+	}
+}
