--- a/internal/core/cwholder/placement.go
+++ b/internal/core/cwholder/placement.go
@@ -177,6 +177,12 @@
 	return p.cachedRoute(group, d).order
 }
 
+// CachedHolders returns the same holders as Holders, from the cache if possible. Callers
+// must not change the slice.
+func (p *Placement) CachedHolders(group string, d TargetCapacity) []Instance {
+	return p.cachedRoute(group, d).holders
+}
+
 // cachedRoute returns the route of a group and computes it if it is not cached.
 func (p *Placement) cachedRoute(group string, d TargetCapacity) groupRoute {
 	if r, ok := p.routes[group]; ok && r.capacity == d {
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -42,6 +42,8 @@
 	cwport.ChangesServer
 	// TakeQuota asks the other instance to admit one operation of a workspace.
 	TakeQuota(ctx context.Context, workspace string) (cwport.QuotaDecision, error)
+	// Members requests the other instance's reports of a group's members.
+	Members(ctx context.Context, q cwport.MembersRequest) (cwport.MembersResponse, error)
 	// Ping returns an error if the other end does not answer before ctx ends.
 	Ping(ctx context.Context) error
 	// Done returns a channel that is closed once the connection has ended.
@@ -60,7 +62,7 @@
 }
 
 // Peers tracks the instances and the connections to them. It implements
-// cwport.Holders, cwport.Feeders and cwport.QuotaIssuers. Set the exported fields
+// cwport.Holders, cwport.Feeders, cwport.QuotaIssuers and cwport.Observers. Set the exported fields
 // before Run.
 type Peers struct {
 	// Self is this instance.
@@ -200,6 +202,7 @@
 	_ cwport.Holders      = (*Peers)(nil)
 	_ cwport.Feeders      = (*Peers)(nil)
 	_ cwport.QuotaIssuers = (*Peers)(nil)
+	_ cwport.Observers    = (*Peers)(nil)
 )
 
 // errNoAnswer is the cause for which a connection is closed whose probe was not
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
@@ -118,6 +119,13 @@
 	return cwport.ChangesResponse{}, c.net.changesErr
 }
 
+func (c *fakeConn) Members(ctx context.Context, q cwport.MembersRequest) (cwport.MembersResponse, error) {
+	if err := c.awaitAnswer(ctx); err != nil {
+		return cwport.MembersResponse{}, err
+	}
+	return cwport.MembersResponse{Observes: true, Reports: []cwport.MemberReport{{Member: cwgroup.MemberID(q.Group)}}}, nil
+}
+
 func (c *fakeConn) TakeQuota(ctx context.Context, _ string) (cwport.QuotaDecision, error) {
 	return cwport.QuotaDecision{Allowed: true}, c.awaitAnswer(ctx)
 }
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -43,6 +43,8 @@
 	News cwport.ChangesServer
 	// Quotas answers quota requests. If it is nil, they are refused.
 	Quotas cwport.QuotaServer
+	// Members answers requests for reports of members. If it is nil, they are refused.
+	Members cwport.MembersServer
 
 	encoder newsEncoder
 }
@@ -65,6 +67,8 @@
 			return s.answerNews(ctx, req)
 		case methodQuota:
 			return s.answerQuota(req)
+		case methodMembers:
+			return s.answerMembers(ctx, req)
 		}
 		return s.answerPingOrStatement(bounded, req)
 	}
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -4,7 +4,7 @@
 // An instance forwards a caller's statement to a holder, which is one of the
 // instances that keep connections to the group's targets. The response holds the
 // answer, or says that the holder did not run the statement. A connection carries
-// many concurrent calls. There are four methods:
+// many concurrent calls. There are five methods:
 //
 //   - hand forwards a statement.
 //   - ping checks the connection. It distinguishes an unresponsive connection from a
@@ -12,6 +12,7 @@
 //   - news requests the changes that the other instance has received from the
 //     platform's store.
 //   - quota takes one operation from a workspace's quota.
+//   - members requests the other instance's reports of a group's members.
 package cwforward
 
 import (
@@ -30,6 +31,7 @@
 	methodPing    = "ping"
 	methodNews    = "news"
 	methodQuota   = "quota"
+	methodMembers = "members"
 )
 
 type statementBody struct {
