cwleadership: instances ask the observer of their data centre for health reports

Every instance that uses a group checked each of its members by itself. Now the first holder in each data centre answers for the others while the primary is unknown or in doubt, for confirmations and for reads without a primary; without a usable answer the next holder is asked, then the members are checked as before. Reports that are passed on go through the same checks for restarts and terms, and say nothing about which members can be reached from here.

--- a/internal/core/cwroute/staleness.go
+++ b/internal/core/cwroute/staleness.go
@@ -87,6 +87,27 @@
 	return h.samples[i].position, h.samples[i].at, true
 }
 
+// PositionSample is a sample of a PositionHistory.
+type PositionSample struct {
+	At       time.Time
+	Position cwgroup.LogPosition
+}
+
+// Latest returns the last sample not after t and the last sample of all, in ascending
+// order of time, as far as there are such samples.
+func (h *PositionHistory) Latest(t time.Time) []PositionSample {
+	var out []PositionSample
+	last := len(h.samples) - 1
+	i := sort.Search(len(h.samples), func(i int) bool { return h.samples[i].at.After(t) }) - 1
+	if i >= 0 && i < last {
+		out = append(out, PositionSample{At: h.samples[i].at, Position: h.samples[i].position})
+	}
+	if last >= 0 {
+		out = append(out, PositionSample{At: h.samples[last].at, Position: h.samples[last].position})
+	}
+	return out
+}
+
 // CommittedAfter returns the time of the latest sample in which the primary's
 // log ended below m. The record at m was committed after that time, and a
 // replica that has the record received it from the primary after that time. The
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -71,6 +71,9 @@
 	// Holders tells which instances hold a group. If it is nil, this instance holds
 	// all groups.
 	Holders cwport.Holders
+	// Observers returns the instances to ask for reports of a group's members; nil if
+	// this instance asks nobody.
+	Observers cwport.Observers
 	// RemotePath tracks whether targets in other data centres answer. All groups share it;
 	// if it is nil, New creates one.
 	RemotePath *cwleadership.RemotePath
--- a/internal/proxy/cwengine/forwarded.go
+++ b/internal/proxy/cwengine/forwarded.go
@@ -51,7 +51,7 @@
 	if h.Transaction != "" && h.Begin == cwstatement.UnknownVerb {
 		return e.continueForwarded(h, began)
 	}
-	group, ok := e.ensureGroup(h.Entry.Groups[0].Name)
+	group, ok := e.groupForStatement(h.Entry.Groups[0].Name)
 	if !ok || e.draining.Load() {
 		return runElsewhere("the instance does not serve the group")
 	}
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -216,6 +216,17 @@
 	return len(e.plans)
 }
 
+// groupForStatement returns the group of a service for a statement that runs here, and
+// starts it if it is not running. A group that comes into use first learns from other
+// holders what they know. It returns false if no entry names the service.
+func (e *Engine) groupForStatement(service string) (*cwleadership.Group, bool) {
+	g, ok := e.ensureGroup(service)
+	if ok {
+		g.AwaitReports(e.runCtx)
+	}
+	return g, ok
+}
+
 // ensureGroup returns the group of a service and starts it if it is not running. It
 // returns false if no entry names the service.
 func (e *Engine) ensureGroup(service string) (*cwleadership.Group, bool) {
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
 )
@@ -87,6 +88,11 @@
 	m.set.GetOrCreateCounter(`cicadawalk_health_checks_total{cause="` + string(cause) + `"}`).Inc()
 }
 
+// CountObserverAnswer counts a request to an observer that ended, by its outcome.
+func (m *Metrics) CountObserverAnswer(o cwevidence.Outcome) {
+	m.set.GetOrCreateCounter(`cicadawalk_observer_answers_total{outcome="` + string(o) + `"}`).Inc()
+}
+
 // countStatement counts the answer to a statement.
 func (m *Metrics) countStatement(v cwstatement.Verb, c cwstatement.Code) {
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
--- a/internal/proxy/cwengine/remote.go
+++ b/internal/proxy/cwengine/remote.go
@@ -217,7 +217,7 @@
 // openLocal runs a transaction here that no holder accepted. st is its first
 // statement.
 func (s *session) openLocal(entry cwcatalogue.Entry, begin cwstatement.Verb, st cwstatement.Statement, began time.Time) cwstatement.Response {
-	group, ok := s.engine.ensureGroup(entry.Groups[0].Name)
+	group, ok := s.engine.groupForStatement(entry.Groups[0].Name)
 	s.tx = &transaction{session: s, entry: entry, group: group, readOnly: begin == cwstatement.BeginRead}
 	if !ok {
 		s.tx.fail("the group is no longer served")
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -220,7 +220,7 @@
 	if s.forwarded != nil {
 		return s.forwarded.group, true
 	}
-	return s.engine.ensureGroup(entry.Groups[0].Name)
+	return s.engine.groupForStatement(entry.Groups[0].Name)
 }
 
 // handle runs one statement, which arrived at began, and returns its answer.
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -121,7 +121,7 @@
 	in.members.Counted = in.countMembers
 	engine := cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, GracePeriod: cfg.GracePeriod, Metrics: in.metrics, NewGroup: in.newGroup,
-		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, RemotePath: in.remotePath,
+		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, Observers: in.peers, RemotePath: in.remotePath,
 		KeyRevocationBound: cfg.KeyRevocationBound, CatalogueConfirmedAt: in.directory.Confirmed, RecordedSize: in.members.RecordedSize,
 		FirstStart: cfg.FirstStart,
 	}
@@ -197,7 +197,8 @@
 		Self: cwfailover.InstanceID(in.cfg.Name), DataCentre: in.cfg.DataCentre, Service: service,
 		Clock: in.cfg.Clock, Log: in.cfg.Log, Dialer: countingDialer{in.cfg.Dialer, in.metrics}, Table: in.cfg.Table,
 		Era: in.cfg.Era, Promoter: in.cfg.Promoter, MinHolderInterval: in.cfg.MinHolderInterval, ClaimSeed: in.cfg.RunID, RemotePath: in.remotePath,
-		CountCheck: in.metrics.CountHealthCheck,
+		Observers:  func() []cwport.Observer { return in.engine.Observers(service) },
+		CountCheck: in.metrics.CountHealthCheck, CountAnswer: in.metrics.CountObserverAnswer,
 	})
 }
 
@@ -232,7 +233,7 @@
 	eg.Go(func() error { return in.members.Run(run) })
 	eg.Go(func() error { return in.peers.Run(run) })
 	eg.Go(func() error {
-		return (&cwforward.Server{Handler: in.engine, News: in.directory, Quotas: in.quotaServer()}).Run(run, peerListener)
+		return (&cwforward.Server{Handler: in.engine, News: in.directory, Quotas: in.quotaServer(), Members: in.engine}).Run(run, peerListener)
 	})
 	eg.Go(func() error { return in.engine.Serve(callerListener, in.cfg.NewCallerConn) })
 	in.cfg.Log.Info("started", "instance", in.cfg.Name, "dataCentre", in.cfg.DataCentre, "listen", in.cfg.CallerListen)
--- a/internal/proxy/cwleadership/ack.go
+++ b/internal/proxy/cwleadership/ack.go
@@ -56,7 +56,7 @@
 		ask := g.othersByProximity(p.Member)
 		// Start with the nearest replica alone, which usually has the record, and add
 		// one replica in each round.
-		ask = g.limitChecks(ask[:min(n, len(ask))], g.cfg.Clock.Now())
+		ask = ask[:min(n, len(ask))]
 		g.mu.Unlock()
 		g.check(ask, CauseAck)
 		g.cfg.Clock.Sleep(pause)
--- a/internal/proxy/cwleadership/backoff.go
+++ b/internal/proxy/cwleadership/backoff.go
@@ -39,7 +39,7 @@
 func (g *Group) limitChecks(list []Member, now time.Time) []Member {
 	cutOff := g.majorityUnreachable.Load()
 	limit := cwevidence.MaxRetryIntervalInMajority
-	if cutOff {
+	if cutOff || g.observed {
 		limit = cwevidence.MaxRetryInterval
 	}
 	round := g.roundBackoff
@@ -65,6 +65,7 @@
 func (g *Group) resetBackoffs() {
 	clear(g.backoffs)
 	g.roundBackoff = cwevidence.Backoff{}
+	g.rounds = g.rounds.WithNews()
 	g.wake()
 }
 
--- a/internal/proxy/cwleadership/confirm.go
+++ b/internal/proxy/cwleadership/confirm.go
@@ -1,35 +1,57 @@
 package cwleadership
 
-import "cicadawalk.example/cicadawalk/internal/core/cwgroup"
+import (
+	"time"
 
-// requestConfirmation starts health checks of the primary, if its last report is about
-// to expire, and of enough other members for a majority. Calls within confirmInterval
-// of the last one do nothing.
-func (g *Group) requestConfirmation() {
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// requestConfirmation obtains reports of the primary, if its last report is about to
+// expire, and of enough other members for a majority: from an observer, or by own health
+// checks. Calls within confirmInterval of the last one do nothing, nor do calls while no
+// primary is known that can be reached: the loop then obtains reports. data is the maximum age
+// of the data that the reads need, or Lease for the newest; waiting is true if a read
+// waits for the confirmation.
+func (g *Group) requestConfirmation(data time.Duration, waiting bool) {
 	g.mu.Lock()
-	v := g.sup.View()
-	p, ok := v.Primary()
 	now := g.cfg.Clock.Now()
-	if now.Before(g.nextConfirmAt) {
+	if now.Before(g.nextConfirmAt) || !g.knowsPrimary(now) {
 		g.mu.Unlock()
 		return
 	}
 	g.nextConfirmAt = now.Add(confirmInterval)
+	maxAge, shared := cwevidence.ReadMaxAge(data)
+	v := g.sup.View()
+	p, _ := v.Primary()
+	q := inquiry{
+		cause: CauseConfirmation, own: g.membersToConfirm, hedge: waiting,
+		request: cwport.MembersRequest{
+			MaxAge: maxAge, Wait: cwevidence.AnswerWait, Others: cwgroup.Majority(v.Size()) - 1, Primary: now.Sub(p.At) >= maxAge,
+		},
+		sufficient: func(askedAt time.Time) bool { return !g.confirmedAt.Before(askedAt.Add(-maxAge)) },
+	}
+	g.mu.Unlock()
+	if shared && q.request.Others > 0 {
+		g.obtain(q)
+	} else {
+		g.checkOwn(q)
+	}
+}
+
+// membersToConfirm returns the members whose health checks confirm the primary. The caller
+// holds mu.
+func (g *Group) membersToConfirm(now time.Time) []Member {
+	v := g.sup.View()
+	p, ok := v.Primary()
 	var ask []Member
 	if m := g.members[p.Member]; ok && m != nil && now.Sub(p.At) > confirmRefreshAge-confirmInterval {
 		ask = append(ask, *m)
 	}
 	need := cwgroup.Majority(v.Size()) - 1
-	for _, m := range g.othersByProximity(p.Member) {
-		if need == 0 {
-			break
-		}
-		ask = append(ask, m)
-		need--
-	}
-	ask = g.limitChecks(ask, now)
-	g.mu.Unlock()
-	g.check(ask, CauseConfirmation)
+	others := g.othersByProximity(p.Member)
+	return append(ask, others[:min(need, len(others))]...)
 }
 
 // othersByProximity returns all members except one: first those in this data centre,
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -102,8 +102,13 @@
 	// MinHolderInterval is the minimum time between changes of primary by two different
 	// holders.
 	MinHolderInterval time.Duration
-	// CountCheck is called for each health check that begins; it may be nil.
-	CountCheck func(CheckCause)
+	// Observers returns the holders of the group, to ask for reports of its members. It
+	// is called without any lock of the group held; nil if no other instance is asked.
+	Observers func() []cwport.Observer
+	// CountCheck is called for each health check that begins, and CountAnswer for each
+	// request to an observer that ends; they may be nil.
+	CountCheck  func(CheckCause)
+	CountAnswer func(cwevidence.Outcome)
 	// ClaimSeed makes claim ids unique; it must differ between processes.
 	ClaimSeed string
 }
@@ -174,6 +179,20 @@
 	// of the other members while a majority can't be reached.
 	backoffs     map[cwgroup.MemberID]cwevidence.Backoff
 	roundBackoff cwevidence.Backoff
+	// lastHealth holds the last answer of each member to a health check, to be passed on,
+	// and lastCheckAt when the last check of each member began here.
+	lastHealth  map[cwgroup.MemberID]healthAnswer
+	lastCheckAt map[cwgroup.MemberID]time.Time
+	// source chooses the observer to ask. observed is true if the last choice was another
+	// instance. inquiring holds the causes with a request in progress. rounds schedules
+	// the requests while the primary is unknown or in doubt.
+	source    cwevidence.Source
+	observed  bool
+	inquiring map[CheckCause]bool
+	rounds    cwevidence.Rounds
+	// startInquiry is closed when the requests to observers at the beginning of the
+	// current period of use have ended; nil if there are none.
+	startInquiry chan struct{}
 	// pathSuspected is whether the path to other data centres was in doubt at the last
 	// tick.
 	pathSuspected bool
@@ -226,6 +245,9 @@
 		checking:    make(map[cwgroup.MemberID]bool),
 		unreachable: make(map[cwgroup.MemberID]bool),
 		backoffs:    make(map[cwgroup.MemberID]cwevidence.Backoff),
+		lastHealth:  make(map[cwgroup.MemberID]healthAnswer),
+		lastCheckAt: make(map[cwgroup.MemberID]time.Time),
+		inquiring:   make(map[CheckCause]bool),
 		changed:     make(chan struct{}),
 		restarts:    make(map[cwgroup.MemberID]restart),
 		wakeups:     make(chan struct{}, 1),
--- a/internal/proxy/cwleadership/health.go
+++ b/internal/proxy/cwleadership/health.go
@@ -97,6 +97,7 @@
 		return false
 	}
 	g.checking[id] = true
+	g.lastCheckAt[id] = g.cfg.Clock.Now()
 	if g.cfg.CountCheck != nil {
 		g.cfg.CountCheck(cause)
 	}
@@ -109,14 +110,20 @@
 	delete(g.checking, id)
 }
 
-// check starts a health check of each member in the list: over a pooled connection, or
-// over a fresh one if the member can't be reached.
+// check starts a health check of each member in the list that may be checked now (see
+// limitChecks): over a pooled connection, or over a fresh one if the member can't be
+// reached.
 func (g *Group) check(all []Member, cause CheckCause) {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	all = g.limitChecks(all, now)
+	unreachable := make(map[cwgroup.MemberID]bool)
+	for _, m := range all {
+		unreachable[m.ID] = g.unreachable[m.ID]
+	}
+	g.mu.Unlock()
 	for _, m := range all {
-		g.mu.Lock()
-		unreachable := g.unreachable[m.ID]
-		g.mu.Unlock()
-		if unreachable {
+		if unreachable[m.ID] {
 			g.probe(m.ID, cause)
 		} else if g.beginHealthCheck(m.ID, cause) {
 			go g.runHealthCheck(m)
--- /dev/null
+++ b/internal/proxy/cwleadership/inquiry.go
@@ -0,0 +1,277 @@
+package cwleadership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+)
+
+// hedgeDelay is how long a read waits for an observer's answer before this instance checks
+// the members as well. Reachable members answer an observer within a few milliseconds.
+const hedgeDelay = 30 * time.Millisecond
+
+// inquiry is a need for reports of members.
+type inquiry struct {
+	cause   CheckCause
+	request cwport.MembersRequest
+	// own returns the members to check if no observer has recent reports. It is called
+	// with mu held.
+	own func(now time.Time) []Member
+	// sufficient reports whether the reports that were received meet the need. It is
+	// called with mu held, with the time at which the request was sent.
+	sufficient func(askedAt time.Time) bool
+	// hedge is true if a caller waits for the reports.
+	hedge bool
+}
+
+// obtain starts to obtain reports: from an observer of this data centre, or by own checks
+// if there is no other observer. It does nothing while an inquiry for the same cause is in
+// progress.
+func (g *Group) obtain(q inquiry) {
+	o, ok := g.chooseObserver()
+	if !ok {
+		g.checkOwn(q)
+		return
+	}
+	g.mu.Lock()
+	busy := g.inquiring[q.cause]
+	g.inquiring[q.cause] = true
+	g.mu.Unlock()
+	if !busy {
+		go g.runInquiry(q, o)
+	}
+}
+
+// checkOrAsk checks the given members, or asks an observer for their reports if the group
+// is unsettled and another instance observes it.
+func (g *Group) checkOrAsk(list []Member, cause CheckCause) {
+	if len(list) == 0 {
+		return
+	}
+	if _, ok := g.chooseObserver(); !ok || cause != CauseUnsettled {
+		g.check(list, cause)
+		return
+	}
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	checkAll, ask := g.rounds.CheckDue(now), g.rounds.AskDue(now) && !g.inquiring[cause]
+	if checkAll {
+		g.rounds = g.rounds.WithCheck(now)
+	} else {
+		list = g.unreachableOf(list)
+	}
+	if ask {
+		g.rounds = g.rounds.WithAsk(now, g.majorityUnreachable.Load())
+	}
+	g.mu.Unlock()
+	g.check(list, cause)
+	if ask {
+		g.obtain(inquiry{
+			cause: cause, own: g.withoutRecentReport,
+			request:    cwport.MembersRequest{MaxAge: cwevidence.UnsettledMaxAge, Wait: cwevidence.AnswerWait},
+			sufficient: func(time.Time) bool { return len(g.withoutRecentReport(g.cfg.Clock.Now())) == 0 },
+		})
+	}
+}
+
+// unreachableOf returns the members of the list that can't be reached. The caller holds mu.
+func (g *Group) unreachableOf(list []Member) []Member {
+	var out []Member
+	for _, m := range list {
+		if g.unreachable[m.ID] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// withoutRecentReport returns the members that can be reached and have no report recent
+// enough for a group without a settled primary. The caller holds mu.
+func (g *Group) withoutRecentReport(now time.Time) []Member {
+	var out []Member
+	for id, m := range g.members {
+		if !g.unreachable[id] && now.Sub(g.lastHealth[id].at) > cwevidence.UnsettledMaxAge+cwevidence.AnswerTimeout {
+			out = append(out, *m)
+		}
+	}
+	return out
+}
+
+// chooseObserver returns the observer to ask; false if this instance checks the members
+// itself. The caller doesn't hold mu.
+func (g *Group) chooseObserver() (cwport.Observer, bool) {
+	var near []cwport.Observer
+	var candidates []cwevidence.Candidate
+	for _, o := range g.observers() {
+		if !o.Remote {
+			near = append(near, o)
+			candidates = append(candidates, cwevidence.Candidate{Name: o.Name, Self: o.Ask == nil})
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i, ok := g.source.Choose(candidates, g.cfg.Clock.Now())
+	g.observed = ok
+	if !ok {
+		return cwport.Observer{}, false
+	}
+	return near[i], true
+}
+
+// observers returns the holders of the group. The caller doesn't hold mu, which may be
+// awaited under the locks that this takes.
+func (g *Group) observers() []cwport.Observer {
+	if g.cfg.Observers == nil {
+		return nil
+	}
+	return g.cfg.Observers()
+}
+
+// checkOwn starts own checks for an inquiry.
+func (g *Group) checkOwn(q inquiry) {
+	g.mu.Lock()
+	list := q.own(g.cfg.Clock.Now())
+	g.mu.Unlock()
+	g.check(list, q.cause)
+}
+
+// runInquiry asks observers one after the other, and checks the members itself if none has
+// sufficient reports.
+func (g *Group) runInquiry(q inquiry, o cwport.Observer) {
+	defer g.endInquiry(q.cause)
+	if q.hedge {
+		t := g.cfg.Clock.AfterFunc(hedgeDelay, func() { g.checkOwn(q) })
+		defer t.Stop()
+	}
+	for {
+		outcome := g.ask(o, q)
+		if outcome == cwevidence.Used {
+			return
+		}
+		next, ok := g.chooseObserver()
+		if outcome.Answered() || !ok {
+			g.checkOwn(q)
+			return
+		}
+		o = next
+	}
+}
+
+func (g *Group) endInquiry(cause CheckCause) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.inquiring, cause)
+}
+
+// ask asks one observer and records the reports that it passes on.
+func (g *Group) ask(o cwport.Observer, q inquiry) cwevidence.Outcome {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), g.cfg.Clock, cwevidence.AnswerTimeout)
+	defer cancel()
+	x := cwevidence.Exchange{RequestedAt: g.cfg.Clock.Now()}
+	request := q.request
+	request.Group = g.cfg.Service
+	r, err := o.Ask(ctx, request)
+	x.AnsweredAt, x.Held = g.cfg.Clock.Now(), r.Held
+	outcome := outcomeOf(r, err)
+	if outcome == cwevidence.Used {
+		if err = g.recordReports(r, x); err != nil {
+			outcome = cwevidence.Malformed
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if outcome == cwevidence.Used && !q.sufficient(x.RequestedAt) {
+		outcome = cwevidence.TooOld
+	}
+	g.recordOutcome(o, outcome, err)
+	return outcome
+}
+
+// recordOutcome records how a request to an observer ended. The caller holds mu.
+func (g *Group) recordOutcome(o cwport.Observer, outcome cwevidence.Outcome, cause error) {
+	if g.cfg.CountAnswer != nil {
+		g.cfg.CountAnswer(outcome)
+	}
+	g.source = g.source.WithOutcome(o.Name, outcome, g.cfg.Clock.Now())
+	if !outcome.Answered() {
+		g.cfg.Log.Info("observerNotUsed", "group", g.cfg.Service, "observer", o.Name, "why", outcome, "cause", cause)
+	}
+}
+
+// outcomeOf returns how a request ended, before the ages of the reports are considered.
+func outcomeOf(r cwport.MembersResponse, err error) cwevidence.Outcome {
+	var unsupported *cwport.UnsupportedMethodError
+	var invalid *cwport.InvalidAnswerError
+	switch {
+	case errors.As(err, &unsupported):
+		return cwevidence.Unsupported
+	case errors.As(err, &invalid):
+		return cwevidence.Malformed
+	case err != nil:
+		return cwevidence.NoAnswer
+	case !r.Observes:
+		return cwevidence.NotObserving
+	}
+	return cwevidence.Used
+}
+
+// recordReports records the reports of an answer. The error is a *cwevidence.ClockError;
+// then none of the answer is recorded.
+func (g *Group) recordReports(r cwport.MembersResponse, x cwevidence.Exchange) error {
+	p, err := x.CheckedAt(r.Primary.Age)
+	if err != nil {
+		return err
+	}
+	at := make([]time.Time, len(r.Reports))
+	for i, m := range r.Reports {
+		if at[i], err = x.CheckedAt(m.Age); err != nil {
+			return err
+		}
+	}
+	logAt := make([]time.Time, len(r.Primary.Log))
+	for i, l := range r.Primary.Log {
+		if logAt[i], err = x.CheckedAt(l.Age); err != nil {
+			return err
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, m := range r.Reports {
+		if _, listed := g.members[m.Member]; listed {
+			g.recordHealth(m.Member, m.Health, at[i], false)
+		}
+	}
+	if _, listed := g.members[r.Primary.Member]; listed {
+		g.recordPrimaryReport(r.Primary, p, logAt)
+	}
+	return nil
+}
+
+// recordPrimaryReport records what an observer knows of the primary: its answer to a
+// request sent at the given time, and positions of its log with their times. The positions
+// count only if the member is the primary of that term here as well. The caller holds mu.
+func (g *Group) recordPrimaryReport(p cwport.PrimaryReport, at time.Time, logAt []time.Time) {
+	g.observeTerm(p.Term, g.cfg.Clock.Now())
+	if rep, _ := g.sup.View().Report(p.Member); at.After(rep.At) {
+		end := p.Position
+		if rep.Durable.AtLeast(end) && rep.AdoptedTerm == p.Term {
+			end = rep.Durable
+		}
+		g.updateView(cwgroup.Report{
+			Status: cwgroup.Status{Member: p.Member, Role: cwgroup.RolePrimary, AdoptedTerm: p.Term, Durable: end, Applied: end},
+			At:     at, Reachable: !g.unreachable[p.Member],
+		})
+	}
+	if known, ok := g.sup.View().Primary(); !ok || known.Member != p.Member || known.AdoptedTerm != p.Term || g.term != p.Term {
+		return
+	}
+	for i, l := range p.Log {
+		g.history.Observe(l.Position, logAt[i])
+	}
+}
--- a/internal/proxy/cwleadership/loop.go
+++ b/internal/proxy/cwleadership/loop.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 )
 
@@ -122,12 +123,14 @@
 	commands := g.sup.Tick(now, c)
 	result, ended := g.sup.TakeResult(now, c)
 	ask, cause := g.membersToCheck(now)
-	ask = g.limitChecks(ask, now)
+	if cause != CauseUnsettled {
+		g.rounds = cwevidence.Rounds{}
+	}
 	g.mu.Unlock()
 	if ended {
 		g.logResult(result)
 	}
-	g.check(ask, cause)
+	g.checkOrAsk(ask, cause)
 	g.dispatch(ctx, eg, commands)
 }
 
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -38,6 +38,8 @@
 			delete(g.logProgress, id)
 			delete(g.unreachable, id)
 			delete(g.backoffs, id)
+			delete(g.lastHealth, id)
+			delete(g.lastCheckAt, id)
 			delete(g.restarts, id)
 		}
 	}
--- a/internal/proxy/cwleadership/observe.go
+++ b/internal/proxy/cwleadership/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
@@ -109,22 +110,36 @@
 func (g *Group) observeHealth(id cwgroup.MemberID, h cwstatement.Health, sentAt time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordHealth(id, h, sentAt, true)
+}
+
+// recordHealth records a member's answer to a health request that was sent at sentAt. own
+// is true if this instance sent it; otherwise an observer passed the answer on, which
+// doesn't show whether this instance reaches the member. The caller holds mu.
+func (g *Group) recordHealth(id cwgroup.MemberID, h cwstatement.Health, sentAt time.Time, own bool) {
 	now := g.cfg.Clock.Now()
 	if g.logShrank(id, h.Term, h.LogEnd, sentAt) {
 		g.recordRestart(id, "its log is shorter than before")
 	}
-	applied := cwgroup.LogPosition{}
-	if rep, ok := g.sup.View().Report(id); ok {
-		applied = rep.Applied
-	}
 	g.observeTerm(max(h.Term, h.LogEnd.Term), now)
+	g.keepHealth(id, h, sentAt)
+	rep, _ := g.sup.View().Report(id)
+	applied := rep.Applied
+	if !own {
+		if !sentAt.After(rep.At) {
+			return
+		}
+		g.observeReturn(rep, sentAt)
+	}
 	role := h.Role
 	if h.FencedTerm > h.Term {
 		role = cwgroup.RoleFenced
 	}
 	if role == cwgroup.RolePrimary {
 		applied = h.LogEnd
-		g.lag.ObservePrimary(applied, now)
+		if own {
+			g.lag.ObservePrimary(applied, now)
+		}
 		if h.Term == g.term {
 			g.history.Observe(applied, sentAt)
 		}
@@ -132,13 +147,38 @@
 	if m, ok := g.members[id]; ok {
 		m.Pool.ObserveConnections(h.Connections)
 	}
-	g.applyReport(cwgroup.Report{
+	r := cwgroup.Report{
 		Status: cwgroup.Status{
 			Member: id, Role: role, AdoptedTerm: max(h.Term, h.FencedTerm), Durable: h.LogEnd, Applied: applied,
 			UpstreamAge: g.upstreamAge(id, h.LogEnd, now),
 		},
-		At: sentAt, Reachable: true,
-	})
+		At: sentAt, Reachable: own || !g.unreachable[id],
+	}
+	if own {
+		g.applyReport(r)
+	} else {
+		g.updateView(r)
+	}
+}
+
+// markReached records that a member has answered this instance. The caller holds mu.
+func (g *Group) markReached(id cwgroup.MemberID, now time.Time) {
+	if g.unreachable[id] {
+		delete(g.unreachable, id)
+		g.resetBackoffs()
+	}
+	if m, ok := g.members[id]; ok && g.isRemote(m) {
+		g.cfg.RemotePath.RecordAnswer(now)
+	}
+}
+
+// observeReturn makes this instance check a member at once that it can't reach if the
+// member has answered an observer after a silence. The caller holds mu.
+func (g *Group) observeReturn(last cwgroup.Report, at time.Time) {
+	if g.unreachable[last.Member] && !last.At.IsZero() && at.Sub(last.At) >= cwevidence.MaxRetryInterval {
+		delete(g.backoffs, last.Member)
+		g.wake()
+	}
 }
 
 // observeTerm records that a member is in term t or holds a record of it. Some member
@@ -152,18 +192,17 @@
 	g.cfg.Log.Info("termsReplaced", "group", g.cfg.Service, "upTo", t-1, "known", g.term)
 }
 
-// applyReport applies a member's report to the view and updates the state derived from
-// it: reachability, the primary, confirmations and commits that wait. The caller holds
-// mu.
+// applyReport applies a report to the view that follows from a member's answer to this
+// instance. The caller holds mu.
 func (g *Group) applyReport(r cwgroup.Report) {
+	g.markReached(r.Member, g.cfg.Clock.Now())
+	g.updateView(r)
+}
+
+// updateView applies a member's report to the view and updates the state derived from it:
+// the primary, confirmations and commits that wait. The caller holds mu.
+func (g *Group) updateView(r cwgroup.Report) {
 	now := g.cfg.Clock.Now()
-	if g.unreachable[r.Member] {
-		delete(g.unreachable, r.Member)
-		g.resetBackoffs()
-	}
-	if m, ok := g.members[r.Member]; ok && g.isRemote(m) {
-		g.cfg.RemotePath.RecordAnswer(now)
-	}
 	r, ok := g.adjustAfterRestart(r)
 	if !ok {
 		return
--- a/internal/proxy/cwleadership/place.go
+++ b/internal/proxy/cwleadership/place.go
@@ -138,7 +138,7 @@
 		changed := g.changed
 		g.mu.Unlock()
 		if validFor < Lease-confirmRefreshAge {
-			g.requestConfirmation()
+			g.requestConfirmation(Lease, validFor <= 0)
 		}
 		if validFor > 0 {
 			return Placement{Member: *m, Term: p.AdoptedTerm, Primary: true, Evidence: evidence}, nil
@@ -202,7 +202,7 @@
 		}
 		g.mu.Unlock()
 		if stale {
-			g.requestConfirmation()
+			g.requestConfirmation(rd.MaxAge, !found)
 		}
 		if found {
 			return place, nil
--- a/internal/proxy/cwleadership/quorum.go
+++ b/internal/proxy/cwleadership/quorum.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
 // quorumFloor returns the position that a log must reach to serve the read, from the
@@ -43,36 +45,75 @@
 	if !now.Before(deadline) || now.Sub(rd.ArrivedAt) >= healthTimeout {
 		return false
 	}
-	ask, enough := g.quorumMembersToCheck(rd, now)
-	g.check(ask, CauseQuorumRead)
-	if enough {
-		g.awaitChange(ctx, changed, confirmInterval)
+	due, enough := g.quorumCheckDue(now)
+	if !enough {
+		return false
+	}
+	if due {
+		g.requestQuorum(rd, now)
 	}
-	return enough
+	g.awaitChange(ctx, changed, confirmInterval)
+	return true
 }
 
-// quorumMembersToCheck returns the members other than the primary without a report that
-// is recent enough for the read, or none if confirmInterval has not passed since the
-// last request; and whether enough members can be reached.
-func (g *Group) quorumMembersToCheck(rd Read, now time.Time) (ask []Member, enough bool) {
+// quorumCheckDue reports whether confirmInterval has passed since the last request, and
+// whether enough members other than the primary can be reached.
+func (g *Group) quorumCheckDue(now time.Time) (due, enough bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := g.sup.View()
 	p, _ := v.Primary()
 	reached := 0
+	for _, id := range v.Members() {
+		if id != p.Member && !g.unreachable[id] {
+			reached++
+		}
+	}
+	enough = reached >= v.Size()-1
+	due = enough && !now.Before(g.nextConfirmAt)
+	if due {
+		g.nextConfirmAt = now.Add(confirmInterval)
+	}
+	return due, enough
+}
+
+// requestQuorum obtains reports of the members other than the primary that are recent
+// enough for the read: from an observer, or by own health checks.
+func (g *Group) requestQuorum(rd Read, now time.Time) {
+	maxAge, shared := cwevidence.SinceMaxAge(rd.freshAsOf(), now)
+	missing := func(time.Time) []Member { return g.quorumMembersToCheck(rd) }
+	q := inquiry{
+		cause: CauseQuorumRead, own: missing, hedge: true,
+		request:    cwport.MembersRequest{MaxAge: maxAge, Wait: cwevidence.AnswerWait, Others: max(1, g.memberCount()-1)},
+		sufficient: func(time.Time) bool { return len(missing(now)) == 0 },
+	}
+	if shared {
+		g.obtain(q)
+	} else {
+		g.checkOwn(q)
+	}
+}
+
+// memberCount returns the size of the group.
+func (g *Group) memberCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sup.View().Size()
+}
+
+// quorumMembersToCheck returns the members other than the primary that can be reached and
+// have no report that is recent enough for the read. The caller holds mu.
+func (g *Group) quorumMembersToCheck(rd Read) []Member {
+	v := g.sup.View()
+	p, _ := v.Primary()
+	var ask []Member
 	for _, id := range v.Members() {
 		if id == p.Member || g.unreachable[id] {
 			continue
 		}
-		reached++
 		if rep, known := v.Report(id); !known || rep.At.Before(rd.freshAsOf()) {
 			ask = append(ask, *g.members[id])
 		}
 	}
-	if now.Before(g.nextConfirmAt) {
-		ask = nil
-	} else {
-		g.nextConfirmAt = now.Add(confirmInterval)
-	}
-	return g.limitChecks(ask, now), reached >= v.Size()-1
+	return ask
 }
--- a/internal/proxy/cwleadership/reachability.go
+++ b/internal/proxy/cwleadership/reachability.go
@@ -142,6 +142,7 @@
 func (g *Group) markUsed(now time.Time) {
 	if !g.inUse(now) {
 		g.inUseSince = now
+		g.beginStartInquiry(now)
 		g.wake()
 	}
 	g.lastUsedAt = now
--- a/internal/proxy/cwleadership/suspect.go
+++ b/internal/proxy/cwleadership/suspect.go
@@ -21,7 +21,7 @@
 	if g.primarySilentSince.IsZero() {
 		g.primarySilentSince = g.cfg.Clock.Now()
 	}
-	ask := g.limitChecks(g.othersByProximity(id), g.cfg.Clock.Now())
+	ask := g.othersByProximity(id)
 	g.mu.Unlock()
 	g.check(ask, CauseOverdue)
 }
