cwleadership: replicas are polled for a commit when they are expected to have it

The first poll came 3 ms after the commit, however long the replication takes, and most often found nothing where that is longer. Each replica now has an expected delay, measured by whether the first polls found the record; the replica with the shortest one is polled first, and never before 3 ms.

--- a/internal/proxy/cwleadership/ack.go
+++ b/internal/proxy/cwleadership/ack.go
@@ -1,9 +1,12 @@
 package cwleadership
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwack"
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 )
 
@@ -24,7 +27,7 @@
 	g.pollingAcks = g.pollingAcks || start
 	g.mu.Unlock()
 	if start {
-		go g.pollForAcks()
+		go g.pollForAcks(ackPoll{position: m, committedAt: now})
 	}
 	return <-done
 }
@@ -39,27 +42,80 @@
 	g.tracker.Update(g.sup.View(), now)
 }
 
+// ackPoll is the first poll of a replica for a commit.
+type ackPoll struct {
+	position    cwgroup.LogPosition
+	committedAt time.Time
+	// member is the replica, polled at sentAt; empty before the poll.
+	member cwgroup.MemberID
+	sentAt time.Time
+}
+
 // pollForAcks asks replicas for their log positions while commits wait for an
-// acknowledgement.
-func (g *Group) pollForAcks() {
+// acknowledgement, the first time when a replica is expected to have the record of the
+// given commit.
+func (g *Group) pollForAcks(first ackPoll) {
+	g.mu.Lock()
+	order := g.replicasByAckDelay()
+	g.mu.Unlock()
+	wait := cwevidence.MinAckDelay
+	if len(order) > 0 {
+		wait = g.expectedAckDelay(order[0].ID)
+	}
+	g.cfg.Clock.Sleep(wait)
 	pause := ackPollMin
-	g.cfg.Clock.Sleep(ackPollDelay)
 	for n := 1; ; n++ {
 		g.mu.Lock()
-		g.resolveAckWaits(g.cfg.Clock.Now())
+		now := g.cfg.Clock.Now()
+		g.resolveAckWaits(now)
+		g.observeAckPoll(&first)
 		if g.tracker.Len() == 0 {
 			g.pollingAcks = false
 			g.mu.Unlock()
 			return
 		}
-		p, _ := g.sup.View().Primary()
-		ask := g.othersByProximity(p.Member)
-		// Start with the nearest replica alone, which usually has the record, and add
+		// Start with the replica alone that is expected to have the record first, and add
 		// one replica in each round.
+		ask := g.replicasByAckDelay()
 		ask = ask[:min(n, len(ask))]
+		if n == 1 && len(ask) > 0 {
+			first.member, first.sentAt = ask[0].ID, now
+		}
 		g.mu.Unlock()
 		g.check(ask, CauseAck)
 		g.cfg.Clock.Sleep(pause)
 		pause = min(pause*3/2, ackPollMax)
 	}
 }
+
+// replicasByAckDelay returns the replicas in the order of their expected delays, and those
+// of the same delay by proximity. The caller holds mu.
+func (g *Group) replicasByAckDelay() []Member {
+	p, _ := g.sup.View().Primary()
+	list := g.othersByProximity(p.Member)
+	slices.SortStableFunc(list, func(a, b Member) int {
+		if g.unreachable[a.ID] != g.unreachable[b.ID] {
+			return 0
+		}
+		return cmp.Compare(g.ackDelays[a.ID].Expected(), g.ackDelays[b.ID].Expected())
+	})
+	return list
+}
+
+func (g *Group) expectedAckDelay(id cwgroup.MemberID) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ackDelays[id].Expected()
+}
+
+// observeAckPoll adjusts the expected delay of a replica to the answer to the first poll,
+// once there is one. The caller holds mu.
+func (g *Group) observeAckPoll(first *ackPoll) {
+	rep, known := g.sup.View().Report(first.member)
+	if first.member == "" || !known || rep.At.Before(first.sentAt) {
+		return
+	}
+	id := first.member
+	g.ackDelays[id] = g.ackDelays[id].WithPoll(first.sentAt.Sub(first.committedAt), rep.HasRecord(first.position))
+	first.member = ""
+}
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -69,10 +69,6 @@
 	// confirmInterval is the minimum interval between two requests for a confirmation.
 	// A reachable member answers within a few milliseconds.
 	confirmInterval = 30 * time.Millisecond
-	// ackPollDelay is the wait before replicas are first polled for a commit.
-	// Replicating a record takes about as long, and the answers to other statements may
-	// show it in the meantime.
-	ackPollDelay = 3 * time.Millisecond
 	// ackPollMin and ackPollMax bound the interval between two polls for one commit:
 	// from the time that a busy replica takes to answer a health check to a few
 	// hundredths of AckTimeout.
@@ -151,6 +147,8 @@
 	confirmedAt, lastUsedAt time.Time
 	// inUseSince is the start of the current period of use.
 	inUseSince time.Time
+	// ackDelays holds how long after a commit each replica is expected to have the record.
+	ackDelays map[cwgroup.MemberID]cwevidence.AckDelay
 	// pollingAcks is true while replicas are polled for waiting commits. checking holds
 	// the members with a health check or a probe in progress.
 	pollingAcks bool
@@ -248,6 +246,7 @@
 		lastHealth:  make(map[cwgroup.MemberID]healthAnswer),
 		lastCheckAt: make(map[cwgroup.MemberID]time.Time),
 		inquiring:   make(map[CheckCause]bool),
+		ackDelays:   make(map[cwgroup.MemberID]cwevidence.AckDelay),
 		changed:     make(chan struct{}),
 		restarts:    make(map[cwgroup.MemberID]restart),
 		wakeups:     make(chan struct{}, 1),
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -40,6 +40,7 @@
 			delete(g.backoffs, id)
 			delete(g.lastHealth, id)
 			delete(g.lastCheckAt, id)
+			delete(g.ackDelays, id)
 			delete(g.restarts, id)
 		}
 	}
