cwleadership: users of a group ask less often, and at the start without checks

The requests at the beginning of a period of use no longer cause checks, and the first useful answer ends them.

--- a/internal/core/cwevidence/rounds.go
+++ b/internal/core/cwevidence/rounds.go
@@ -6,9 +6,13 @@
 const (
 	// AskInterval is the minimum interval between two requests to an observer.
 	AskInterval = 50 * time.Millisecond
-	// MaxCutOffAskInterval is the longest interval between two requests of an instance
+	// maxUserAskInterval is the longest interval between two requests of an instance that
+	// doesn't hold the group. It neither replaces the primary nor runs statements while a
+	// holder does, and there are many such instances for each observer.
+	maxUserAskInterval = 200 * time.Millisecond
+	// maxCutOffAskInterval is the longest interval between two requests of an instance
 	// that can't reach a majority, whose observer most likely can't either.
-	MaxCutOffAskInterval = 400 * time.Millisecond
+	maxCutOffAskInterval = 400 * time.Millisecond
 	// OwnCheckInterval is the longest interval between two own checks of the members.
 	OwnCheckInterval = time.Second
 )
@@ -24,6 +28,18 @@
 	nextCheckAt time.Time
 }
 
+// AskLimit returns the longest interval between two requests of an instance. holds is true
+// if it holds the group, and cutOff if it can't reach a majority of the members.
+func AskLimit(holds, cutOff bool) time.Duration {
+	switch {
+	case cutOff:
+		return maxCutOffAskInterval
+	case !holds:
+		return maxUserAskInterval
+	}
+	return AskInterval
+}
+
 // AskDue reports whether the observer may be asked now.
 func (r Rounds) AskDue(now time.Time) bool { return r.asks.Due(now) }
 
@@ -32,13 +48,9 @@
 	return !r.nextCheckAt.IsZero() && !now.Before(r.nextCheckAt)
 }
 
-// WithAsk returns the schedule after a request that is sent now. cutOff is true if this
-// instance can't reach a majority of the members.
-func (r Rounds) WithAsk(now time.Time, cutOff bool) Rounds {
-	limit := AskInterval
-	if cutOff {
-		limit = MaxCutOffAskInterval
-	}
+// WithAsk returns the schedule after a request that is sent now. limit is as returned by
+// AskLimit.
+func (r Rounds) WithAsk(now time.Time, limit time.Duration) Rounds {
 	r.asks = r.asks.WithCheck(now, limit)
 	if r.nextCheckAt.IsZero() {
 		r.nextCheckAt = now.Add(OwnCheckInterval)
--- a/internal/core/cwevidence/source_test.go
+++ b/internal/core/cwevidence/source_test.go
@@ -47,9 +47,9 @@
 	start := time.Unix(1000, 0)
 	for _, tc := range []struct {
 		name                 string
-		cutOff               bool
+		holds, cutOff        bool
 		wantAsks, wantChecks int
-	}{{"a majority is reachable", false, 100, 4}, {"cut off", true, 15, 4}} {
+	}{{"a holder", true, false, 100, 4}, {"another user", false, false, 27, 4}, {"cut off", true, true, 15, 4}} {
 		t.Run(tc.name, func(t *testing.T) {
 			var r Rounds
 			asks, checks := 0, 0
@@ -58,7 +58,7 @@
 					r, checks = r.WithCheck(now), checks+1
 				}
 				if r.AskDue(now) {
-					r, asks = r.WithAsk(now, tc.cutOff), asks+1
+					r, asks = r.WithAsk(now, AskLimit(tc.holds, tc.cutOff)), asks+1
 				}
 			}
 			qt.Assert(t, asks, qt.Equals, tc.wantAsks)
--- a/internal/proxy/cwleadership/inquiry.go
+++ b/internal/proxy/cwleadership/inquiry.go
@@ -67,7 +67,7 @@
 		list = g.unreachableOf(list)
 	}
 	if ask {
-		g.rounds = g.rounds.WithAsk(now, g.majorityUnreachable.Load())
+		g.rounds = g.rounds.WithAsk(now, cwevidence.AskLimit(!g.heldElsewhere, g.majorityUnreachable.Load()))
 	}
 	g.mu.Unlock()
 	g.check(list, cause)
@@ -106,9 +106,12 @@
 // chooseObserver returns the observer to ask; false if this instance checks the members
 // itself. The caller doesn't hold mu.
 func (g *Group) chooseObserver() (cwport.Observer, bool) {
+	if g.cfg.Observers == nil {
+		return cwport.Observer{}, false
+	}
 	var near []cwport.Observer
 	var candidates []cwevidence.Candidate
-	for _, o := range g.observers() {
+	for _, o := range g.cfg.Observers() {
 		if !o.Remote {
 			near = append(near, o)
 			candidates = append(candidates, cwevidence.Candidate{Name: o.Name, Self: o.Ask == nil})
@@ -124,15 +127,6 @@
 	return near[i], true
 }
 
-// observers returns the holders of the group. The caller doesn't hold mu, which may be
-// awaited under the locks that this takes.
-func (g *Group) observers() []cwport.Observer {
-	if g.cfg.Observers == nil {
-		return nil
-	}
-	return g.cfg.Observers()
-}
-
 // checkOwn starts own checks for an inquiry.
 func (g *Group) checkOwn(q inquiry) {
 	g.mu.Lock()
--- a/internal/proxy/cwleadership/reachability.go
+++ b/internal/proxy/cwleadership/reachability.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
 )
@@ -16,7 +17,8 @@
 	// group. A group in use has several statements a second.
 	unservedWindow = time.Second
 	// reachabilityKnownAfter is how long a group must be in use until each of its
-	// members has answered a health check or been found unreachable.
+	// members has answered a health check or been found unreachable, if no observer is
+	// asked first.
 	reachabilityKnownAfter = healthTimeout + 2*activeTick
 )
 
@@ -127,7 +129,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
-	return g.inUse(now) && now.Sub(g.inUseSince) >= reachabilityKnownAfter
+	after := reachabilityKnownAfter
+	if g.observed {
+		after += cwevidence.AnswerTimeout
+	}
+	return g.inUse(now) && now.Sub(g.inUseSince) >= after
 }
 
 // Idle reports whether no statement has used the group for d and this proxy is not
--- a/internal/proxy/cwleadership/start.go
+++ b/internal/proxy/cwleadership/start.go
@@ -7,13 +7,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
-	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
-// CauseStart is the beginning of a period of use.
-const CauseStart CheckCause = "start"
-
 // beginStartInquiry asks observers what they know of the group at the beginning of a period
 // of use, unless the primary was confirmed recently. The caller holds mu.
 //
@@ -32,28 +28,34 @@
 // runStartInquiry asks the first other holder in this data centre and the first one in
 // another data centre at the same time, since either may be the lost one.
 func (g *Group) runStartInquiry(done chan struct{}) {
-	q := inquiry{cause: CauseStart, sufficient: g.knowsPrimary}
-	q.request.MaxAge, q.request.Wait = Lease, hedgeDelay
-	g.mu.Lock()
-	q.request.Others, q.request.Primary = cwgroup.Majority(g.sup.View().Size())-1, true
-	g.mu.Unlock()
+	// Without a wait, the answers have what is known there and cause no checks.
+	q := inquiry{sufficient: g.knowsPrimary}
 	var eg errgroup.Group
 	for _, o := range g.startObservers() {
 		eg.Go(func() error {
-			g.ask(o, q)
+			if g.ask(o, q) == cwevidence.Used {
+				g.endStartInquiry(done)
+			}
 			return nil
 		})
 	}
 	_ = eg.Wait()
+	g.endStartInquiry(done)
+}
+
+// endStartInquiry ends the start inquiry with the given channel if it has not ended.
+func (g *Group) endStartInquiry(done chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.startInquiry = nil
-	close(done)
+	if g.startInquiry == done {
+		g.startInquiry = nil
+		close(done)
+	}
 }
 
 // startObservers returns the instances to ask at the beginning of a period of use.
 func (g *Group) startObservers() []cwport.Observer {
-	all := g.observers()
+	all := g.cfg.Observers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.cfg.Clock.Now()
