--- a/internal/proxy/cwleadership/observer_play_test.go
+++ b/internal/proxy/cwleadership/observer_play_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -52,6 +53,8 @@
 	centre int
 	// serve answers a request for reports; a test replaces it to simulate faults.
 	serve atomic.Pointer[serveFunc]
+	// reversed is true if the instance has another order of the holders than the others.
+	reversed atomic.Bool
 }
 
 type serveFunc func(context.Context, cwport.MembersRequest) (cwport.MembersResponse, error)
@@ -141,6 +144,9 @@
 			near = append(near, o)
 		}
 	}
+	if self.reversed.Load() {
+		slices.Reverse(near)
+	}
 	return append(near, far...)
 }
 
@@ -271,6 +277,11 @@
 				return cwport.MembersResponse{}, errUnavailable
 			})
 		}, 200, 3},
+		{"two observers in each data centre", func(p *play) {
+			for n, in := range p.instances {
+				in.reversed.Store(n%2 == 0)
+			}
+		}, 200, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var with, without int
