--- a/internal/proxy/cwleadership/backoff_test.go
+++ b/internal/proxy/cwleadership/backoff_test.go
@@ -57,6 +57,7 @@
 		{"no news", func(*testGroup) {}, 0},
 		{"a row of the store", func(b *testGroup) { b.SetRow(cwfailover.Row{Term: 2, Claim: "y-1", Primary: "b", Done: true}) }, 3},
 		{"a member answers", func(b *testGroup) { b.reportHealth("b", cwgroup.RoleReplica, 1, 100) }, 3},
+		{"other data centres answer again", func(b *testGroup) { b.cfg.RemotePath.RecordAnswer(b.clock.Now()) }, 3},
 		{"a member restarts", func(b *testGroup) { b.listMembers(time.UnixMilli(900)) }, 3},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -65,6 +66,7 @@
 			for _, id := range []cwgroup.MemberID{"a", "b", "c"} {
 				b.DialFailed(cwport.Endpoint{ID: id}, errUnavailable)
 			}
+			b.cfg.RemotePath.RecordOverdue(b.clock.Now())
 			n := b.countChecks()
 			b.runCheckTicks(3 * time.Second)
 			qt.Assert(t, n.Load() <= 3*7, qt.IsTrue, qt.Commentf("%d checks in 3 s", n.Load()))
--- a/internal/proxy/cwleadership/observer_play_test.go
+++ b/internal/proxy/cwleadership/observer_play_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,6 +23,7 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwclaim"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/standin/cwreplicaset"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
 // Sizes of a play: holders and other users of the group in each data centre.
@@ -61,6 +63,33 @@
 
 func (in *playInstance) setServe(f serveFunc) { in.serve.Store(&f) }
 
+// playTable is a table with one row that can be claimed.
+type playTable struct {
+	rowTable
+	version int
+}
+
+func (r *playTable) Get(ctx context.Context, key string) (cwplatform.Row, error) {
+	row, err := r.rowTable.Get(ctx, key)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row.ETag = strconv.Itoa(r.version)
+	return row, err
+}
+
+func (r *playTable) Commit(_ context.Context, ch cwplatform.Change) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch tag := ch.Expect[0].ETag; {
+	case r.unavailable:
+		return &cwplatform.UnavailableError{Cause: errUnavailable}
+	case tag != strconv.Itoa(r.version) && (tag != "" || r.value != nil):
+		return &cwplatform.ConflictError{Key: ch.Expect[0].Key}
+	}
+	r.value, r.version = ch.Put[0].Value, r.version+1
+	return nil
+}
+
 // runPlay runs f in a play in which every instance knows the primary. Instances ask
 // observers if observed is true.
 func runPlay(t *testing.T, observed bool, f func(p *play)) {
