--- a/internal/core/cwevidence/source.go
+++ b/internal/core/cwevidence/source.go
@@ -55,8 +55,15 @@
 // Source chooses the observer to ask for one group. It is immutable. The zero Source has
 // asked nobody.
 type Source struct {
-	// avoidUntil holds when instances that gave no usable answer may be asked again.
-	avoidUntil map[string]time.Time
+	// unusable holds the instances whose last request had no usable answer.
+	unusable map[string]unusableObserver
+}
+
+// unusableObserver is an instance whose last request had no usable answer.
+type unusableObserver struct {
+	outcome Outcome
+	// until is when the instance may be asked again.
+	until time.Time
 }
 
 // Choose returns the index of the candidate to ask, given all candidates in rendezvous
@@ -75,25 +82,28 @@
 }
 
 // Avoids reports whether the named instance is not to be asked now.
-func (s Source) Avoids(name string, now time.Time) bool { return now.Before(s.avoidUntil[name]) }
+func (s Source) Avoids(name string, now time.Time) bool { return now.Before(s.unusable[name].until) }
 
-// WithOutcome returns the source after a request to the named instance ended now.
-func (s Source) WithOutcome(name string, o Outcome, now time.Time) Source {
-	_, avoided := s.avoidUntil[name]
-	if o.Answered() && !avoided {
-		return s
+// WithOutcome returns the source after a request to the named instance ended now. The
+// second result is true if the instance is no longer usable, or usable again, or unusable
+// for another reason than before.
+func (s Source) WithOutcome(name string, o Outcome, now time.Time) (Source, bool) {
+	before, wasUnusable := s.unusable[name]
+	if o.Answered() && !wasUnusable {
+		return s, false
+	}
+	next := maps.Clone(s.unusable)
+	if o.Answered() {
+		delete(next, name)
+		return Source{unusable: next}, true
 	}
-	next := maps.Clone(s.avoidUntil)
 	if next == nil {
-		next = make(map[string]time.Time)
+		next = make(map[string]unusableObserver)
 	}
-	switch {
-	case o.Answered():
-		delete(next, name)
-	case o == Unsupported:
-		next[name] = now.Add(UnsupportedBackoff)
-	default:
-		next[name] = now.Add(SilenceBackoff)
+	pause := SilenceBackoff
+	if o == Unsupported {
+		pause = UnsupportedBackoff
 	}
-	return Source{avoidUntil: next}
+	next[name] = unusableObserver{outcome: o, until: now.Add(pause)}
+	return Source{unusable: next}, before.outcome != o
 }
--- a/internal/core/cwevidence/source_test.go
+++ b/internal/core/cwevidence/source_test.go
@@ -12,7 +12,18 @@
 func TestChooseObserver(t *testing.T) {
 	now := time.Unix(1000, 0)
 	holders := []Candidate{{Name: "h1"}, {Name: "h2"}}
-	var s Source
+	// answered returns the source after the outcomes of the holders, in order.
+	answered := func(outcomes ...Outcome) Source {
+		var s Source
+		for i, o := range outcomes {
+			s, _ = s.WithOutcome(holders[i].Name, o, now)
+		}
+		return s
+	}
+	again, changed := answered(Unsupported).WithOutcome("h1", Used, now)
+	qt.Assert(t, changed, qt.IsTrue)
+	_, changed = answered(NoAnswer).WithOutcome("h1", NoAnswer, now)
+	qt.Assert(t, changed, qt.IsFalse)
 	for _, tc := range []struct {
 		name       string
 		source     Source
@@ -20,16 +31,16 @@
 		after      time.Duration
 		want       string
 	}{
-		{"the first holder", s, holders, 0, "h1"},
-		{"the first one is silent", s.WithOutcome("h1", NoAnswer, now), holders, SilenceBackoff - 1, "h2"},
-		{"it may be asked again", s.WithOutcome("h1", NoAnswer, now), holders, SilenceBackoff, "h1"},
-		{"an older build", s.WithOutcome("h1", Unsupported, now), holders, UnsupportedBackoff - 1, "h2"},
-		{"it answers again", s.WithOutcome("h1", Unsupported, now).WithOutcome("h1", Used, now), holders, 0, "h1"},
-		{"reports that are too old", s.WithOutcome("h1", TooOld, now), holders, 0, "h1"},
-		{"nobody answers", s.WithOutcome("h1", NotObserving, now).WithOutcome("h2", Malformed, now), holders, 0, ""},
-		{"this instance is the first holder", s, []Candidate{{Name: "h1", Self: true}, {Name: "h2"}}, 0, ""},
-		{"this instance is the second holder", s, []Candidate{{Name: "h1"}, {Name: "h2", Self: true}}, 0, "h1"},
-		{"no holder in this data centre", s, nil, 0, ""},
+		{"the first holder", Source{}, holders, 0, "h1"},
+		{"the first one is silent", answered(NoAnswer), holders, SilenceBackoff - 1, "h2"},
+		{"it may be asked again", answered(NoAnswer), holders, SilenceBackoff, "h1"},
+		{"an older build", answered(Unsupported), holders, UnsupportedBackoff - 1, "h2"},
+		{"it answers again", again, holders, 0, "h1"},
+		{"reports that are too old", answered(TooOld), holders, 0, "h1"},
+		{"nobody answers", answered(NotObserving, Malformed), holders, 0, ""},
+		{"this instance is the first holder", Source{}, []Candidate{{Name: "h1", Self: true}, {Name: "h2"}}, 0, ""},
+		{"this instance is the second holder", Source{}, []Candidate{{Name: "h1"}, {Name: "h2", Self: true}}, 0, "h1"},
+		{"no holder in this data centre", Source{}, nil, 0, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			got := ""
--- a/internal/proxy/cwengine/observers_test.go
+++ b/internal/proxy/cwengine/observers_test.go
@@ -32,9 +32,9 @@
 	}}}
 }
 
-// Guards against a first statement that is refused at an instance that has not used its
-// group yet, although a holder knows the primary.
-func TestFirstStatementUsesReportsOfHolder(t *testing.T) {
+// Guards against an engine whose groups don't ask the holders that it knows, or that
+// doesn't answer other instances.
+func TestGroupAsksHolder(t *testing.T) {
 	env := newTestEnv(t, cwcatalogue.ReadLatest)
 	x := env.engine("x")
 	env.waitForPrimary(x)
--- a/internal/proxy/cwleadership/inquiry.go
+++ b/internal/proxy/cwleadership/inquiry.go
@@ -192,9 +192,14 @@
 	if g.cfg.CountAnswer != nil {
 		g.cfg.CountAnswer(outcome)
 	}
-	g.source = g.source.WithOutcome(o.Name, outcome, g.cfg.Clock.Now())
-	if !outcome.Answered() {
-		g.cfg.Log.Info("observerNotUsed", "group", g.cfg.Service, "observer", o.Name, "why", outcome, "cause", cause)
+	var changed bool
+	g.source, changed = g.source.WithOutcome(o.Name, outcome, g.cfg.Clock.Now())
+	switch {
+	case !changed:
+	case outcome.Answered():
+		g.cfg.Log.Info("observerUsable", "group", g.cfg.Service, "observer", o.Name)
+	default:
+		g.cfg.Log.Info("observerNotUsable", "group", g.cfg.Service, "observer", o.Name, "why", outcome, "cause", cause)
 	}
 }
 
