cwleadership: a second replica is polled only after the usual time of an answer

The pause after the first poll for a commit was 8 ms, also where an answer takes longer, so that a second replica was polled while the answer of the first was on its way. It is now twice the measured time of an answer, from 8 to 40 ms.

--- a/internal/core/cwevidence/backoff.go
+++ b/internal/core/cwevidence/backoff.go
@@ -15,9 +15,9 @@
 const (
 	// MinRetryInterval is the interval after the first check.
 	MinRetryInterval = 50 * time.Millisecond
-	// MaxRetryInterval is the longest interval. It is used where an answer of the one
-	// member changes nothing at once: a majority can't be reached, or an observer checks
-	// the member.
+	// MaxRetryInterval is the longest interval where the answer of a member changes little:
+	// a majority can't be reached, or this instance doesn't hold the group and an observer
+	// checks the member.
 	MaxRetryInterval = time.Second
 	// MaxRetryIntervalInMajority is the longest interval otherwise. A returning primary
 	// must be noticed before it is replaced.
--- a/internal/core/cwevidence/delay_test.go
+++ b/internal/core/cwevidence/delay_test.go
@@ -8,6 +8,18 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// Guards against polls of a second replica while the answer of the first one is on its way.
+func TestPollPauseExceedsAnswerTime(t *testing.T) {
+	for _, took := range []time.Duration{time.Millisecond, 12 * time.Millisecond, 300 * time.Millisecond} {
+		var d AckDelay
+		for range 20 {
+			d = d.WithAnswer(took)
+		}
+		qt.Assert(t, d.PollPause() > took || d.PollPause() == maxPollPause, qt.IsTrue)
+		qt.Assert(t, d.PollPause() >= minPollPause, qt.IsTrue)
+	}
+}
+
 // Guards against polls that come before the replica can have the record, and against
 // acknowledgements that are delayed by far more than the replication.
 func TestAckDelayFollowsReplication(t *testing.T) {
--- a/internal/proxy/cwleadership/ack.go
+++ b/internal/proxy/cwleadership/ack.go
@@ -63,7 +63,7 @@
 		wait = g.expectedAckDelay(order[0].ID)
 	}
 	g.cfg.Clock.Sleep(wait)
-	pause := ackPollMin
+	var pause time.Duration
 	for n := 1; ; n++ {
 		g.mu.Lock()
 		now := g.cfg.Clock.Now()
@@ -78,13 +78,14 @@
 		// one replica in each round.
 		ask := g.replicasByAckDelay()
 		ask = ask[:min(n, len(ask))]
+		pause = min(pause*3/2, ackPollMax)
 		if n == 1 && len(ask) > 0 {
 			first.member, first.sentAt = ask[0].ID, now
+			pause = g.ackDelays[first.member].PollPause()
 		}
 		g.mu.Unlock()
 		g.check(ask, CauseAck)
-		g.cfg.Clock.Sleep(pause)
-		pause = min(pause*3/2, ackPollMax)
+		g.cfg.Clock.Sleep(max(pause, ackPollMin))
 	}
 }
 
--- a/internal/proxy/cwleadership/backoff.go
+++ b/internal/proxy/cwleadership/backoff.go
@@ -39,7 +39,7 @@
 func (g *Group) limitChecks(list []Member, now time.Time) []Member {
 	cutOff := g.majorityUnreachable.Load()
 	limit := cwevidence.MaxRetryIntervalInMajority
-	if cutOff || g.observed {
+	if cutOff || g.observed && g.heldElsewhere {
 		limit = cwevidence.MaxRetryInterval
 	}
 	round := g.roundBackoff
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -69,9 +69,9 @@
 	// confirmInterval is the minimum interval between two requests for a confirmation.
 	// A reachable member answers within a few milliseconds.
 	confirmInterval = 30 * time.Millisecond
-	// ackPollMin and ackPollMax bound the interval between two polls for one commit:
-	// from the time that a busy replica takes to answer a health check to a few
-	// hundredths of AckTimeout.
+	// ackPollMin and ackPollMax bound the interval between two polls for one commit after
+	// the first two: from the time that a busy replica takes to answer a health check to a
+	// few hundredths of AckTimeout.
 	ackPollMin = 8 * time.Millisecond
 	ackPollMax = 40 * time.Millisecond
 )
--- a/internal/proxy/cwleadership/observe.go
+++ b/internal/proxy/cwleadership/observe.go
@@ -146,6 +146,9 @@
 	}
 	if m, ok := g.members[id]; ok {
 		m.Pool.ObserveConnections(h.Connections)
+		if own {
+			g.ackDelays[id] = g.ackDelays[id].WithAnswer(now.Sub(sentAt))
+		}
 	}
 	r := cwgroup.Report{
 		Status: cwgroup.Status{
