--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -3,7 +3,9 @@
 //
 // A Group learns the state of its members from the answers to statements, each of which
 // carries a log position, and from health checks. It sends health checks only as often
-// as the traffic needs them.
+// as the traffic needs them. In each data centre one holder of the group, the observer,
+// checks the members on behalf of the other instances there, which count the answers that
+// it passes on like their own, with their ages.
 //
 // A primary is confirmed when a majority of the members, the primary among them, is
 // known to be in its term. A confirmation is valid for Lease. A change of primary first
