--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -6,7 +6,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
 )
 
 // Metrics are the counters and histograms of an engine and its instance.
@@ -124,6 +126,16 @@
 	m.set.GetOrCreateCounter(`cicadawalk_messages_malformed_total{method="` + method + `"}`).Inc()
 }
 
+// CountHealthCheck counts a health check of a target that begins, by its cause.
+func (m *Metrics) CountHealthCheck(cause cwleadership.CheckCause) {
+	m.set.GetOrCreateCounter(`cicadawalk_health_checks_total{cause="` + string(cause) + `"}`).Inc()
+}
+
+// CountObserverAnswer counts a request to an observer that ended, by its outcome.
+func (m *Metrics) CountObserverAnswer(o cwevidence.Outcome) {
+	m.set.GetOrCreateCounter(`cicadawalk_observer_answers_total{outcome="` + string(o) + `"}`).Inc()
+}
+
 // countStatement counts the answer to a statement.
 func (m *Metrics) countStatement(v cwstatement.Verb, c cwstatement.Code) {
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -123,7 +123,7 @@
 	in.members.Counted = in.countMembers
 	engine := cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, GracePeriod: cfg.GracePeriod, Metrics: in.metrics, NewGroup: in.newGroup,
-		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, DataCentre: cfg.DataCentre,
+		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, Observers: in.peers, DataCentre: cfg.DataCentre,
 		RemotePath: in.remotePath, PathNetwork: in.peers, PathSeed: seedOf(cfg.Name, cfg.RunID),
 		KeyRevocationBound: cfg.KeyRevocationBound, CatalogueConfirmedAt: in.directory.Confirmed, RecordedSize: in.members.RecordedSize,
 		FirstStart: cfg.FirstStart,
@@ -211,6 +211,8 @@
 		Self: cwfailover.InstanceID(in.cfg.Name), DataCentre: in.cfg.DataCentre, Service: service,
 		Clock: in.cfg.Clock, Log: in.cfg.Log, Dialer: countingDialer{in.cfg.Dialer, in.metrics}, Table: in.cfg.Table,
 		Era: in.cfg.Era, Promoter: in.cfg.Promoter, MinHolderInterval: in.cfg.MinHolderInterval, ClaimSeed: in.cfg.RunID, RemotePath: in.remotePath,
+		Observers:  func() []cwport.Observer { return in.engine.Observers(service) },
+		CountCheck: in.metrics.CountHealthCheck, CountAnswer: in.metrics.CountObserverAnswer,
 	})
 }
 
@@ -246,7 +248,8 @@
 	eg.Go(func() error { return in.peers.Run(run) })
 	eg.Go(func() error {
 		s := &cwforward.Server{
-			Handler: in.engine, News: in.directory, Quotas: in.quotaServer(), Path: in.engine, OnMalformed: in.metrics.CountMalformed,
+			Handler: in.engine, News: in.directory, Quotas: in.quotaServer(), Path: in.engine, Members: in.engine,
+			OnMalformed: in.metrics.CountMalformed,
 		}
 		return s.Run(run, peerListener)
 	})
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -3,7 +3,9 @@
 //
 // A Group learns the state of its members from the answers to statements, each of which
 // carries a log position, and from health checks. It sends health checks only as often
-// as the traffic needs them.
+// as the traffic needs them. In each data centre one holder of the group, the observer,
+// checks the members on behalf of the other instances there, which count the answers that
+// it passes on like their own, with their ages.
 //
 // A primary is confirmed when a majority of the members, the primary among them, is
 // known to be in its term. A confirmation is valid for Lease. A change of primary first
@@ -22,6 +24,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwack"
+	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
@@ -68,13 +71,9 @@
 	// confirmInterval is the minimum interval between two requests for a confirmation.
 	// A reachable member answers within a few milliseconds.
 	confirmInterval = 30 * time.Millisecond
-	// ackPollDelay is the wait before replicas are first polled for a commit.
-	// Replicating a record takes about as long, and the answers to other statements may
-	// show it in the meantime.
-	ackPollDelay = 3 * time.Millisecond
-	// ackPollMin and ackPollMax bound the interval between two polls for one commit:
-	// from the time that a busy replica takes to answer a health check to a few
-	// hundredths of AckTimeout.
+	// ackPollMin and ackPollMax bound the interval between two polls for one commit after
+	// the first two: from the time that a busy replica takes to answer a health check to a
+	// few hundredths of AckTimeout.
 	ackPollMin = 8 * time.Millisecond
 	ackPollMax = 40 * time.Millisecond
 )
@@ -101,6 +100,13 @@
 	// MinHolderInterval is the minimum time between changes of primary by two different
 	// holders.
 	MinHolderInterval time.Duration
+	// Observers returns the holders of the group, to ask for reports of its members. It
+	// is called without any lock of the group held; nil if no other instance is asked.
+	Observers func() []cwport.Observer
+	// CountCheck is called for each health check that begins, and CountAnswer for each
+	// request to an observer that ends; they may be nil.
+	CountCheck  func(CheckCause)
+	CountAnswer func(cwevidence.Outcome)
 	// ClaimSeed makes claim ids unique; it must differ between processes.
 	ClaimSeed string
 }
@@ -143,6 +149,8 @@
 	confirmedAt, lastUsedAt time.Time
 	// inUseSince is the start of the current period of use.
 	inUseSince time.Time
+	// ackDelays holds how long after a commit each replica is expected to have the record.
+	ackDelays map[cwgroup.MemberID]cwevidence.AckDelay
 	// pollingAcks is true while replicas are polled for waiting commits. checking holds
 	// the members with a health check or a probe in progress.
 	pollingAcks bool
@@ -167,6 +175,27 @@
 	// unreachable holds the members whose last connection attempt failed, including
 	// members that never reported.
 	unreachable map[cwgroup.MemberID]bool
+	// backoffs space the checks of members that can't be reached, and roundBackoff those
+	// of the other members while a majority can't be reached.
+	backoffs     map[cwgroup.MemberID]cwevidence.Backoff
+	roundBackoff cwevidence.Backoff
+	// lastHealth holds the last answer of each member to a health check, to be passed on,
+	// and lastCheckAt when the last check of each member began here.
+	lastHealth  map[cwgroup.MemberID]healthAnswer
+	lastCheckAt map[cwgroup.MemberID]time.Time
+	// source chooses the observer to ask. observed is true if the last choice was another
+	// instance. inquiring holds the causes with a request in progress. rounds schedules
+	// the requests while the primary is unknown or in doubt.
+	source    cwevidence.Source
+	observed  bool
+	inquiring map[CheckCause]bool
+	rounds    cwevidence.Rounds
+	// startInquiry is closed when the requests to observers at the beginning of the
+	// current period of use have ended; nil if there are none.
+	startInquiry chan struct{}
+	// pathSuspected is whether the path to other data centres was in doubt at the last
+	// tick.
+	pathSuspected bool
 	// lastUnservedAt is when this proxy last refused a statement that holders of the
 	// group could not run either.
 	lastUnservedAt time.Time
@@ -215,6 +244,11 @@
 		readLog:     make(map[readLogKey]readLogEntry),
 		checking:    make(map[cwgroup.MemberID]bool),
 		unreachable: make(map[cwgroup.MemberID]bool),
+		backoffs:    make(map[cwgroup.MemberID]cwevidence.Backoff),
+		lastHealth:  make(map[cwgroup.MemberID]healthAnswer),
+		lastCheckAt: make(map[cwgroup.MemberID]time.Time),
+		inquiring:   make(map[CheckCause]bool),
+		ackDelays:   make(map[cwgroup.MemberID]cwevidence.AckDelay),
 		changed:     make(chan struct{}),
 		restarts:    make(map[cwgroup.MemberID]restart),
 		wakeups:     make(chan struct{}, 1),
--- a/internal/proxy/cwleadership/suspect.go
+++ b/internal/proxy/cwleadership/suspect.go
@@ -23,5 +23,5 @@
 	}
 	ask := g.othersByProximity(id)
 	g.mu.Unlock()
-	g.checkHealthOfAll(ask)
+	g.check(ask, CauseOverdue)
 }
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -48,6 +48,8 @@
 	// OnMalformed is called with the method of a message that was dropped because it is
 	// malformed; it may be nil.
 	OnMalformed func(method string)
+	// Members answers requests for reports of members. If it is nil, they are refused.
+	Members cwport.MembersServer
 
 	encoder newsEncoder
 }
@@ -72,6 +74,8 @@
 			return s.answerQuota(req)
 		case methodPath:
 			return s.answerPath(req)
+		case methodMembers:
+			return s.answerMembers(ctx, req)
 		}
 		return s.answerPingOrStatement(bounded, req)
 	}
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -13,6 +13,7 @@
 //     platform's store.
 //   - quota takes one operation from a workspace's quota.
 //   - path reports that other data centres do not answer, or answer again.
+//   - members requests the other instance's reports of a group's members.
 package cwforward
 
 import (
@@ -32,6 +33,7 @@
 	methodNews    = "news"
 	methodQuota   = "quota"
 	methodPath    = "path"
+	methodMembers = "members"
 )
 
 type statementBody struct {
