cwleadership: the play of observers probes a suspected path, as the engine does

The engine checks a suspected path at once. Without that, an instance of the play whose primary in another data centre is lost keeps the suspicion, and refuses statements.

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -79,7 +79,7 @@
 	// nil, New creates one. If it has no clock, it gets that of the engine.
 	// Observers returns the instances to ask for reports of a group's members; nil if
 	// this instance asks nobody.
-	Observers cwport.Observers
+	Observers  cwport.Observers
 	RemotePath *cwleadership.RemotePath
 	// PathNetwork reaches other instances to find out whether other data centres answer;
 	// if it is nil, this instance finds out by itself. PathSeed seeds the choice of the
--- a/internal/proxy/cwleadership/observer_play_test.go
+++ b/internal/proxy/cwleadership/observer_play_test.go
@@ -135,6 +135,8 @@
 	if observed {
 		cfg.Observers = func() []cwport.Observer { return p.observersOf(in) }
 	}
+	// As the engine does, a suspicion of the path is checked at once.
+	cfg.RemotePath = &RemotePath{Clock: cfg.Clock, OnSuspicion: func() { in.ProbeRemote() }}
 	in.Group = New(cfg)
 	in.setServe(func(ctx context.Context, q cwport.MembersRequest) (cwport.MembersResponse, error) {
 		time.Sleep(time.Millisecond)
