cwroute, cwleadership: reads avoid members that are likely to lack their floor

The expected catch-up was an average lag less the age of the floor: zero for a member whose position was unknown, and zero for one that stood still once the floor was older than its former lag. A refusal changed nothing, so the next reads met the same one.

ApplyTracker keeps, for each member, how often records of a given age were applied, and the last position that the member lacked. A member that lacks the floor with more than 1% is rated with the work and the time of a second attempt. A read may wait for a replica for up to half of the time in which it must start. A member that is avoided is tried again with single reads. Refused reads are counted in cicadawalk_behind_total, waits in cicadawalk_read_hold_seconds.

--- a/internal/core/cwroute/balance.go
+++ b/internal/core/cwroute/balance.go
@@ -25,6 +25,11 @@
 	// MinAssumedLatency is the assumed minimum latency of a member, also used if its
 	// latency is unknown. It is low so that every member is tried now and then.
 	MinAssumedLatency = 5 * time.Millisecond
+	// SecondAttemptPercent is the penalty for a member that probably enough lacks the
+	// floor (see MaxBehind), in percent of its statement latency. It stands for the
+	// work of a refused attempt, and exceeds PrimaryPenaltyPercent, so that an idle
+	// primary is preferred to an attempt that is likely to be refused.
+	SecondAttemptPercent = 200
 )
 
 // ReadTarget describes one member that may serve a read.
@@ -34,9 +39,15 @@
 	Remote bool
 	// Primary is true if the member is the primary and takes the writes.
 	Primary bool
-	// CatchUp is the expected time until the member has applied the floor; zero
-	// if it has.
-	CatchUp time.Duration
+	// Behind is the probability that the member lacks the floor of the read when the
+	// read arrives.
+	Behind float64
+	// Hold is how long the read waits at this proxy before it is sent, so that the
+	// member applies the floor in the meantime. A member can be listed several times
+	// with different values.
+	Hold time.Duration
+	// Trial is true if the read tries a member that has not been observed for long.
+	Trial bool
 	// Wait is the expected wait for a connection. Latency is the recent average
 	// duration of a statement at the member; zero if unknown.
 	Wait, Latency time.Duration
@@ -56,7 +67,33 @@
 	if o.Primary {
 		d += latency * PrimaryPenaltyPercent / 100
 	}
-	return d + o.CatchUp
+	if o.Behind > MaxBehind {
+		d += latency * SecondAttemptPercent / 100
+	}
+	return d + o.Hold
+}
+
+// expectedTotal returns the expected response time of a read that is sent to o, and
+// then to the fastest other member if o lacks the floor. If that one lacks it as well,
+// or if there is none, the caller retries after RetryAfter.
+func (o ReadTarget) expectedTotal(targets []ReadTarget) time.Duration {
+	first := o.expectedResponseTime()
+	if o.Behind == 0 {
+		return first
+	}
+	second := time.Duration(-1)
+	for _, other := range targets {
+		if other.Member == o.Member {
+			continue
+		}
+		if d := other.expectedResponseTime() + time.Duration(other.Behind*float64(RetryAfter)); second < 0 || d < second {
+			second = d
+		}
+	}
+	if second < 0 {
+		second = RetryAfter
+	}
+	return first + time.Duration(o.Behind*float64(second))
 }
 
 // FastestTarget returns the target with the shortest expected response time. The
@@ -71,9 +108,10 @@
 		return ReadTarget{}, false
 	}
 	best := targets[0]
+	shortest := best.expectedTotal(targets)
 	for _, o := range targets[1:] {
-		if o.expectedResponseTime() < best.expectedResponseTime() {
-			best = o
+		if d := o.expectedTotal(targets); d < shortest {
+			best, shortest = o, d
 		}
 	}
 	return best, true
--- a/internal/core/cwroute/balance_test.go
+++ b/internal/core/cwroute/balance_test.go
@@ -24,9 +24,18 @@
 		{"local replica slightly slower", []ReadTarget{far, {Member: "near", Latency: 30 * ms, Slots: 3}}, "near"},
 		{"local replica with high latency", []ReadTarget{far, {Member: "near", Latency: 90 * ms, Slots: 3}}, "far"},
 		{"callers waiting for connections to the local replica", []ReadTarget{far, {Member: "near", Latency: 20 * ms, Slots: 3, Wait: 40 * ms}}, "far"},
-		{"replica far behind the primary", []ReadTarget{primary, {Member: "near", Latency: 20 * ms, Slots: 3, CatchUp: time.Second}}, "primary"},
+		{"replica far behind the primary", []ReadTarget{primary, {Member: "near", Latency: 20 * ms, Slots: 3, Behind: 0.99}}, "primary"},
 		{"replica almost caught up, primary with high latency", []ReadTarget{
-			{Member: "primary", Latency: 200 * ms, Slots: 3}, {Member: "near", Latency: 20 * ms, Slots: 3, CatchUp: 5 * ms},
+			{Member: "primary", Latency: 200 * ms, Slots: 3}, {Member: "near", Latency: 20 * ms, Slots: 3, Hold: 5 * ms},
+		}, "near"},
+		{"replica that may lack the floor, primary idle", []ReadTarget{
+			{Member: "primary", Latency: 20 * ms, Slots: 3, Primary: true}, {Member: "near", Latency: 20 * ms, Slots: 3, Behind: 0.03},
+		}, "primary"},
+		{"replica that may lack the floor, primary with a queue", []ReadTarget{
+			{Member: "primary", Latency: 20 * ms, Slots: 3, Primary: true, Wait: 100 * ms}, {Member: "near", Latency: 20 * ms, Slots: 3, Behind: 0.03},
+		}, "near"},
+		{"replica that may lack the floor at a probability that does not count", []ReadTarget{
+			{Member: "primary", Latency: 20 * ms, Slots: 3, Primary: true}, {Member: "near", Latency: 20 * ms, Slots: 3, Behind: 0.005},
 		}, "near"},
 		{"member of unknown latency", []ReadTarget{near, {Member: "new", Slots: 3}}, "new"},
 	} {
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -15,6 +15,9 @@
 	// Attempts counts commands that were sent to targets for callers, Retries those
 	// after the first one of a statement.
 	Attempts, Retries *metrics.Counter
+	// Behind counts the reads that a member refused because it had not applied their
+	// floor.
+	Behind *metrics.Counter
 	// Forwarded counts statements forwarded to holders.
 	Forwarded *metrics.Counter
 	// StoreRequests counts the requests to the platform's store for its rows.
@@ -35,6 +38,9 @@
 	AckWait *metrics.Histogram
 	// ReadAge is the maximum possible age of the data of reads, in seconds.
 	ReadAge *metrics.Histogram
+	// ReadHold is how long reads waited for a replica to apply their floor, in seconds.
+	// Reads that did not wait are not counted.
+	ReadHold *metrics.Histogram
 	// Statement is the duration of statements, in seconds.
 	Statement *metrics.Histogram
 }
@@ -46,6 +52,7 @@
 		set:       set,
 		Attempts:  set.NewCounter("cicadawalk_attempts_total"),
 		Retries:   set.NewCounter("cicadawalk_retries_total"),
+		Behind:    set.NewCounter("cicadawalk_behind_total"),
 		Forwarded: set.NewCounter("cicadawalk_handed_over_total"),
 
 		StoreRequests:        set.NewCounter("cicadawalk_store_questions_total"),
@@ -61,6 +68,7 @@
 
 		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
 		ReadAge:   set.NewHistogram("cicadawalk_read_age_seconds"),
+		ReadHold:  set.NewHistogram("cicadawalk_read_hold_seconds"),
 		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
 	}
 }
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -178,6 +178,7 @@
 		t.group.RecordNotPrimary(place.ID, r.sentAt)
 		return cwstatement.RetryLater(cwstatement.NotPrimary, "the primary is being replaced", unreachableRetryAfter), true
 	case cwstatement.Behind:
+		t.session.engine.cfg.Metrics.Behind.Inc()
 		t.tried = append(t.tried, place.ID)
 		return cwstatement.RetryLater(cwstatement.Behind, "no member has the data yet", unreachableRetryAfter), true
 	case cwstatement.Busy:
@@ -196,12 +197,16 @@
 // if only a primary gives such an answer.
 func (t *task) recordAnswer(place cwleadership.Placement, r exchangeResult, led bool) {
 	t.group.ObservePosition(place.ID, r.answer.LogEnd, led && place.Primary, r.sentAt)
+	t.group.ObserveFloor(place, r.answer, r.sentAt)
 }
 
 // recordRead records the evidence on which a successful read was placed.
 func (t *task) recordRead(place cwleadership.Placement) {
 	t.group.LogRead(t.id, place)
 	t.session.engine.cfg.Metrics.countRead(place.Primary, string(place.Evidence.Basis), t.session.engine.cfg.Clock.Since(place.Evidence.CompleteAt))
+	if place.Held > 0 {
+		t.session.engine.cfg.Metrics.ReadHold.Update(place.Held.Seconds())
+	}
 }
 
 // handleLostAnswer closes a connection on which an answer did not come and probes the
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -118,8 +118,9 @@
 	size int
 	// history samples the log position of the primary. Samples up to confirmedAt are of
 	// the group's primary; later ones may be of a primary that has been replaced.
-	history     cwroute.PositionHistory
-	lag         cwroute.LagTracker
+	history cwroute.PositionHistory
+	// applied estimates what each replica has applied.
+	applied     cwroute.ApplyTracker
 	tracker     cwack.Tracker
 	logProgress map[cwgroup.MemberID]*logProgress
 	// readLog holds the last log entry of reads, by member and basis.
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -38,6 +38,7 @@
 			delete(g.logProgress, id)
 			delete(g.unreachable, id)
 			delete(g.restarts, id)
+			g.applied.Remove(id)
 		}
 	}
 	g.updateCountedMembers(g.cfg.Clock.Now())
--- a/internal/proxy/cwleadership/observe.go
+++ b/internal/proxy/cwleadership/observe.go
@@ -49,11 +49,30 @@
 		return
 	}
 	if !g.observePrimary(id, m, sentAt) {
-		g.lag.ObserveReplica(id, m, g.cfg.Clock.Now())
+		g.applied.Observe(id, m, sentAt, g.cfg.Clock.Now())
 	}
 	g.observeReplicaLog(rep, m)
 }
 
+// ObserveFloor records what a replica's answer to a read placed at p and sent at sentAt
+// shows about the read's floor.
+func (g *Group) ObserveFloor(p Placement, a cwstatement.Response, sentAt time.Time) {
+	if p.Primary || p.Floor == (cwgroup.LogPosition{}) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.members[p.ID]; !ok {
+		return
+	}
+	switch a.Code {
+	case cwstatement.OK:
+		g.applied.ObserveServed(p.ID, p.Floor, sentAt, g.cfg.Clock.Now())
+	case cwstatement.Behind:
+		g.applied.ObserveBehind(p.ID, p.Floor, a.LogEnd, sentAt, g.cfg.Clock.Now())
+	}
+}
+
 // observePrimary samples the primary's log position if the member is the primary, and
 // reports whether it is. The caller holds mu.
 //
@@ -65,7 +84,7 @@
 		return false
 	}
 	g.history.Observe(m, sentAt)
-	g.lag.ObservePrimary(m, g.cfg.Clock.Now())
+	g.applied.ObservePrimary(m, g.cfg.Clock.Now())
 	return true
 }
 
@@ -124,8 +143,8 @@
 	}
 	if role == cwgroup.RolePrimary {
 		applied = h.LogEnd
-		g.lag.ObservePrimary(applied, now)
 		if h.Term == g.term {
+			g.applied.ObservePrimary(applied, now)
 			g.history.Observe(applied, sentAt)
 		}
 	}
--- a/internal/proxy/cwleadership/place.go
+++ b/internal/proxy/cwleadership/place.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
-	"cicadawalk.example/cicadawalk/internal/core/cwroute"
 )
 
 // NoPrimaryError reports a statement that can't be placed: the group has no primary
@@ -40,6 +38,8 @@
 	Floor cwgroup.LogPosition
 	// Evidence describes why the placement is fresh enough for the read.
 	Evidence Evidence
+	// Held is how long the read has waited for a replica to apply the floor.
+	Held time.Duration
 }
 
 // retryAfter returns the expected time until there is a primary. The caller holds mu.
@@ -165,121 +165,3 @@
 	}
 	return false
 }
-
-// Read holds the freshness requirements of a read.
-type Read struct {
-	// ArrivedAt is when the read arrived.
-	ArrivedAt time.Time
-	// MaxAge is the maximum age of the data that the caller accepts.
-	MaxAge time.Duration
-	// LastWrite is the log position of the session's last write.
-	LastWrite cwgroup.LogPosition
-	// RefusedBy holds the members that refused the read.
-	RefusedBy []cwgroup.MemberID
-}
-
-// PlaceRead returns the member at which a read with a maximum age runs; it may be the
-// primary. The target itself enforces the age, since it waits until its log reaches the
-// placement's floor. The error is a *NoPrimaryError.
-func (g *Group) PlaceRead(ctx context.Context, rd Read, deadline time.Time) (Placement, error) {
-	for {
-		g.mu.Lock()
-		now := g.cfg.Clock.Now()
-		g.markUsed(now)
-		floor, evidence, ok := g.readFloor(rd)
-		if !ok {
-			floor, ok = g.quorumFloor(rd)
-			evidence = g.newEvidence(BasisMembers, rd.freshAsOf())
-		}
-		stale := rd.ArrivedAt.Sub(g.confirmedAt) > min(confirmRefreshAge, rd.MaxAge/2)
-		changed := g.changed
-		_, _, leaderErr := g.leader(now)
-		var place Placement
-		var found bool
-		if ok {
-			place, found = g.chooseMember(rd, floor, now)
-			place.Evidence = evidence
-		}
-		g.mu.Unlock()
-		if stale {
-			g.requestConfirmation()
-		}
-		if found {
-			return place, nil
-		}
-		if ok {
-			return Placement{}, &NoPrimaryError{Group: g.cfg.Service, Reason: "no member can serve the read", RetryAfter: typicalDetectionTime}
-		}
-		if leaderErr != nil && g.awaitQuorum(ctx, changed, rd, deadline) {
-			continue
-		}
-		if leaderErr != nil || !g.awaitChange(ctx, changed, deadline.Sub(now)) {
-			return Placement{}, &NoPrimaryError{
-				Group: g.cfg.Service, Reason: "the age of the data is not known", RetryAfter: typicalDetectionTime, MayServeElsewhere: leaderErr != nil,
-			}
-		}
-	}
-}
-
-// readFloor returns the position that a log must reach to serve the read. The last
-// result is false if no confirmed sample of the primary's log is recent enough. The
-// caller holds mu.
-//
-// A position of an earlier term may lie on a branch that was rolled back, which no log
-// will hold again. Everything of that term that was kept lies below termStart, so such
-// a position is replaced by termStart.
-func (g *Group) readFloor(rd Read) (cwgroup.LogPosition, Evidence, bool) {
-	aged, at, ok := g.history.FirstSince(rd.ArrivedAt.Add(-rd.MaxAge))
-	if !ok || at.After(g.confirmedAt) {
-		return cwgroup.LogPosition{}, Evidence{}, false
-	}
-	evidence := g.newEvidence(BasisPrimary, at)
-	seen := rd.LastWrite
-	if seen.Term < g.term && seen != (cwgroup.LogPosition{}) {
-		seen = g.termStart
-	}
-	if seen.AtLeast(aged) {
-		return seen, evidence, true
-	}
-	return aged, evidence, true
-}
-
-// newEvidence returns the evidence for a placement chosen now. The caller holds mu.
-func (g *Group) newEvidence(b Basis, complete time.Time) Evidence {
-	v := g.sup.View()
-	p, _ := v.Primary()
-	return Evidence{Basis: b, Leader: p.Member, ConfirmedAt: g.confirmedAt, CompleteAt: complete, GroupSize: v.Size()}
-}
-
-// chooseMember returns the member that is expected to answer the read first. The caller
-// holds mu.
-func (g *Group) chooseMember(rd Read, floor cwgroup.LogPosition, now time.Time) (Placement, bool) {
-	v := g.sup.View()
-	primary, _ := v.Primary()
-	var options []cwroute.ReadTarget
-	for id, m := range g.members {
-		rep, known := v.Report(id)
-		if m.Draining && id != primary.Member || known && !rep.Reachable || slices.Contains(rd.RefusedBy, id) {
-			continue
-		}
-		load := m.Pool.Load()
-		options = append(options, cwroute.ReadTarget{
-			Member: id, Remote: m.DataCentre != g.cfg.DataCentre, Primary: id == primary.Member, CatchUp: g.catchUp(rep, id == primary.Member, floor, now),
-			Wait: load.ExpectedWait, Latency: load.Latency, InFlight: load.InFlight + load.Waiting, Slots: m.Slots,
-		})
-	}
-	o, ok := cwroute.FastestTarget(options)
-	if !ok {
-		return Placement{}, false
-	}
-	return Placement{Member: *g.members[o.Member], Term: primary.AdoptedTerm, Primary: o.Member == primary.Member, Floor: floor}, true
-}
-
-// catchUp returns the expected time until a member's data reaches the floor. The caller
-// holds mu.
-func (g *Group) catchUp(rep cwgroup.Report, leads bool, floor cwgroup.LogPosition, now time.Time) time.Duration {
-	if leads || !rep.At.IsZero() && rep.Applied.AtLeast(floor) {
-		return 0
-	}
-	return g.lag.CatchUp(rep.Member, floor, now)
-}
--- a/internal/proxy/cwleadership/restart.go
+++ b/internal/proxy/cwleadership/restart.go
@@ -74,7 +74,7 @@
 	g.restarts[id] = rs
 	g.confirmedAt = time.Time{}
 	g.logProgress[id] = &logProgress{}
-	g.lag.Forget(id)
+	g.applied.Forget(id)
 	g.sup.MemberRestarted(id, now)
 	g.members[id].Pool.CloseIdleBefore(now)
 	g.notify()
