cwleadership: a session that wrote in an earlier term gets no newer floor than it needs

A last write of an earlier term was replaced by the position at which this proxy first saw the new primary. An instance that learns of the term late sees a position far past the first record of the term. Any position of the new term covers what was kept, so the one that the maximum age requires is used if it is of the new term.

Checked and left as it is: the floor of a bounded read is the first sample of the primary's log at or after the oldest time allowed, at most 40 ms newer than needed with samples every 20 ms.

--- a/internal/proxy/cwleadership/place_read.go
+++ b/internal/proxy/cwleadership/place_read.go
@@ -94,8 +94,9 @@
 // caller holds mu.
 //
 // A position of an earlier term may lie on a branch that was rolled back, which no log
-// will hold again. Everything of that term that was kept lies below termStart, so such
-// a position is replaced by termStart.
+// will hold again. Everything of that term that was kept lies below the first record of
+// this term, so any position of this term replaces it: the one that the maximum age
+// requires if it is of this term, else termStart, which can be far newer.
 func (g *Group) readFloor(rd Read) (cwgroup.LogPosition, Evidence, bool) {
 	aged, at, ok := g.history.FirstSince(rd.ArrivedAt.Add(-rd.MaxAge))
 	if !ok || at.After(g.confirmedAt) {
@@ -103,7 +104,11 @@
 	}
 	evidence := g.newEvidence(BasisPrimary, at)
 	seen := rd.LastWrite
-	if seen.Term < g.term && seen != (cwgroup.LogPosition{}) {
+	switch {
+	case seen.Term >= g.term || seen == (cwgroup.LogPosition{}):
+	case aged.Term == g.term:
+		seen = aged
+	default:
 		seen = g.termStart
 	}
 	if seen.AtLeast(aged) {
--- a/internal/proxy/cwleadership/place_test.go
+++ b/internal/proxy/cwleadership/place_test.go
@@ -71,3 +71,31 @@
 	qt.Assert(t, p.ID, qt.Equals, cwgroup.MemberID("b"))
 	qt.Assert(t, p.Held > 0 && p.Held <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", p.Held))
 }
+
+// Guards against a session that is sent with a floor newer than it needs: its last
+// write is of an earlier term, and this proxy learnt of the new term late.
+func TestFloorOfASessionThatWroteInAnEarlierTerm(t *testing.T) {
+	b := newTestGroup(t)
+	for i := range cwgroup.LogIndex(4) {
+		m := cwgroup.LogPosition{Term: 2, Index: 500 + i}
+		at := b.clock.Now()
+		b.clock.Advance(time.Millisecond)
+		b.observeHealth("a", cwstatement.Health{Role: cwgroup.RolePrimary, Term: 2, LogEnd: m}, at)
+		b.observeHealth("b", cwstatement.Health{Role: cwgroup.RoleReplica, Term: 2, LogEnd: m}, at)
+		b.clock.Advance(900 * time.Millisecond)
+	}
+	for _, tc := range []struct {
+		name      string
+		lastWrite cwgroup.LogPosition
+		want      cwgroup.LogIndex
+	}{
+		{"no write", cwgroup.LogPosition{}, 503},
+		{"in an earlier term", cwgroup.LogPosition{Term: 1, Index: 480}, 503},
+		{"long ago", cwgroup.LogPosition{Term: 2, Index: 400}, 503},
+		{"a moment ago", cwgroup.LogPosition{Term: 2, Index: 510}, 510},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Assert(t, b.placeRead(tc.lastWrite).Floor.Index, qt.Equals, tc.want)
+		})
+	}
+}
