--- a/internal/core/cwroute/route.go
+++ b/internal/core/cwroute/route.go
@@ -10,8 +10,9 @@
 // Among the replicas that qualify, Router prefers the nearest data centre, then the
 // least loaded member. If no replica qualifies, a Policy chooses between the
 // primary and waiting for a replica to catch up. FastestTarget balances reads by
-// expected response time instead. PositionHistory and LagTracker estimate the age
-// of replica data and the replication lag from observed log positions.
+// expected response time instead, and ApplyTracker estimates whether a member has
+// applied a floor. PositionHistory and LagTracker estimate the age of replica data
+// and the replication lag from observed log positions.
 //
 // The package does no I/O: it takes a cwgroup.View, the load and the current
 // time, and returns a Decision.
