cwholder: instances hold groups in proportion to their capacity

Placement knows the capacity of each instance and chooses holders, and the order in which an instance forwards to them, by weighted rendezvous hashing. Unknown capacities count as the smallest known one; weights differ by a factor of at most 4. The limit is derived from three leading bits of the smallest capacity, so that a slightly smaller instance does not move the groups of all strong ones. Equal or unknown capacities give the former order.

--- a/internal/core/cwholder/holder.go
+++ b/internal/core/cwholder/holder.go
@@ -16,7 +16,8 @@
 // current because all of the group's traffic passes it.
 //
 // Every instance computes the same holders from the same list of instances by
-// rendezvous hashing, without communication. Lists that differ for a while do no
+// rendezvous hashing, without communication. An instance holds groups in proportion to
+// its capacity, within bounds. Lists that differ for a while do no
 // harm: the targets and the claims ensure who may write and what was
 // acknowledged, and any instance may run any statement.
 package cwholder
@@ -104,31 +105,38 @@
 // then the others. The order differs between instances, so that the holders share
 // the load.
 func ForwardingOrder(self Instance, group string, holders []Instance) []Instance {
+	p := Placement{Self: self}
+	return p.forwardingOrder(group, holders)
+}
+
+// forwardingOrder returns the same as ForwardingOrder, except that holders with a
+// larger capacity come first more often.
+func (p *Placement) forwardingOrder(group string, holders []Instance) []Instance {
 	var mine, near, far []Instance
 	for _, h := range holders {
 		switch {
-		case h == self:
+		case h == p.Self:
 			mine = append(mine, h)
-		case h.DataCentre == self.DataCentre:
+		case h.DataCentre == p.Self.DataCentre:
 			near = append(near, h)
 		default:
 			far = append(far, h)
 		}
 	}
-	key := self.ID + "/" + group
-	return slices.Concat(mine, firstInOrder(key, near, len(near)), firstInOrder(key, far, len(far)))
+	key := p.Self.ID + "/" + group
+	return slices.Concat(mine, p.inOrder(key, near), p.inOrder(key, far))
 }
 
-// firstInOrder returns the first n instances in the rendezvous order of the key.
-func firstInOrder(key string, list []Instance, n int) []Instance {
-	ids := make([]string, 0, len(list))
+// inOrder returns the instances in the rendezvous order of the key.
+func (p *Placement) inOrder(key string, list []Instance) []Instance {
+	nodes := make([]cwrendezvous.Node, 0, len(list))
 	byID := make(map[string]Instance, len(list))
 	for _, i := range list {
-		ids = append(ids, i.ID)
+		nodes = append(nodes, p.node(i.ID))
 		byID[i.ID] = i
 	}
 	var out []Instance
-	for _, id := range cwrendezvous.First(key, ids, n) {
+	for _, id := range cwrendezvous.OrderWeighted(key, nodes) {
 		out = append(out, byID[id])
 	}
 	return out
--- a/internal/core/cwholder/placement.go
+++ b/internal/core/cwholder/placement.go
@@ -22,6 +22,11 @@
 	// idsByCentre has the IDs of the instances in each data centre. It has no
 	// empty lists.
 	idsByCentre map[string][]string
+	// capacities has the known capacities of instances in thousandths of a core, by ID,
+	// and scale converts them to weights. nodesByCentre caches the result of nodes.
+	capacities    map[string]int
+	scale         weightScale
+	nodesByCentre map[string][]cwrendezvous.Node
 	// routes and ranks cache the results of ForwardingOrder and Rank by group.
 	routes map[string]groupRoute
 	ranks  map[string]selfRank
@@ -46,7 +51,8 @@
 	rank int
 }
 
-// Set adds or updates an instance and reports whether anything changed.
+// Set adds or updates an instance and reports whether anything changed. The capacity of
+// an instance that changed is unknown until SetCapacity is called.
 func (p *Placement) Set(i Instance) bool {
 	if p.instances[i.ID] == i {
 		return false
@@ -58,6 +64,7 @@
 	}
 	p.instances[i.ID] = i
 	p.idsByCentre[i.DataCentre] = append(p.idsByCentre[i.DataCentre], i.ID)
+	p.rescale()
 	p.invalidate(i, 1)
 	return true
 }
@@ -75,6 +82,8 @@
 		delete(p.idsByCentre, i.DataCentre)
 	}
 	p.invalidate(i, -1)
+	delete(p.capacities, id)
+	p.rescale()
 	return true
 }
 
@@ -115,7 +124,7 @@
 			delete(p.ranks, group)
 			continue
 		}
-		if !cwrendezvous.Precedes(i.ID, p.Self.ID, group) {
+		if !cwrendezvous.PrecedesWeighted(p.node(i.ID), p.node(p.Self.ID), group) {
 			continue
 		}
 		known.preceding += by
@@ -129,16 +138,16 @@
 // affects reports whether an instance is one of the holders of a group, or
 // becomes one if it is added.
 func (p *Placement) affects(i Instance, group string, r groupRoute) bool {
-	var near []string
+	var near []cwrendezvous.Node
 	for _, h := range r.holders {
 		if h.ID == i.ID {
 			return true
 		}
 		if h.DataCentre == i.DataCentre {
-			near = append(near, h.ID)
+			near = append(near, p.node(h.ID))
 		}
 	}
-	return cwrendezvous.Rank(i.ID, group, append(near, i.ID)) < p.holdersIn(i.DataCentre, group, r.capacity)
+	return cwrendezvous.RankWeighted(p.node(i.ID), group, near) < p.holdersIn(i.DataCentre, group, r.capacity)
 }
 
 // holdersIn returns the number of holders of a group in a data centre.
@@ -157,10 +166,26 @@
 // centre has no more instances than the group needs holders there, all of them are
 // holders and none of them has to forward.
 func (p *Placement) Holders(group string, d TargetCapacity) []Instance {
+	return p.holders(group, d, func(centre string, n int) []string {
+		return cwrendezvous.FirstWeighted(group, p.nodes(centre), n)
+	})
+}
+
+// PlainHolders returns the instances that would hold a group if all capacities were
+// equal. It is for roles that must not move when a capacity becomes known.
+func (p *Placement) PlainHolders(group string, d TargetCapacity) []Instance {
+	return p.holders(group, d, func(centre string, n int) []string {
+		return cwrendezvous.First(group, p.idsByCentre[centre], n)
+	})
+}
+
+// holders returns the holders of a group, of which first returns the first n in a data
+// centre.
+func (p *Placement) holders(group string, d TargetCapacity, first func(centre string, n int) []string) []Instance {
 	centres := cwrendezvous.Order(group, slices.Collect(maps.Keys(p.idsByCentre)))
 	var out, additional []Instance
 	for rank, c := range centres {
-		for n, id := range cwrendezvous.First(group, p.idsByCentre[c], d.holdersInDataCentre(rank, len(centres))) {
+		for n, id := range first(c, d.holdersInDataCentre(rank, len(centres))) {
 			if n == 0 {
 				out = append(out, p.instances[id])
 			} else {
@@ -185,7 +210,7 @@
 	holders := p.Holders(group, d)
 	r := groupRoute{capacity: d, holders: holders, order: holders}
 	if !d.ManyGroups {
-		r.order = ForwardingOrder(p.Self, group, holders)
+		r.order = p.forwardingOrder(group, holders)
 	}
 	if p.routes == nil {
 		p.routes = make(map[string]groupRoute)
@@ -214,7 +239,7 @@
 	centre := p.idsByCentre[p.Self.DataCentre]
 	out := selfRank{capacity: d, preceding: len(centre), localHolders: p.holdersIn(p.Self.DataCentre, group, d), rank: -1}
 	if p.instances[p.Self.ID] == p.Self {
-		out.preceding = cwrendezvous.Rank(p.Self.ID, group, centre)
+		out.preceding = cwrendezvous.RankWeighted(p.node(p.Self.ID), group, p.nodes(p.Self.DataCentre))
 		if out.preceding < out.localHolders {
 			out.rank = slices.Index(p.cachedRoute(group, d).holders, p.Self)
 		}
--- a/internal/core/cwholder/placement_test.go
+++ b/internal/core/cwholder/placement_test.go
@@ -47,7 +47,7 @@
 		p := placementOf(all[0], all[:rapid.IntRange(1, len(all)).Draw(t, "first")])
 		for range rapid.IntRange(1, 20).Draw(t, "changes") {
 			i := rapid.SampledFrom(all).Draw(t, "instance")
-			switch rapid.IntRange(0, 2).Draw(t, "change") {
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
 			case 0:
 				p.Remove(i.ID)
 			case 1:
@@ -55,8 +55,13 @@
 			case 2:
 				i.DataCentre = rapid.SampledFrom([]string{"a", "b", "f"}).Draw(t, "data centre")
 				p.Set(i)
+			case 3:
+				p.SetCapacity(i.ID, rapid.SampledFrom([]int{0, 134, 150, 192, 800}).Draw(t, "capacity"))
 			}
 			recomputed := placementOf(p.Self, slices.Collect(maps.Values(p.Instances())))
+			for id, c := range p.capacities {
+				recomputed.SetCapacity(id, c)
+			}
 			for g := range 2 * len(testCapacities) {
 				group := fmt.Sprint("group-", g)
 				d := testCapacities[g/2]
