cwpeers, platform: the row of an instance has its capacity

The capacity, limits.cpu_share times limits.cores in thousandths of a core, is in the field capacity of the instance's row; it is unknown if either setting is absent. The row is written again if it differs. Holders follow the capacities of the rows.

Issuers of quotas do not: an issuer does not know whether it is one, so instances of the former build would ask other issuers than those of this build during a rollout, and both would issue the whole quota.

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -77,6 +77,9 @@
 	RunID string
 	// PeerListen is the address to listen on for other instances, IP:port.
 	PeerListen string
+	// Capacity is the instance's capacity in thousandths of a core; zero if it is
+	// unknown.
+	Capacity int
 	// KeyRevocationBound is the time within which a revoked key must be out of use; zero
 	// means no bound.
 	KeyRevocationBound time.Duration
@@ -104,7 +107,7 @@
 func New(cfg Config) *Instance {
 	in := &Instance{cfg: cfg, remotePath: &cwleadership.RemotePath{}, metrics: cwengine.NewMetrics()}
 	in.peers = &cwpeers.Peers{
-		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen},
+		Self: cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen}, Capacity: cfg.Capacity,
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
 	}
 	in.peers.OnChange = in.refreshHolders
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -65,6 +65,9 @@
 type Peers struct {
 	// Self is this instance.
 	Self cwholder.Instance
+	// Capacity is this instance's capacity in thousandths of a core; zero if it is
+	// unknown.
+	Capacity int
 	// Table is the platform's table, which holds the rows of the instances.
 	Table cwplatform.Table
 	Dial  Dial
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -48,12 +48,15 @@
 
 // quotaIssuers returns the issuers of a workspace's quota in the order in which this
 // instance asks them. The caller holds mu.
+//
+// Capacities don't count for them. An issuer does not know whether it is one, so builds
+// that know no capacities would ask other issuers, and both would issue the whole quota.
 func (p *Peers) quotaIssuers(workspace string) []cwholder.Instance {
 	if list, ok := p.issuers[workspace]; ok {
 		return list
 	}
 	key := quotaHashPrefix + workspace
-	list := cwholder.ForwardingOrder(p.Self, key, p.placement.Holders(key, cwholder.TargetCapacity{}))
+	list := cwholder.ForwardingOrder(p.Self, key, p.placement.PlainHolders(key, cwholder.TargetCapacity{}))
 	if p.issuers == nil {
 		p.issuers = make(map[string][]cwholder.Instance)
 	}
--- a/internal/proxy/cwpeers/rows.go
+++ b/internal/proxy/cwpeers/rows.go
@@ -47,10 +47,15 @@
 	missingRowTimeout = ownRowGrace + registerInterval + registerTimeout + time.Second
 )
 
+// maxCapacity is the largest capacity that is accepted from a row, a million cores.
+const maxCapacity = 1_000_000_000
+
 // instanceRow is the JSON value of an instance's row.
 type instanceRow struct {
 	Address    string `json:"address"`
 	DataCentre string `json:"dataCentre"`
+	// Capacity is the capacity in thousandths of a core; absent if it is unknown.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 // ApplyRows applies rows of the table; whole is true if these are all rows, otherwise
@@ -112,7 +117,7 @@
 		return
 	}
 	for _, i := range changed {
-		p.Log.Info("instanceListed", "instance", i.ID, "dataCentre", i.DataCentre, "address", i.Address)
+		p.Log.Info("instanceListed", "instance", i.ID, "dataCentre", i.DataCentre, "address", i.Address, "capacity", p.placement.Capacity(i.ID))
 	}
 }
 
@@ -197,37 +202,49 @@
 		p.removeInstance(name)
 		return i, false
 	}
-	i, ok := p.decodeRow(name, r)
-	return i, ok && p.setInstance(i)
+	i, capacity, ok := p.decodeRow(name, r)
+	if !ok {
+		return i, false
+	}
+	changed = p.setInstance(i)
+	if p.placement.SetCapacity(name, capacity) {
+		p.dirty = true
+	}
+	return i, changed
 }
 
-// decodeRow decodes the row of an instance; it logs the error and returns false if the
-// value is malformed.
-func (p *Peers) decodeRow(name string, r cwport.Row) (cwholder.Instance, bool) {
+// decodeRow decodes the row of an instance and its capacity, which is zero if it is
+// unknown or out of range. It logs the error and returns false if the value is
+// malformed.
+func (p *Peers) decodeRow(name string, r cwport.Row) (cwholder.Instance, int, bool) {
 	var b instanceRow
 	if err := json.Unmarshal(r.Value, &b); err != nil {
 		p.Log.Error("instanceUnreadable", "key", r.Key, "cause", err)
-		return cwholder.Instance{}, false
+		return cwholder.Instance{}, 0, false
+	}
+	if b.Capacity < 0 || b.Capacity > maxCapacity {
+		p.Log.Warn("capacityOutOfRange", "instance", name, "capacity", b.Capacity)
+		b.Capacity = 0
 	}
-	return cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}, true
+	return cwholder.Instance{ID: name, DataCentre: b.DataCentre, Address: b.Address}, b.Capacity, true
 }
 
 // needsRegistration reports whether this instance's row must be written: it differs from
-// Self, is absent, or has been missing from the complete list for ownRowGrace.
+// Self or Capacity, is absent, or has been missing from the complete list for ownRowGrace.
 func (p *Peers) needsRegistration() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	since, missing := p.missingSince[p.Self.ID]
 	missing = missing && p.Clock.Since(since) >= ownRowGrace
 	own, _ := p.placement.Instance(p.Self.ID)
-	return p.allRowsRead && (missing || own != p.Self)
+	return p.allRowsRead && (missing || own != p.Self || p.placement.Capacity(p.Self.ID) != p.Capacity)
 }
 
 // register writes this instance's row, and reports whether the write is certain to have
 // succeeded. If only the answer was lost, the row arrives with those of the others and
 // the next check finds it.
 func (p *Peers) register(ctx context.Context) bool {
-	value, err := json.Marshal(instanceRow{Address: p.Self.Address, DataCentre: p.Self.DataCentre})
+	value, err := json.Marshal(instanceRow{Address: p.Self.Address, DataCentre: p.Self.DataCentre, Capacity: p.Capacity})
 	if err != nil {
 		p.Log.Error("notRegistered", "cause", err)
 		return false
--- a/internal/proxy/cwpeers/start.go
+++ b/internal/proxy/cwpeers/start.go
@@ -68,7 +68,7 @@
 		if name == p.Self.ID {
 			p.setOwnRowETag(r.ETag)
 		}
-		if i, ok := p.decodeRow(name, cwport.Row{Key: r.Key, Value: r.Value}); ok {
+		if i, _, ok := p.decodeRow(name, cwport.Row{Key: r.Key, Value: r.Value}); ok {
 			out = append(out, i)
 		}
 	}
@@ -96,6 +96,7 @@
 	for _, i := range instances {
 		p.setInstance(i)
 	}
+	p.placement.SetCapacity(p.Self.ID, p.Capacity)
 	p.centreRowsRead = true
 	p.Log.Info("placed", "dataCentre", p.Self.DataCentre, "instances", len(p.placement.InstanceIDs(p.Self.DataCentre)))
 }
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -85,6 +85,7 @@
 		CallerListen:      s.Callers,
 		ReadyListen:       s.Ready,
 		PeerListen:        s.Peers,
+		Capacity:          s.Capacity,
 		ReadyPath:         platform.ReadyPath,
 		GracePeriod:       s.Grace,
 		PollWaits:         pollWaits(s),
