cwleadership, cwengine: members that are outliers get no reads

Members were chosen by health checks, load and times alone. A member that failed part of its statements or lost their answers kept its share of the reads, and one whose health checks failed got none although it served.

The results of callers' statements are passed to cwoutlier, and a read is placed at an ejected member only if no other can serve it, or as a trial.

--- a/internal/core/cwoutlier/counts.go
+++ b/internal/core/cwoutlier/counts.go
@@ -9,9 +9,11 @@
 const (
 	// memory is the time constant with which results fade out.
 	memory = 2 * time.Second
-	// minResults is the number of results from which a member is compared, and of the
-	// others with which it is.
-	minResults = 5
+	// minResults is the number of results from which a member is compared, and
+	// minRestResults that of the others with which it is. A member that hangs gets few
+	// statements, because those in progress there lead others elsewhere.
+	minResults     = 2.5
+	minRestResults = 5
 	// An outlier's share of bad results is more than excessShare above shareFactor times
 	// that of the others. Each bad result costs a caller a second attempt or its
 	// objective, while an ejection costs nothing as long as the others have capacity.
@@ -99,7 +101,7 @@
 // are. It is recognised by serving more statements per slot than they do, each of them
 // slowly.
 func (c counts) compare(rest counts, slots, restSlots int) (Reason, float64) {
-	if c.all < minResults || rest.all < minResults {
+	if c.all < minResults || rest.all < minRestResults {
 		return "", 0
 	}
 	exceeds := func(bad, restBad float64) bool {
--- a/internal/core/cwoutlier/outlier.go
+++ b/internal/core/cwoutlier/outlier.go
@@ -16,7 +16,6 @@
 package cwoutlier
 
 import (
-	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -248,80 +247,17 @@
 // BeginTrial records that a read tries a member whose trial is due.
 func (d *Detector) BeginTrial(id cwgroup.MemberID, now time.Time) { d.state(id).trialAt = now }
 
-// Reason returns why a member is ejected and since when; empty if it is admitted.
-func (d *Detector) Reason(id cwgroup.MemberID) (Reason, time.Time) {
-	s := d.state(id)
-	return s.reason, s.ejectedAt
-}
+// HealthDoubted reports whether a member whose health checks fail serves, or may serve,
+// statements all the same.
+func (d *Detector) HealthDoubted(id cwgroup.MemberID) bool { return d.state(id).healthDoubted }
 
-// Evaluate ejects the members among the candidates that are outliers, within the limits
-// of the group, and those whose trial got no result. The candidates are the members that
-// could serve reads, ejected or not. Calls within evaluationInterval of the last one do
-// nothing.
-func (d *Detector) Evaluate(all []Candidate, now time.Time) []Event {
-	if now.Before(d.nextEvaluated) {
-		return nil
-	}
-	d.nextEvaluated = now.Add(evaluationInterval)
-	var events []Event
-	ejected := 0
-	for _, c := range all {
-		s := d.state(c.Member)
-		if !s.trialAt.IsZero() && now.Sub(s.trialAt) > trialTimeout {
-			events = append(events, d.eject(c.Member, s.reason, now))
-		}
-		if s.reason != "" {
-			ejected++
-		}
-	}
-	for ejected < min(max(1, len(all)/maxEjectedDivisor), len(all)-1) {
-		id, why, ok := d.worst(all, now)
-		if !ok {
-			break
-		}
-		events = append(events, d.eject(id, why, now))
-		ejected++
-	}
-	return events
-}
+// Reason returns why a member is ejected; empty if it is admitted.
+func (d *Detector) Reason(id cwgroup.MemberID) Reason { return d.state(id).reason }
 
-// worst returns the admitted member that serves callers worst compared with the others.
-// The last result is false if none is an outlier.
-func (d *Detector) worst(all []Candidate, now time.Time) (worst cwgroup.MemberID, why Reason, found bool) {
-	worstShare := 0.0
-	for _, c := range all {
-		s := d.state(c.Member)
-		if s.reason != "" {
-			continue
-		}
-		var rest counts
-		restSlots, saturated := 0, true
-		for _, o := range all {
-			if other := d.state(o.Member); o.Member != c.Member && other.reason == "" {
-				rest = rest.plus(other.counts.at(now))
-				restSlots += o.Slots
-				saturated = saturated && o.Saturated
-			}
-		}
-		reason, share := s.counts.at(now).compare(rest, c.Slots, restSlots)
-		if reason == "" || saturated && share < hopelessShare {
-			continue
-		}
-		if share > worstShare {
-			worst, why, found, worstShare = c.Member, reason, true, share
-		}
-	}
-	return worst, why, found
-}
-
-// Ejected returns the members that are ejected, in order of their ids.
-func (d *Detector) Ejected() []cwgroup.MemberID {
-	var out []cwgroup.MemberID
-	for id, s := range d.members {
-		if s.reason != "" {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	return out
+// Confirmed reports whether a member is ejected for how it serves callers and was
+// ejected before that: its trials failed, or it was an outlier again soon after they
+// succeeded.
+func (d *Detector) Confirmed(id cwgroup.MemberID) bool {
+	s := d.state(id)
+	return s.reason != "" && s.reason != BadHealth && s.ejection > MinEjection
 }
--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -46,9 +46,9 @@
 // waiting.
 func (s *session) exchange(t *task, l *connLease, w work) exchangeResult {
 	sent := s.engine.cfg.Clock.Now()
-	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.group.RecordOverdue(l.place.Member, sent) })
-	defer overdue.Stop()
+	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.recordOverdue(l, sent) })
 	r := s.send(l.conn, w, t.limits)
+	t.recordResult(l, w, r, !overdue.Stop())
 	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
 		l.endTurn(r)
 	}
--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -36,6 +36,8 @@
 	// onStart, if not nil, is called with an engine that starts, before the engine gets
 	// its catalogue and list of targets.
 	onStart func(*Engine)
+	// wrapDialer, if not nil, returns the dialer that an engine uses instead of d.
+	wrapDialer func(d cwport.Dialer) cwport.Dialer
 }
 
 const (
@@ -89,12 +91,16 @@
 // change.
 func (env *testEnv) engineWithConfig(name string, change func(*Config)) *Engine {
 	logger, path := log.New(io.Discard), &cwleadership.RemotePath{}
+	dialer := env.group.DialerFrom(name)
+	if env.wrapDialer != nil {
+		dialer = env.wrapDialer(dialer)
+	}
 	cfg := Config{
 		Clock: env.clock, Log: logger, GracePeriod: 6 * time.Second, Name: name, RemotePath: path, FirstStart: true,
 		NewGroup: func(service string) *cwleadership.Group {
 			return cwleadership.New(cwleadership.Config{
 				Self: cwfailover.InstanceID(name), DataCentre: "dc-a", Service: service, Clock: env.clock,
-				Log: logger, Dialer: env.group.DialerFrom(name), Table: env.table, Promoter: env.group, ClaimSeed: "test", RemotePath: path,
+				Log: logger, Dialer: dialer, Table: env.table, Promoter: env.group, ClaimSeed: "test", RemotePath: path,
 			})
 		},
 	}
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwoutlier"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 )
 
@@ -89,6 +90,15 @@
 // called at most once.
 func (m *Metrics) AddEraGauge(era func() float64) { m.set.NewGauge("cicadawalk_store_era", era) }
 
+// CountOutlier counts that a member was ejected from reads or readmitted, by reason.
+func (m *Metrics) CountOutlier(e cwoutlier.Event) {
+	name := "cicadawalk_member_readmissions_total"
+	if e.For > 0 {
+		name = "cicadawalk_member_ejections_total"
+	}
+	m.set.GetOrCreateCounter(name + `{reason="` + string(e.Reason) + `"}`).Inc()
+}
+
 // countStatement counts the answer to a statement.
 func (m *Metrics) countStatement(v cwstatement.Verb, c cwstatement.Code) {
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -200,6 +200,7 @@
 		Self: cwfailover.InstanceID(in.cfg.Name), DataCentre: in.cfg.DataCentre, Service: service,
 		Clock: in.cfg.Clock, Log: in.cfg.Log, Dialer: countingDialer{in.cfg.Dialer, in.metrics}, Table: in.cfg.Table,
 		Era: in.cfg.Era, Promoter: in.cfg.Promoter, MinHolderInterval: in.cfg.MinHolderInterval, ClaimSeed: in.cfg.RunID, RemotePath: in.remotePath,
+		OnOutlier: in.metrics.CountOutlier,
 	})
 }
 
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -24,6 +24,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwack"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwoutlier"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
@@ -101,6 +102,9 @@
 	// MinHolderInterval is the minimum time between changes of primary by two different
 	// holders.
 	MinHolderInterval time.Duration
+	// OnOutlier is called when a member is ejected from reads or readmitted; it may be
+	// nil.
+	OnOutlier func(cwoutlier.Event)
 	// ClaimSeed makes claim ids unique; it must differ between processes.
 	ClaimSeed string
 }
@@ -120,7 +124,9 @@
 	// the group's primary; later ones may be of a primary that has been replaced.
 	history cwroute.PositionHistory
 	// applied estimates what each replica has applied.
-	applied     cwroute.ApplyTracker
+	applied cwroute.ApplyTracker
+	// outliers finds the members that serve worse than the others.
+	outliers    cwoutlier.Detector
 	tracker     cwack.Tracker
 	logProgress map[cwgroup.MemberID]*logProgress
 	// readLog holds the last log entry of reads, by member and basis.
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -39,6 +39,7 @@
 			delete(g.unreachable, id)
 			delete(g.restarts, id)
 			g.applied.Remove(id)
+			g.outliers.Remove(id)
 		}
 	}
 	g.updateCountedMembers(g.cfg.Clock.Now())
--- a/internal/proxy/cwleadership/place_read.go
+++ b/internal/proxy/cwleadership/place_read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwoutlier"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
 )
 
@@ -134,21 +135,46 @@
 		// Another instance may have written it. Its age counts from now on.
 		g.applied.ObservePrimary(rd.LastWrite, now)
 	}
-	var options []cwroute.ReadTarget
+	g.ejectOutliers(v, now)
+	var options, ejected []cwroute.ReadTarget
 	for id, m := range g.members {
 		rep, known := v.Report(id)
-		if m.Draining && id != primary.Member || known && !rep.Reachable || slices.Contains(rd.RefusedBy, id) {
+		if m.Draining && id != primary.Member || slices.Contains(rd.RefusedBy, id) {
 			continue
 		}
 		load := m.Pool.Load()
-		options = append(options, cwroute.ReadTarget{
+		o := cwroute.ReadTarget{
 			Member: id, Remote: m.DataCentre != g.cfg.DataCentre, Primary: id == primary.Member,
 			Wait: load.ExpectedWait, Latency: load.Latency, InFlight: load.InFlight + load.Waiting, Slots: m.Slots,
-		})
+		}
+		switch standing := g.outliers.Standing(id, now); {
+		case standing == cwoutlier.Admitted:
+			options = append(options, o)
+		case known && !rep.Reachable && (o.Primary || !g.outliers.HealthDoubted(id)):
+			// A primary that can't be reached is replaced; a trial there would only
+			// fail a read.
+		case standing == cwoutlier.TrialDue && (o.Primary || g.applied.Behind(id, floor, now) <= cwroute.MaxBehind):
+			g.outliers.BeginTrial(id, now)
+			return g.newReadPlacement(id, primary, floor), 0, true
+		case !known || rep.Reachable:
+			ejected = append(ejected, o)
+		}
 	}
 	o, ok := g.applied.Fastest(options, floor, now, holdLimit)
+	if (!ok || o.Hold == 0 && o.Behind > likelyBehind) && len(ejected) > 0 {
+		o, ok = g.applied.Fastest(append(options, ejected...), floor, now, holdLimit)
+	}
 	if !ok {
 		return Placement{}, 0, false
 	}
-	return Placement{Member: *g.members[o.Member], Term: primary.AdoptedTerm, Primary: o.Member == primary.Member, Floor: floor}, o.Hold, true
+	return g.newReadPlacement(o.Member, primary, floor), o.Hold, true
+}
+
+// likelyBehind is the probability that the best member lacks the floor from which a
+// member that is ejected may serve the read.
+const likelyBehind = 0.5
+
+// newReadPlacement returns the placement of a read at a member. The caller holds mu.
+func (g *Group) newReadPlacement(id cwgroup.MemberID, primary cwgroup.Report, floor cwgroup.LogPosition) Placement {
+	return Placement{Member: *g.members[id], Term: primary.AdoptedTerm, Primary: id == primary.Member, Floor: floor}
 }
--- a/internal/proxy/cwleadership/restart.go
+++ b/internal/proxy/cwleadership/restart.go
@@ -75,6 +75,7 @@
 	g.confirmedAt = time.Time{}
 	g.logProgress[id] = &logProgress{}
 	g.applied.Forget(id)
+	g.outliers.Remove(id)
 	g.sup.MemberRestarted(id, now)
 	g.members[id].Pool.CloseIdleBefore(now)
 	g.notify()
