cwleadership: a primary that is a confirmed outlier is replaced

A primary whose health checks succeed was kept however badly it served writes. If its trials fail, or it is an outlier again soon after them, while a replica is admitted and the store answers, the primary now counts as being stopped, and the usual planned change follows. A primary that has led for less than 30 s is kept.

No second change follows within 5 s.

--- a/internal/proxy/cwengine/outlier_test.go
+++ b/internal/proxy/cwengine/outlier_test.go
@@ -120,6 +120,29 @@
 	}
 }
 
+// Guards against a primary that stays in place although it loses its answers, while its
+// health checks succeed and its replicas are well, and against more than one change for that reason.
+func TestOutlierPrimaryIsReplaced(t *testing.T) {
+	env := newTestEnv(t, cwcatalogue.ReadBoundedStaleness)
+	d := &faultyDialer{member: "a", receive: losing}
+	env.wrapDialer = func(inner cwport.Dialer) cwport.Dialer { d.Dialer = inner; return d }
+	e := env.engine("x")
+	env.waitForPrimary(e)
+	env.clock.Advance(outlierChangeInterval)
+	env.waitForPrimary(e)
+	defer env.keepReading(e, 12)()
+	env.keepWriting(e)
+	env.clock.Sleep(time.Second)
+	d.setActive(true)
+	env.eventually("a is replaced", func() bool { return env.group.Primary() != "a" })
+	env.clock.Sleep(5 * time.Second)
+	env.c.Assert(env.group.Promotions(), qt.HasLen, 1)
+}
+
+// outlierChangeInterval is the time for which a primary leads before it is replaced for
+// being an outlier.
+const outlierChangeInterval = 30 * time.Second
+
 // Guards against the loss of a replica that serves although its health checks fail.
 func TestMemberWithBadHealthServes(t *testing.T) {
 	env := newTestEnv(t, cwcatalogue.ReadBoundedStaleness)
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -62,7 +62,8 @@
 // one ends. If both are in one data centre and that data centre is cut off, the two
 // others are no majority of four, and the group would serve nothing although most of it
 // is reachable. A leaving member still counts for LeavingGrace, so that every proxy
-// has learnt of the change before any stops counting it. The caller holds mu.
+// has learnt of the change before any stops counting it. A primary that is an outlier
+// is replaced like one that is being stopped. The caller holds mu.
 func (g *Group) updateCountedMembers(now time.Time) {
 	p, _ := g.sup.View().Primary()
 	var ids, stopping []cwgroup.MemberID
@@ -79,6 +80,12 @@
 		g.cfg.Log.Info("membersCounted", "group", g.cfg.Service, "members", ids, "of", max(g.size, len(ids)))
 		g.sup.SetMembers(ids, g.size)
 	}
+	if id, ok := g.outlierPrimary(now); ok && !slices.Contains(stopping, id) {
+		if !g.sup.Stopping(id) {
+			g.cfg.Log.Warn("primaryIsOutlier", "group", g.cfg.Service, "target", id, "reason", g.outliers.Reason(id))
+		}
+		stopping = append(stopping, id)
+	}
 	g.sup.SetStopping(stopping, now)
 }
 
--- a/internal/proxy/cwleadership/outlier.go
+++ b/internal/proxy/cwleadership/outlier.go
@@ -55,3 +55,27 @@
 	defer g.mu.Unlock()
 	return g.outliers.Reason(id)
 }
+
+// outlierChangeInterval is the minimum time from a change of primary until the new
+// primary is replaced for being an outlier. Each change refuses writes for about a
+// second; if the cause is not the member, changes don't help.
+const outlierChangeInterval = 30 * time.Second
+
+// outlierPrimary returns the primary if it is to be replaced because it serves callers
+// worse than the other members, which its trials have confirmed, while a replica serves
+// them well. Without the store it is kept, since a claim could not be written. The caller
+// holds mu.
+func (g *Group) outlierPrimary(now time.Time) (cwgroup.MemberID, bool) {
+	v := g.sup.View()
+	p, ok := v.Primary()
+	if !ok || !p.Reachable || !g.outliers.Confirmed(p.Member) || g.rowUnreadable || now.Sub(g.termLearntAt) < outlierChangeInterval {
+		return "", false
+	}
+	for id, m := range g.members {
+		rep, known := v.Report(id)
+		if id != p.Member && known && rep.Reachable && !m.Draining && g.outliers.Reason(id) == "" {
+			return p.Member, true
+		}
+	}
+	return "", false
+}
