--- a/internal/core/cwholder/weights_test.go
+++ b/internal/core/cwholder/weights_test.go
@@ -70,12 +70,14 @@
 	held := map[string]int{}
 	for g := range groups {
 		qt.Assert(t, p.PlainHolders(fmt.Sprint(g), TargetCapacity{}), qt.DeepEquals, Holders(fmt.Sprint(g), all, TargetCapacity{}))
-		local := map[string]bool{}
-		for _, i := range p.Holders(fmt.Sprint(g), TargetCapacity{}) {
+		holders := p.Holders(fmt.Sprint(g), TargetCapacity{})
+		different := map[string]bool{}
+		for _, i := range holders {
 			held[i.ID]++
-			local[i.ID] = local[i.ID] || i.DataCentre == "a"
+			different[i.ID] = true
 		}
-		qt.Assert(t, len(local) >= MinPerDataCentre, qt.IsTrue)
+		qt.Assert(t, different, qt.HasLen, len(holders))
+		qt.Assert(t, countInCentre(holders, "a"), qt.Equals, MinPerDataCentre)
 	}
 	average := (2*groups - held["a-0"]) / 7
 	qt.Assert(t, held["a-0"] > average*5/2, qt.IsTrue)
