cwoutlier, cwleadership: candidates are listed only when an evaluation is due

Each placement of a read asked the load of every pool twice, although outliers are searched for every 50 ms. The comment of SecondAttemptPercent is clearer.

--- a/internal/core/cwoutlier/evaluate.go
+++ b/internal/core/cwoutlier/evaluate.go
@@ -7,12 +7,14 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 )
 
+// Due reports whether evaluationInterval has passed since the last evaluation.
+func (d *Detector) Due(now time.Time) bool { return !now.Before(d.nextEvaluated) }
+
 // Evaluate ejects the members among the candidates that are outliers, within the limits
 // of the group, and those whose trial got no result. The candidates are the members that
-// could serve reads, ejected or not. Calls within evaluationInterval of the last one do
-// nothing.
+// could serve reads, ejected or not. It does nothing unless Due returns true.
 func (d *Detector) Evaluate(all []Candidate, now time.Time) []Event {
-	if now.Before(d.nextEvaluated) {
+	if !d.Due(now) {
 		return nil
 	}
 	d.nextEvaluated = now.Add(evaluationInterval)
--- a/internal/core/cwroute/balance.go
+++ b/internal/core/cwroute/balance.go
@@ -25,10 +25,10 @@
 	// MinAssumedLatency is the assumed minimum latency of a member, also used if its
 	// latency is unknown. It is low so that every member is tried now and then.
 	MinAssumedLatency = 5 * time.Millisecond
-	// SecondAttemptPercent is the penalty for a member that probably enough lacks the
-	// floor (see MaxBehind), in percent of its statement latency. It stands for the
-	// work of a refused attempt, and exceeds PrimaryPenaltyPercent, so that an idle
-	// primary is preferred to an attempt that is likely to be refused.
+	// SecondAttemptPercent is the penalty for a member that lacks the floor with a
+	// probability above MaxBehind, in percent of its statement latency. It stands for
+	// the work of a refused attempt. It exceeds PrimaryPenaltyPercent, so that an idle
+	// primary is preferred to an attempt that may be refused.
 	SecondAttemptPercent = 200
 )
 
--- a/internal/proxy/cwleadership/outlier.go
+++ b/internal/proxy/cwleadership/outlier.go
@@ -22,12 +22,13 @@
 // ejectOutliers passes the state of the members to the detector and ejects the outliers
 // from reads. The caller holds mu.
 func (g *Group) ejectOutliers(v cwgroup.View, now time.Time) {
+	due := g.outliers.Due(now)
 	var serving []cwoutlier.Candidate
 	for id, m := range g.members {
 		rep, known := v.Report(id)
 		healthy := !known || rep.Reachable
 		g.outliers.SetHealth(id, healthy, now)
-		if healthy && !m.Draining {
+		if due && healthy && !m.Draining {
 			serving = append(serving, cwoutlier.Candidate{Member: id, Slots: m.Slots, Saturated: m.Pool.Load().Waiting > 0})
 		}
 	}
