--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
+	"cicadawalk.example/cicadawalk/internal/core/cwoutlier"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
 )
@@ -17,6 +18,9 @@
 	// Attempts counts commands that were sent to targets for callers, Retries those
 	// after the first one of a statement.
 	Attempts, Retries *metrics.Counter
+	// Behind counts the reads that a member refused because it had not applied their
+	// floor.
+	Behind *metrics.Counter
 	// Forwarded counts statements forwarded to holders.
 	Forwarded *metrics.Counter
 	// StoreRequests counts the requests to the platform's store for its rows.
@@ -43,6 +47,9 @@
 	AckWait *metrics.Histogram
 	// ReadAge is the maximum possible age of the data of reads, in seconds.
 	ReadAge *metrics.Histogram
+	// ReadHold is how long reads waited for a replica to apply their floor, in seconds.
+	// Reads that did not wait are not counted.
+	ReadHold *metrics.Histogram
 	// Statement is the duration of statements, in seconds.
 	Statement *metrics.Histogram
 }
@@ -54,6 +61,7 @@
 		set:       set,
 		Attempts:  set.NewCounter("cicadawalk_attempts_total"),
 		Retries:   set.NewCounter("cicadawalk_retries_total"),
+		Behind:    set.NewCounter("cicadawalk_behind_total"),
 		Forwarded: set.NewCounter("cicadawalk_handed_over_total"),
 
 		StoreRequests:        set.NewCounter("cicadawalk_store_questions_total"),
@@ -75,6 +83,7 @@
 
 		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
 		ReadAge:   set.NewHistogram("cicadawalk_read_age_seconds"),
+		ReadHold:  set.NewHistogram("cicadawalk_read_hold_seconds"),
 		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
 	}
 }
@@ -136,6 +145,15 @@
 	m.set.GetOrCreateCounter(`cicadawalk_observer_answers_total{outcome="` + string(o) + `"}`).Inc()
 }
 
+// CountOutlier counts that a member was ejected from reads or readmitted, by reason.
+func (m *Metrics) CountOutlier(e cwoutlier.Event) {
+	name := "cicadawalk_member_readmissions_total"
+	if e.For > 0 {
+		name = "cicadawalk_member_ejections_total"
+	}
+	m.set.GetOrCreateCounter(name + `{reason="` + string(e.Reason) + `"}`).Inc()
+}
+
 // countStatement counts the answer to a statement.
 func (m *Metrics) countStatement(v cwstatement.Verb, c cwstatement.Code) {
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -78,6 +78,9 @@
 	RunID string
 	// PeerListen is the address to listen on for other instances, IP:port.
 	PeerListen string
+	// Capacity is the instance's capacity in thousandths of a core; zero if it is
+	// unknown.
+	Capacity int
 	// KeyRevocationBound is the time within which a revoked key must be out of use; zero
 	// means no bound.
 	KeyRevocationBound time.Duration
@@ -105,7 +108,7 @@
 func New(cfg Config) *Instance {
 	in := &Instance{cfg: cfg, remotePath: &cwleadership.RemotePath{Clock: cfg.Clock}, metrics: cwengine.NewMetrics()}
 	in.peers = &cwpeers.Peers{
-		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen},
+		Self: cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen}, Capacity: cfg.Capacity,
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
 		PathDown: in.pathDown,
 	}
@@ -213,6 +216,7 @@
 		Era: in.cfg.Era, Promoter: in.cfg.Promoter, MinHolderInterval: in.cfg.MinHolderInterval, ClaimSeed: in.cfg.RunID, RemotePath: in.remotePath,
 		Observers:  func() []cwport.Observer { return in.engine.Observers(service) },
 		CountCheck: in.metrics.CountHealthCheck, CountAnswer: in.metrics.CountObserverAnswer,
+		OnOutlier: in.metrics.CountOutlier,
 	})
 }
 
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -27,6 +27,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwoutlier"
 	"cicadawalk.example/cicadawalk/internal/core/cwroute"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
@@ -107,6 +108,9 @@
 	// request to an observer that ends; they may be nil.
 	CountCheck  func(CheckCause)
 	CountAnswer func(cwevidence.Outcome)
+	// OnOutlier is called when a member is ejected from reads or readmitted; it may be
+	// nil.
+	OnOutlier func(cwoutlier.Event)
 	// ClaimSeed makes claim ids unique; it must differ between processes.
 	ClaimSeed string
 }
@@ -124,8 +128,11 @@
 	size int
 	// history samples the log position of the primary. Samples up to confirmedAt are of
 	// the group's primary; later ones may be of a primary that has been replaced.
-	history     cwroute.PositionHistory
-	lag         cwroute.LagTracker
+	history cwroute.PositionHistory
+	// applied estimates what each replica has applied.
+	applied cwroute.ApplyTracker
+	// outliers finds the members that serve worse than the others.
+	outliers    cwoutlier.Detector
 	tracker     cwack.Tracker
 	logProgress map[cwgroup.MemberID]*logProgress
 	// readLog holds the last log entry of reads, by member and basis.
