proxy/cwpeers: a refused connection counts as an answer to a ping

An instance that is not running refuses connections. Sentinels took that for a missing answer, so that a data centre without traffic of its own would have suspected the path while the pinged instances of the others restart. The refusal shows that the path works.

--- a/internal/proxy/cwpeers/path.go
+++ b/internal/proxy/cwpeers/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/core/cwpath"
@@ -61,7 +62,9 @@
 // PingRemote implements cwport.PathNetwork. Dial includes a ping.
 //
 // A connection that stays open would be probed all the time, and may go silent without a
-// reset although new ones work.
+// reset although new ones work. An instance that is not running refuses the connection,
+// which shows that the path works. Without that, a data centre whose callers are few would
+// leave the rotation while the instances of the others restart.
 func (p *Peers) PingRemote(ctx context.Context, to string) error {
 	p.mu.Lock()
 	i, ok := p.placement.Instance(to)
@@ -70,13 +73,15 @@
 		return &cwport.NoResponseError{Instance: to, NotSent: true, Cause: errNoAnswer}
 	}
 	conn, err := p.Dial(ctx, i.ID, i.Address)
-	if err != nil {
+	switch {
+	case err == nil:
+		_ = conn.Close()
+	case !errors.Is(err, syscall.ECONNREFUSED):
 		return &cwport.NoResponseError{Instance: to, NotSent: true, Cause: err}
 	}
 	if p.PathMonitor != nil && i.DataCentre != p.Self.DataCentre {
 		p.PathMonitor.RecordAnswer(p.Clock.Now())
 	}
-	_ = conn.Close()
 	return nil
 }
 
--- a/internal/proxy/cwpeers/path_test.go
+++ b/internal/proxy/cwpeers/path_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,6 +59,13 @@
 		w.Assert(w.PingRemote(context.Background(), to), qt.IsNil)
 		w.Assert(w.path.answered.IsZero(), qt.IsFalse)
 		w.Assert(w.links, qt.HasLen, 0)
+		w.path.answered = time.Time{}
+		w.Dial = func(context.Context, string, string) (Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
+		w.Assert(w.PingRemote(context.Background(), to), qt.IsNil)
+		w.Assert(w.path.answered.IsZero(), qt.IsFalse)
+		w.Dial = w.net.dial
 		w.net.withLock(func() { w.net.refused[to] = true })
 		w.Assert(w.PingRemote(context.Background(), to), qt.ErrorAs, new(*cwport.NoResponseError))
 	})
--- a/internal/proxy/cwport/path.go
+++ b/internal/proxy/cwport/path.go
@@ -47,7 +47,7 @@
 	// error is a *MethodUnknownError if the neighbour's build does not know reports.
 	SendPathReport(ctx context.Context, to string, r PathReport) (PathReply, error)
 	// PingRemote pings an instance of another data centre on a new connection. The
-	// answer is recorded like any other from that data centre.
+	// answer, or a refused connection, is recorded like any other answer from there.
 	PingRemote(ctx context.Context, to string) error
 }
 
