cwlimit: fair queueing among workspaces, and slots divided by demand

Cause: holders order their own queue by priority and due time only. A workspace with many statements delays the others, and a burst of one priority at a holder takes the slots of a target from higher priorities at other holders.

Change: AdmissionQueue orders the workspaces of a priority by start-time fair queueing, charged by the measured time. Without workspaces the order is the previous one.

--- a/internal/core/cwlimit/admission.go
+++ b/internal/core/cwlimit/admission.go
@@ -16,19 +16,29 @@
 	// Due orders waiting statements of the same priority; earlier times are
 	// admitted first. The zero time means Deadline.
 	Due time.Time
+	// Workspace is the workspace on whose behalf the statement runs; empty if it has
+	// none. Waiting statements of one priority are admitted fairly among workspaces.
+	Workspace string
 	// OnDecision is called with nil once the statement may start, or with a
 	// refusal. It is called while the queue's owner holds its lock, and must not
 	// block.
 	OnDecision func(*cwrefusal.Refusal)
 
-	elem *list.Element
+	// elem is the ticket's place in its flow; nil if it does not wait. class and flow
+	// are set once it has waited.
+	elem    *list.Element
+	class   *priorityClass
+	flow    *flow
+	arrival uint64
+	// charged is the service that the workspace was charged at the admission.
+	charged time.Duration
 }
 
 // AdmissionQueue admits statements to one target. At most Limit statements are in
-// progress concurrently and at most QueueLimit wait, ordered by priority, then by
-// due time, then by arrival. A statement that is not expected to start by its
-// deadline is refused at once, with the time after which to retry, instead of being
-// queued until it is too late.
+// progress concurrently and at most QueueLimit wait, ordered by priority, then fairly
+// among workspaces, then by due time, then by arrival. A statement that is not expected
+// to start by its deadline is refused at once, with the time after which to retry,
+// instead of being queued until it is too late.
 //
 // An AdmissionQueue is not safe for concurrent use; its owner's lock guards it.
 type AdmissionQueue struct {
@@ -40,7 +50,7 @@
 	// inFlight is the number of statements in progress. It exceeds Limit only
 	// after Limit was lowered.
 	inFlight int
-	queue    list.List
+	queue    fairQueue
 	// averageServiceTime is the moving average of the time that a statement is in
 	// progress.
 	averageServiceTime time.Duration
@@ -56,7 +66,19 @@
 func (g *AdmissionQueue) InFlight() int { return g.inFlight }
 
 // Queued returns the number of waiting statements.
-func (g *AdmissionQueue) Queued() int { return g.queue.Len() }
+func (g *AdmissionQueue) Queued() int { return g.queue.length }
+
+// Demand returns the statements that are in progress or wait.
+func (g *AdmissionQueue) Demand() Demand {
+	d := Demand{Running: g.inFlight}
+	if g.queue.length > 0 {
+		d.Waiting = make(map[int]int, len(g.queue.classes))
+	}
+	for _, c := range g.queue.classes {
+		d.Waiting[c.priority] = c.waiting
+	}
+	return d
+}
 
 // waitBehind returns the expected wait of a statement with ahead statements
 // before it in the queue.
@@ -69,18 +91,10 @@
 
 // ExpectedWait returns the expected wait of a statement that is queued last.
 func (g *AdmissionQueue) ExpectedWait() time.Duration {
-	if g.inFlight < g.Limit && g.queue.Len() == 0 {
+	if g.inFlight < g.Limit && g.queue.length == 0 {
 		return 0
 	}
-	return g.waitBehind(g.queue.Len())
-}
-
-// before reports whether t is admitted before o, which arrived earlier.
-func (t *Ticket) before(o *Ticket) bool {
-	if t.Priority != o.Priority {
-		return t.Priority < o.Priority
-	}
-	return t.dueTime().Before(o.dueTime())
+	return g.waitBehind(g.queue.length)
 }
 
 // dueTime returns Due or its default.
@@ -91,53 +105,30 @@
 	return t.Due
 }
 
-// queuePosition returns the queue element after which t belongs, or nil if t
-// belongs at the front, and the number of tickets ahead of t.
-func (g *AdmissionQueue) queuePosition(t *Ticket) (after *list.Element, ahead int) {
-	ahead = g.queue.Len()
-	for e := g.queue.Back(); e != nil; e = e.Prev() {
-		if !t.before(e.Value.(*Ticket)) {
-			return e, ahead
-		}
-		ahead--
-	}
-	return nil, 0
-}
-
 // Submit requests admission. It calls OnDecision at once if the statement may start
 // or is refused. Otherwise the ticket is queued and OnDecision is called later.
 func (g *AdmissionQueue) Submit(t *Ticket, now time.Time) {
-	if g.inFlight < g.Limit && g.queue.Len() == 0 {
+	if g.inFlight < g.Limit && g.queue.length == 0 {
 		g.inFlight++
 		t.OnDecision(nil)
 		return
 	}
-	after, ahead := g.queuePosition(t)
-	wait := g.waitBehind(ahead)
+	wait := g.waitBehind(g.queue.ahead(t, g.averageServiceTime))
 	switch {
-	case g.queue.Len() >= g.QueueLimit:
+	case g.queue.length >= g.QueueLimit:
 		t.OnDecision(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(wait, minRetryAfter), "the queue for this database is full"))
 	case now.Add(wait).After(t.Deadline):
 		t.OnDecision(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(wait, minRetryAfter), "the database is too busy to start this in time"))
 	default:
-		t.elem = g.insert(t, after)
-	}
-}
-
-// insert queues t after the given element, or at the front if that is nil.
-func (g *AdmissionQueue) insert(t *Ticket, after *list.Element) *list.Element {
-	if after == nil {
-		return g.queue.PushFront(t)
+		g.queue.push(t)
 	}
-	return g.queue.InsertAfter(t, after)
 }
 
 // Cancel removes a ticket from the queue if it is still waiting. OnDecision is not
 // called.
 func (g *AdmissionQueue) Cancel(t *Ticket) {
 	if t.elem != nil {
-		g.queue.Remove(t.elem)
-		t.elem = nil
+		g.queue.remove(t)
 	}
 }
 
@@ -152,6 +143,13 @@
 	g.admitWaiting(now)
 }
 
+// Complete is Release for the statement of a ticket. It corrects the service that the
+// ticket's workspace was charged.
+func (g *AdmissionQueue) Complete(t *Ticket, took time.Duration, now time.Time) {
+	t.settle(took)
+	g.Release(took, now)
+}
+
 // SetLimit changes Limit and admits waiting statements that it allows.
 func (g *AdmissionQueue) SetLimit(n int, now time.Time) {
 	g.Limit = n
@@ -160,25 +158,20 @@
 
 // Expire refuses waiting statements whose deadline has passed.
 func (g *AdmissionQueue) Expire(now time.Time) {
-	for e := g.queue.Front(); e != nil; {
-		next := e.Next()
-		if t := e.Value.(*Ticket); now.After(t.Deadline) {
-			g.queue.Remove(e)
-			t.elem = nil
-			t.OnDecision(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(g.waitBehind(g.queue.Len()), minRetryAfter), "the database stayed too busy to start this in time"))
+	for t := range g.queue.all() {
+		if now.After(t.Deadline) {
+			g.queue.remove(t)
+			t.OnDecision(cwrefusal.NotRun(cwrefusal.TooManyConnections, max(g.waitBehind(g.queue.length), minRetryAfter), "the database stayed too busy to start this in time"))
 		}
-		e = next
 	}
 }
 
 // admitWaiting refuses expired statements and admits waiting ones up to Limit.
 func (g *AdmissionQueue) admitWaiting(now time.Time) {
 	g.Expire(now)
-	for g.inFlight < g.Limit && g.queue.Len() > 0 {
-		t := g.queue.Remove(g.queue.Front()).(*Ticket)
-		t.elem = nil
+	for g.inFlight < g.Limit && g.queue.length > 0 {
 		g.inFlight++
-		t.OnDecision(nil)
+		g.queue.pop(g.averageServiceTime).OnDecision(nil)
 	}
 }
 
--- a/internal/core/cwlimit/share.go
+++ b/internal/core/cwlimit/share.go
@@ -6,9 +6,11 @@
 //   - ConnectionShares divides a target's connection limit among the instances that
 //     open connections to it. DelayedShare applies a changed share without
 //     exceeding the limit while instances see different lists of each other.
-//   - AdmissionQueue admits statements to a target up to a concurrency limit, keeps
-//     a bounded queue, and refuses at once a statement that is not expected to
-//     start by its deadline.
+//   - AdmissionQueue admits statements to a target up to a concurrency limit, by
+//     priority and fairly among workspaces, keeps a bounded queue, and refuses at
+//     once a statement that is not expected to start by its deadline.
+//   - SlotShares divides the slots of a target among the holders that share it, by
+//     the statements that wait at each of them.
 //   - AdaptiveLimit and ConcurrencyLimit adjust a concurrency limit to the observed
 //     latency: AdaptiveLimit by the latency of each statement, ConcurrencyLimit by
 //     the average latency at a target that several proxies share.
