cwlimit: comparison of the variants of admission control

Change: a test on virtual time drives AdmissionQueue, ConcurrencyLimit, SlotShares and WorkspaceAffinity with a burst of the lowest priority and a workspace at six times its load, and counts by priority and by workspace who is served within the aim.

--- /dev/null
+++ b/internal/core/cwlimit/variants_test.go
@@ -0,0 +1,380 @@
+package cwlimit
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
+)
+
+// variant is a variant of admission control at a target that several holders share.
+type variant struct {
+	name         string
+	fair, demand bool
+	// near and all select the holder by workspace, among the holders of the caller's data
+	// centre or of all data centres.
+	near, all bool
+}
+
+var variants = []variant{
+	{name: "current order"},
+	{name: "fair queues", fair: true},
+	{name: "demand", demand: true},
+	{name: "fair queues, demand", fair: true, demand: true},
+	{name: "one holder per data centre", near: true},
+	{name: "demand, one holder per data centre", demand: true, near: true},
+	{name: "fair queues, demand, one holder per data centre", fair: true, demand: true, near: true},
+	{name: "fair queues, demand, one holder", fair: true, demand: true, all: true},
+}
+
+// The deployment and load of the comparison. A burst begins at burstAt: the entry with
+// the lowest priority gets burstFactor times its load, and one workspace heavyFactor
+// times its load in all entries.
+const (
+	memberCount, slotCount = 3, 4
+	centreCount            = 3
+	holderCount            = 2 * centreCount
+	instanceCount          = 24
+	workspaceCount         = 80
+	heavyWorkspace         = 4
+	burstFactor            = 2.5
+	heavyFactor            = 6
+	burstAt, runLength     = 5 * time.Second, 20 * time.Second
+	writeShare             = 0.2
+	openTime               = 12 * time.Millisecond
+	minWork, workRange     = 5 * time.Millisecond, 17 * time.Millisecond
+	holderConnections      = 8
+	connIdleTimeout        = 400 * time.Millisecond
+	reportInterval         = 200 * time.Millisecond
+	// One-way delays between instances of a data centre or a member, and between data
+	// centres.
+	nearDelay, farDelay = 500 * time.Microsecond, 5 * time.Millisecond
+)
+
+var (
+	aims        = []time.Duration{150 * time.Millisecond, 250 * time.Millisecond, 800 * time.Millisecond}
+	priorityMix = []float64{0.3, 0.4, 0.3}
+)
+
+// outcome counts the statements that arrived during the burst.
+type outcome struct{ inAim, late, refused int }
+
+func (o outcome) percent() float64 {
+	return 100 * float64(o.inAim) / float64(max(1, o.inAim+o.late+o.refused))
+}
+
+func (o *outcome) add(x outcome) {
+	o.inAim, o.late, o.refused = o.inAim+x.inAim, o.late+x.late, o.refused+x.refused
+}
+
+// comparison is the result of a variant.
+type comparison struct {
+	all              outcome
+	byPriority       [3]outcome
+	byWorkspace      [workspaceCount]outcome
+	statements, open int
+}
+
+func (r *comparison) add(x *comparison) {
+	r.all.add(x.all)
+	for i := range r.byPriority {
+		r.byPriority[i].add(x.byPriority[i])
+	}
+	for i := range r.byWorkspace {
+		r.byWorkspace[i].add(x.byWorkspace[i])
+	}
+	r.statements += x.statements
+	r.open += x.open
+}
+
+// poorlyServed returns the number of workspaces other than the heavy one that have less
+// than 90% of their statements served within the aim, and the lowest such percentage.
+func (r *comparison) poorlyServed() (n int, lowest float64) {
+	lowest = 100
+	for w, o := range r.byWorkspace {
+		if w != heavyWorkspace {
+			lowest = min(lowest, o.percent())
+			if o.percent() < 90 {
+				n++
+			}
+		}
+	}
+	return n, lowest
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// memberPool is the admission of one holder at one member, with its connections.
+type memberPool struct {
+	AdmissionQueue
+	limit  ConcurrencyLimit
+	shares SlotShares
+	open   int
+	idle   []idleConnection
+}
+
+type idleConnection struct {
+	workspace int
+	since     time.Duration
+}
+
+// connect takes an idle connection of the workspace, or opens one, for which it returns
+// true.
+func (p *memberPool) connect(workspace int, now time.Duration) bool {
+	for len(p.idle) > 1 && now-p.idle[0].since > connIdleTimeout || p.open > holderConnections && len(p.idle) > 0 {
+		p.idle, p.open = p.idle[1:], p.open-1
+	}
+	if i := slices.IndexFunc(p.idle, func(c idleConnection) bool { return c.workspace == workspace }); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+		return false
+	}
+	if p.open == holderConnections && len(p.idle) > 0 {
+		p.idle, p.open = p.idle[1:], p.open-1
+	}
+	p.open++
+	return true
+}
+
+// variantRun runs one variant on virtual time.
+type variantRun struct {
+	variant
+	result     comparison
+	r          *rand.Rand
+	now        time.Duration
+	events     eventHeap
+	seq        int
+	holders    []cwholder.Instance
+	pools      [holderCount][memberCount]*memberPool
+	members    [memberCount]*sharedTarget
+	affinities [instanceCount]cwholder.WorkspaceAffinity
+}
+
+func newVariantRun(v variant, seed int64) *variantRun {
+	s := &variantRun{variant: v, r: rand.New(rand.NewSource(seed))}
+	for h := range holderCount {
+		s.holders = append(s.holders, cwholder.Instance{ID: fmt.Sprint("holder-", h), DataCentre: fmt.Sprint(h % centreCount)})
+		for m := range memberCount {
+			p := &memberPool{limit: ConcurrencyLimit{Initial: slotCount, Max: holderConnections * holderCount}}
+			p.Limit, p.QueueLimit = slotCount, 1000
+			s.pools[h][m] = p
+		}
+	}
+	for m := range memberCount {
+		s.members[m] = &sharedTarget{slots: slotCount, slotFreeAt: make([]time.Duration, slotCount)}
+	}
+	return s
+}
+
+func (s *variantRun) time() time.Time { return now.Add(s.now) }
+
+func (s *variantRun) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now + d, s.seq, f})
+}
+
+// run plays the load at a rate in statements per second.
+func (s *variantRun) run(rate float64) *comparison {
+	sum := 0.0
+	for w := range workspaceCount {
+		sum += math.Pow(float64(w+1), -0.8)
+	}
+	for w := range workspaceCount {
+		for p, part := range priorityMix {
+			s.scheduleArrival(w, p, rate*part*math.Pow(float64(w+1), -0.8)/sum)
+		}
+	}
+	for h := range holderCount {
+		s.after(time.Duration(h)*reportInterval/holderCount, func() { s.report(h) })
+	}
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+	return &s.result
+}
+
+func (s *variantRun) scheduleArrival(workspace, priority int, rate float64) {
+	current := rate
+	if s.now >= burstAt && priority == 2 {
+		current *= burstFactor
+	}
+	if s.now >= burstAt && workspace == heavyWorkspace {
+		current *= heavyFactor
+	}
+	if wait := time.Duration(s.r.ExpFloat64() / current * float64(time.Second)); s.now+wait < runLength {
+		s.after(wait, func() {
+			s.arrive(workspace, priority)
+			s.scheduleArrival(workspace, priority, rate)
+		})
+	}
+}
+
+// report exchanges the demand of a holder with that of the others.
+func (s *variantRun) report(h int) {
+	for m := range memberCount {
+		own := s.pools[h][m]
+		for o := range holderCount {
+			if other := s.pools[o][m]; o != h && s.demand && own.Demand().Contended() {
+				own.shares.Record(s.holders[o].ID, other.Demand(), s.time())
+				other.shares.Record(s.holders[h].ID, own.Demand(), s.time())
+				s.setLimit(o, m)
+			}
+		}
+		s.setLimit(h, m)
+	}
+	if s.now < runLength {
+		s.after(reportInterval, func() { s.report(h) })
+	}
+}
+
+func (s *variantRun) setLimit(h, m int) {
+	p := s.pools[h][m]
+	limit := p.limit.Limit()
+	if n, ok := p.shares.Share(s.holders[h].ID, p.Demand(), slotCount, s.time()); ok {
+		limit = min(limit, n)
+	}
+	p.SetLimit(limit, s.time())
+}
+
+// statement is a statement on its way through a holder.
+type statement struct {
+	Ticket
+	holder, workspace int
+	// reply is the delay of the answer, and members are those left to try.
+	reply   time.Duration
+	members []int
+	arrived time.Duration
+	work    time.Duration
+}
+
+func (s *variantRun) arrive(workspace, priority int) {
+	st := &statement{workspace: workspace, arrived: s.now, work: minWork + time.Duration(s.r.Int63n(int64(workRange))), reply: nearDelay, members: s.r.Perm(memberCount)}
+	st.Priority, st.Deadline = priority, now.Add(s.now+aims[priority])
+	if s.fair {
+		st.Workspace = fmt.Sprint("workspace-", workspace)
+	}
+	st.OnDecision = func(r *cwrefusal.Refusal) { s.decided(st, r) }
+	if s.r.Float64() < writeShare {
+		st.members = []int{0}
+	}
+	instance := s.r.Intn(instanceCount)
+	st.holder = s.chooseHolder(instance, workspace)
+	if st.holder%centreCount != instance%centreCount {
+		st.reply = farDelay
+	}
+	s.after(st.reply, func() {
+		slices.SortStableFunc(st.members, func(a, b int) int {
+			x, y := s.pools[st.holder][a], s.pools[st.holder][b]
+			return int(x.ExpectedWait()-y.ExpectedWait()) + x.InFlight() - y.InFlight()
+		})
+		s.pools[st.holder][st.members[0]].Submit(&st.Ticket, s.time())
+	})
+}
+
+func (s *variantRun) chooseHolder(instance, workspace int) int {
+	self := cwholder.Instance{ID: fmt.Sprint("instance-", instance), DataCentre: fmt.Sprint(instance % centreCount)}
+	order := cwholder.ForwardingOrder(self, "g", s.holders)
+	if s.near || s.all {
+		if s.near {
+			order = order[:holderCount/centreCount]
+		}
+		order = s.affinities[instance].Order(fmt.Sprint("workspace-", workspace), "g", order, s.time())
+		s.affinities[instance].Record(order[0].ID, s.time())
+	}
+	return slices.Index(s.holders, order[0])
+}
+
+// decided runs an admitted statement, and tries the next member for a refused one.
+func (s *variantRun) decided(st *statement, r *cwrefusal.Refusal) {
+	m := st.members[0]
+	p := s.pools[st.holder][m]
+	if r != nil {
+		if st.members = st.members[1:]; len(st.members) == 0 {
+			s.count(st, outcome{refused: 1})
+			return
+		}
+		s.after(0, func() { s.pools[st.holder][st.members[0]].Submit(&st.Ticket, s.time()) })
+		return
+	}
+	began, work := s.now, st.work
+	s.result.statements++
+	if p.connect(st.workspace, s.now) {
+		s.result.open++
+		work += openTime
+	}
+	end := s.members[m].execute(s.now+nearDelay, work) + nearDelay
+	s.after(end-s.now, func() {
+		p.idle = append(p.idle, idleConnection{st.workspace, s.now})
+		if s.now+st.reply <= st.arrived+aims[st.Priority] {
+			s.count(st, outcome{inAim: 1})
+		} else {
+			s.count(st, outcome{late: 1})
+		}
+		p.limit.Observe(s.now-began, p.Queued())
+		p.Complete(&st.Ticket, s.now-began, s.time())
+		s.setLimit(st.holder, m)
+	})
+}
+
+func (s *variantRun) count(st *statement, o outcome) {
+	if st.arrived < burstAt {
+		return
+	}
+	s.result.all.add(o)
+	s.result.byPriority[st.Priority].add(o)
+	s.result.byWorkspace[st.workspace].add(o)
+}
+
+// Guards against a change of the admission that serves callers worse than the simpler
+// variants. It logs the comparison of the variants at three loads, of which the last two
+// exceed the capacity of the targets.
+func TestVariantsUnderBurst(t *testing.T) {
+	const seeds = 3
+	for _, rate := range []float64{300, 400, 500} {
+		t.Run(fmt.Sprint(rate, " statements a second"), func(t *testing.T) {
+			results := make(map[variant]*comparison)
+			for _, v := range variants {
+				r := &comparison{}
+				for seed := range int64(seeds) {
+					r.add(newVariantRun(v, seed).run(rate))
+				}
+				results[v] = r
+				n, lowest := r.poorlyServed()
+				t.Logf("%-48s all %5.1f%%, by priority %5.1f%% %5.1f%% %5.1f%%, late %4d, refused %5d; workspaces under 90%%: %2d, lowest %3.0f%%, heavy %3.0f%%; connections opened per statement %.2f",
+					v.name, r.all.percent(), r.byPriority[0].percent(), r.byPriority[1].percent(), r.byPriority[2].percent(), r.all.late, r.all.refused,
+					n, lowest, r.byWorkspace[heavyWorkspace].percent(), float64(r.open)/float64(r.statements))
+			}
+			current, built := results[variants[0]], results[variants[6]]
+			qt.Check(t, built.all.percent() >= current.all.percent(), qt.IsTrue)
+			qt.Check(t, built.byPriority[0].percent() > 99, qt.IsTrue)
+			qt.Check(t, built.open < current.open, qt.IsTrue)
+		})
+	}
+}
