cwtargetpool, cwengine: admission by workspace, and a share of the slots

Cause: the admission to a target does not know the workspace of a statement, nor what waits at the other holders.

Change: a statement passes its workspace to the admission. A pool records the demand of the other holders and bounds the statements in progress by its share. The engine gives the demand of its groups, and counts waiting statements, refusals and shares by priority and member. It selects the holder by workspace if it is given such a choice.

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -71,6 +71,9 @@
 	// Holders tells which instances hold a group. If it is nil, this instance holds
 	// all groups.
 	Holders cwport.Holders
+	// WorkspaceHolders selects the holder for callers with a workspace. If it is nil, the
+	// workspace has no influence.
+	WorkspaceHolders cwport.WorkspaceHolders
 	// RemotePath tracks whether targets in other data centres answer. All groups share it;
 	// if it is nil, New creates one.
 	RemotePath *cwleadership.RemotePath
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,6 +38,12 @@
 	ReadAge *metrics.Histogram
 	// Statement is the duration of statements, in seconds.
 	Statement *metrics.Histogram
+
+	admissionMu sync.Mutex
+	// waitingPriorities are the priorities with a gauge of waiting statements, and
+	// shareGauges the names of the gauges of slot shares.
+	waitingPriorities map[int]bool
+	shareGauges       map[string]bool
 }
 
 // NewMetrics returns a new set of metrics, all zero.
@@ -62,6 +69,8 @@
 		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
 		ReadAge:   set.NewHistogram("cicadawalk_read_age_seconds"),
 		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
+
+		waitingPriorities: make(map[int]bool), shareGauges: make(map[string]bool),
 	}
 }
 
--- a/internal/proxy/cwengine/remote.go
+++ b/internal/proxy/cwengine/remote.go
@@ -37,8 +37,10 @@
 }
 
 // selectHolder returns the holder to which statements of an entry are forwarded,
-// leaving out the instances in tried. It returns false if they run here.
-func (e *Engine) selectHolder(entry cwcatalogue.Entry, tried []string) (cwport.Holder, bool) {
+// leaving out the instances in tried. It returns false if they run here. The statements
+// of a workspace prefer the same holder.
+func (s *session) selectHolder(entry cwcatalogue.Entry, tried []string) (cwport.Holder, bool) {
+	e := s.engine
 	if e.cfg.Holders == nil || len(tried) >= maxHolderAttempts {
 		return nil, false
 	}
@@ -47,6 +49,9 @@
 		// Other instances may reach members that this one does not.
 		tried = append(slices.Clone(tried), e.cfg.Name)
 	}
+	if s.workspace != "" && e.cfg.WorkspaceHolders != nil {
+		return e.cfg.WorkspaceHolders.WorkspaceHolder(s.workspace, group, e.capacity(group), tried)
+	}
 	return e.cfg.Holders.Holder(group, e.capacity(group), tried)
 }
 
@@ -123,7 +128,7 @@
 func (s *session) forwardSingle(entry cwcatalogue.Entry, st cwstatement.Statement, writes bool, began time.Time, tried ...string) forwardResult {
 	out := forwardResult{}
 	for {
-		to, ok := s.engine.selectHolder(entry, tried)
+		to, ok := s.selectHolder(entry, tried)
 		if !ok {
 			return out
 		}
@@ -194,7 +199,7 @@
 	h.Transaction, h.Begin = t.name, t.begin
 	tried := t.tried
 	for {
-		to, ok := s.engine.selectHolder(t.entry, tried)
+		to, ok := s.selectHolder(t.entry, tried)
 		if !ok {
 			s.remote = nil
 			return s.openLocal(t.entry, t.begin, st, began)
--- a/internal/proxy/cwengine/run.go
+++ b/internal/proxy/cwengine/run.go
@@ -41,8 +41,8 @@
 	priority int
 }
 
-func (l limits) urgency() cwtargetpool.Urgency {
-	return cwtargetpool.Urgency{Deadline: l.startBy, Priority: l.priority, Due: l.due}
+func (l limits) urgency(workspace string) cwtargetpool.Urgency {
+	return cwtargetpool.Urgency{Deadline: l.startBy, Priority: l.priority, Due: l.due, Workspace: workspace}
 }
 
 // newLimits returns the limits of a statement that arrived at began.
@@ -290,7 +290,7 @@
 
 // acquireAt waits for the statement's turn at a member and leases a connection to it.
 func (t *task) acquireAt(place cwleadership.Placement) (*connLease, error) {
-	turn, err := place.Pool.Admit(t.limits.urgency())
+	turn, err := place.Pool.Admit(t.limits.urgency(t.session.workspace))
 	if err != nil {
 		return nil, err
 	}
@@ -333,6 +333,7 @@
 		t.primarySilent = none.MayServeElsewhere
 		return cwstatement.RetryLater(cwstatement.Aborted, err.Error(), none.RetryAfter)
 	case errors.As(err, &full):
+		t.session.engine.cfg.Metrics.countAdmissionRefused(t.limits.priority)
 		return cwstatement.RetryLater(cwstatement.Busy, err.Error(), full.RetryAfter)
 	case errors.As(err, &refused) && refused.Code == cwstatement.TooManyConnections:
 		return cwstatement.RetryLater(cwstatement.TooManyConnections, "the database takes no more connections", unreachableRetryAfter)
--- a/internal/proxy/cwengine/transaction.go
+++ b/internal/proxy/cwengine/transaction.go
@@ -65,7 +65,7 @@
 	if s.forwarded != nil {
 		return false
 	}
-	if _, ok := s.engine.selectHolder(entry, tried); !ok {
+	if _, ok := s.selectHolder(entry, tried); !ok {
 		return false
 	}
 	s.remote = &remoteTransaction{entry: entry, begin: st.Verb, name: s.engine.nextTransactionName(), tried: tried}
@@ -222,7 +222,7 @@
 // if nothing ran and the transaction may begin at another target.
 func (tx *transaction) runOnLease(t *task, w work) (cwstatement.Response, bool) {
 	l := tx.lease
-	if err := l.takeTurn(t.limits.urgency()); err != nil {
+	if err := l.takeTurn(t.limits.urgency(t.session.workspace)); err != nil {
 		return t.placementFailure(err), false
 	}
 	first := !tx.mayHaveRun
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -79,6 +79,13 @@
 	HolderRank(group string, d cwholder.TargetCapacity) (rank int, ok bool)
 }
 
+// WorkspaceHolders selects the holder for the statements of a workspace.
+type WorkspaceHolders interface {
+	// WorkspaceHolder is Holders.Holder for the statements of a workspace, which prefer
+	// the same holder of a group at all instances of a data centre.
+	WorkspaceHolder(workspace, group string, d cwholder.TargetCapacity, tried []string) (Holder, bool)
+}
+
 // NoResponseError reports a forwarded statement without an answer. The statement may
 // have run unless NotSent is true.
 type NoResponseError struct {
--- a/internal/proxy/cwtargetpool/admission.go
+++ b/internal/proxy/cwtargetpool/admission.go
@@ -11,6 +11,7 @@
 // until Done or DoneUnmeasured is called, which must happen exactly once.
 type Admission struct {
 	pool      *Pool
+	ticket    *cwlimit.Ticket
 	startedAt time.Time
 }
 
@@ -23,6 +24,9 @@
 	// Due orders the statements of one priority; the earliest goes first. Zero stands
 	// for Deadline.
 	Due time.Time
+	// Workspace is the workspace of the statement; empty if it has none. Statements of
+	// one priority are admitted fairly among workspaces.
+	Workspace string
 }
 
 // Admit waits until the statement may start, at most until its deadline. It fails
@@ -31,22 +35,25 @@
 func (p *Pool) Admit(c Urgency) (Admission, error) {
 	ready := make(chan *cwrefusal.Refusal, 1)
 	ticket := &cwlimit.Ticket{
-		Deadline: c.Deadline, Priority: c.Priority, Due: c.Due,
+		Deadline: c.Deadline, Priority: c.Priority, Due: c.Due, Workspace: c.Workspace,
 		OnDecision: func(r *cwrefusal.Refusal) { ready <- r },
 	}
 	p.mu.Lock()
+	if p.divided {
+		p.updateLimit(p.clock.Now())
+	}
 	p.admission.Submit(ticket, p.clock.Now())
 	p.mu.Unlock()
 	select {
 	case r := <-ready:
-		return p.newAdmission(r)
+		return p.newAdmission(ticket, r)
 	default:
 	}
 	t := p.clock.NewTimer(c.Deadline.Sub(p.clock.Now()))
 	defer t.Stop()
 	select {
 	case r := <-ready:
-		return p.newAdmission(r)
+		return p.newAdmission(ticket, r)
 	case <-t.Chan():
 	}
 	p.mu.Lock()
@@ -55,17 +62,17 @@
 	select {
 	case r := <-ready:
 		// The statement was admitted between the timeout and Cancel.
-		return p.newAdmission(r)
+		return p.newAdmission(ticket, r)
 	default:
 		return Admission{}, &OverloadedError{RetryAfter: minRetryAfter}
 	}
 }
 
-func (p *Pool) newAdmission(r *cwrefusal.Refusal) (Admission, error) {
+func (p *Pool) newAdmission(t *cwlimit.Ticket, r *cwrefusal.Refusal) (Admission, error) {
 	if r != nil {
 		return Admission{}, &OverloadedError{RetryAfter: r.RetryAfter}
 	}
-	return Admission{pool: p, startedAt: p.clock.Now()}, nil
+	return Admission{pool: p, ticket: t, startedAt: p.clock.Now()}, nil
 }
 
 // Done ends the admission of a statement that was executed. Its duration adjusts the
@@ -84,9 +91,12 @@
 	defer p.mu.Unlock()
 	if measure {
 		p.concurrency.Observe(took, p.admission.Queued())
-		p.admission.Limit = p.concurrency.Limit()
-		p.admission.Release(took, now)
+		p.admission.Limit = p.limit(now)
+		p.admission.Complete(t.ticket, took, now)
 		return
 	}
+	if p.divided {
+		p.admission.Limit = p.limit(now)
+	}
 	p.admission.Release(p.concurrency.Latency(), now)
 }
--- a/internal/proxy/cwtargetpool/pool.go
+++ b/internal/proxy/cwtargetpool/pool.go
@@ -9,7 +9,9 @@
 // refused at once.
 //
 // Besides, a Pool limits the number of statements that are in progress at the
-// target at once; see Pool.Admit.
+// target at once; see Pool.Admit. While statements wait at several holders of the
+// target's group, the limit is bounded by this holder's share of the target's slots; see
+// Pool.RecordDemand.
 package cwtargetpool
 
 import (
@@ -112,6 +114,11 @@
 	// the number that may be in progress at once.
 	admission   cwlimit.AdmissionQueue
 	concurrency cwlimit.ConcurrencyLimit
+	// shares has the demand of the other holders, and self is the name of this one.
+	// divided is true if the slots were divided when the limit was last computed.
+	shares  cwlimit.SlotShares
+	self    string
+	divided bool
 }
 
 // waiter is a goroutine that waits for a connection. Exactly one result is sent
@@ -160,7 +167,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.concurrency.Initial = n
-	p.admission.SetLimit(p.concurrency.Limit(), p.clock.Now())
+	p.updateLimit(p.clock.Now())
 }
 
 // Load is the load of a pool, by which statements are routed.
