cwforward: method demand

Cause: the holders of a group need to know what waits at the others.

Change: demand exchanges the statements that wait and run at the members of a group. Malformed messages are refused and counted.

--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -36,13 +36,18 @@
 }
 
 // Server handles requests from other instances: forwarded statements, requests for
-// store changes and quota requests.
+// store changes, quota requests and reports of demand.
 type Server struct {
 	Handler Handler
 	// News answers requests for store changes. If it is nil, they are refused.
 	News cwport.ChangesServer
 	// Quotas answers quota requests. If it is nil, they are refused.
 	Quotas cwport.QuotaServer
+	// Demands answers reports of demand. If it is nil, they are refused.
+	Demands cwport.DemandServer
+	// OnMalformed is called with the method of a malformed report of demand; it may be
+	// nil.
+	OnMalformed func(method string)
 
 	encoder newsEncoder
 }
@@ -65,6 +70,8 @@
 			return s.answerNews(ctx, req)
 		case methodQuota:
 			return s.answerQuota(req)
+		case methodDemand:
+			return s.answerDemand(req)
 		}
 		return s.answerPingOrStatement(bounded, req)
 	}
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -4,7 +4,7 @@
 // An instance forwards a caller's statement to a holder, which is one of the
 // instances that keep connections to the group's targets. The response holds the
 // answer, or says that the holder did not run the statement. A connection carries
-// many concurrent calls. There are four methods:
+// many concurrent calls. The methods are:
 //
 //   - hand forwards a statement.
 //   - ping checks the connection. It distinguishes an unresponsive connection from a
@@ -12,6 +12,8 @@
 //   - news requests the changes that the other instance has received from the
 //     platform's store.
 //   - quota takes one operation from a workspace's quota.
+//   - demand exchanges the numbers of statements that wait and run at the members of a
+//     group.
 package cwforward
 
 import (
@@ -30,6 +32,7 @@
 	methodPing    = "ping"
 	methodNews    = "news"
 	methodQuota   = "quota"
+	methodDemand  = "demand"
 )
 
 type statementBody struct {
