cwpeers, cwinstance: exchange of demand, and a holder for each workspace

Cause: under contention, the slots of a target go to the holders that take them first, and the statements of a workspace open connections at every holder.

Change: while statements wait, a holder exchanges its demand every 200 ms with those holders of the group that did not report by themselves. Callers with a workspace are forwarded to the holder in their data centre that the workspace prefers. Callers without one are forwarded as before.

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -108,6 +108,7 @@
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
 	}
 	in.peers.OnChange = in.refreshHolders
+	in.peers.OnMalformed = in.metrics.CountMalformed
 	in.members = &cwmembers.Recorder{Table: cfg.Table, Clock: cfg.Clock, Log: cfg.Log, HolderRank: in.holderRank, GroupCount: in.groupCount}
 	in.directory = &cwdirectory.Directory{
 		PollWaits: cfg.PollWaits, RemovalDelay: cfg.RemovalDelay, Source: cfg.Source, Sink: in, Clock: cfg.Clock, Log: cfg.Log,
@@ -121,7 +122,7 @@
 	in.members.Counted = in.countMembers
 	engine := cwengine.Config{
 		Clock: cfg.Clock, Log: cfg.Log, GracePeriod: cfg.GracePeriod, Metrics: in.metrics, NewGroup: in.newGroup,
-		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, RemotePath: in.remotePath,
+		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, WorkspaceHolders: in.peers, RemotePath: in.remotePath,
 		KeyRevocationBound: cfg.KeyRevocationBound, CatalogueConfirmedAt: in.directory.Confirmed, RecordedSize: in.members.RecordedSize,
 		FirstStart: cfg.FirstStart,
 	}
@@ -133,6 +134,7 @@
 		engine.Meter = in.meter
 	}
 	in.engine = cwengine.New(engine)
+	in.peers.Demand = in.engine
 	in.metrics.AddAgeGauge(in.catalogueAge)
 	in.metrics.AddRevisionGauge(func() float64 { return float64(in.engine.Revision()) })
 	in.metrics.AddEraGauge(func() float64 { return float64(in.directory.Era()) })
@@ -231,7 +233,7 @@
 	eg.Go(func() error { return in.members.Run(run) })
 	eg.Go(func() error { return in.peers.Run(run) })
 	eg.Go(func() error {
-		return (&cwforward.Server{Handler: in.engine, News: in.directory, Quotas: in.quotaServer()}).Run(run, peerListener)
+		return in.newPeerServer().Run(run, peerListener)
 	})
 	eg.Go(func() error { return in.engine.Serve(callerListener, in.cfg.NewCallerConn) })
 	in.cfg.Log.Info("started", "instance", in.cfg.Name, "dataCentre", in.cfg.DataCentre, "listen", in.cfg.CallerListen)
@@ -270,7 +272,17 @@
 	}
 }
 
-func (in *Instance) serveMetrics(w http.ResponseWriter, _ *http.Request) { in.metrics.Write(w) }
+func (in *Instance) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	in.engine.UpdateAdmissionMetrics()
+	in.metrics.Write(w)
+}
+
+// newPeerServer returns the server for other instances.
+func (in *Instance) newPeerServer() *cwforward.Server {
+	return &cwforward.Server{
+		Handler: in.engine, News: in.directory, Quotas: in.quotaServer(), Demands: in.peers, OnMalformed: in.metrics.CountMalformed,
+	}
+}
 
 // SetCatalogue implements cwdirectory.Sink.
 func (in *Instance) SetCatalogue(c cwcatalogue.Catalogue) { in.engine.SetCatalogue(c) }
--- a/internal/proxy/cwpeers/choose.go
+++ b/internal/proxy/cwpeers/choose.go
@@ -16,9 +16,14 @@
 // Holder implements cwport.Holders. With many groups it waits up to maxConnectWait for
 // a connection.
 func (p *Peers) Holder(group string, d cwholder.TargetCapacity, tried []string) (cwport.Holder, bool) {
+	return p.WorkspaceHolder("", group, d, tried)
+}
+
+// WorkspaceHolder implements cwport.WorkspaceHolders.
+func (p *Peers) WorkspaceHolder(workspace, group string, d cwholder.TargetCapacity, tried []string) (cwport.Holder, bool) {
 	end := p.Clock.Now().Add(maxConnectWait)
 	for {
-		c := p.choose(group, d, tried)
+		c := p.choose(workspace, group, d, tried)
 		if c.link != nil {
 			return c.link, true
 		}
@@ -41,7 +46,7 @@
 
 // choose chooses the holder that runs a statement. A list of tried instances that
 // contains this one means that it cannot run the statement itself.
-func (p *Peers) choose(group string, d cwholder.TargetCapacity, tried []string) choice {
+func (p *Peers) choose(workspace, group string, d cwholder.TargetCapacity, tried []string) choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -49,18 +54,66 @@
 	if slices.Contains(tried, p.Self.ID) {
 		return choice{link: p.helper(group, route, tried, now)}
 	}
+	if workspace != "" && !d.ManyGroups {
+		return p.chooseByWorkspace(workspace, group, route, tried, now)
+	}
 	if n := slices.Index(route, p.Self); n >= 0 {
 		route = route[:n]
 	}
 	if d.ManyGroups {
 		return p.chooseOnDemand(route, tried, now)
 	}
+	return choice{link: p.firstUsable(route, tried, now)}
+}
+
+// firstUsable returns the link to the first untried holder of a route to which statements
+// can be forwarded now; nil if there is none. The caller holds mu.
+func (p *Peers) firstUsable(route []cwholder.Instance, tried []string, now time.Time) *link {
 	for _, i := range route {
 		if l := p.link(i); !slices.Contains(tried, i.ID) && l.ensureUsable(now) {
-			return choice{link: l}
+			return l
+		}
+	}
+	return nil
+}
+
+// chooseByWorkspace chooses the holder for a statement of a workspace: one in this data
+// centre by the workspace, or else the next of the route. If this instance holds the
+// group, it may be chosen as well, and then runs the statement itself. The caller holds
+// mu.
+//
+// The choice is limited to this data centre, so that statements do not depend on the path
+// to another one while this one has a holder.
+func (p *Peers) chooseByWorkspace(workspace, group string, route []cwholder.Instance, tried []string, now time.Time) choice {
+	near := slices.DeleteFunc(slices.Clone(route), func(i cwholder.Instance) bool { return i.DataCentre != p.Self.DataCentre })
+	affinity := p.affinity(group)
+	order := affinity.Order(workspace, group, near, now)
+	order = append(order, slices.DeleteFunc(slices.Clone(route), func(i cwholder.Instance) bool { return i.DataCentre == p.Self.DataCentre })...)
+	own := slices.Index(order, p.Self)
+	if own >= 0 {
+		order = order[:own]
+	}
+	l := p.firstUsable(order, tried, now)
+	switch {
+	case l != nil:
+		affinity.Record(l.remote.ID, now)
+	case own >= 0:
+		affinity.Record(p.Self.ID, now)
+	}
+	return choice{link: l}
+}
+
+// affinity returns the distribution of the workspaces of a group. The caller holds mu.
+func (p *Peers) affinity(group string) *cwholder.WorkspaceAffinity {
+	a := p.affinities[group]
+	if a == nil {
+		a = &cwholder.WorkspaceAffinity{}
+		if p.affinities == nil {
+			p.affinities = make(map[string]*cwholder.WorkspaceAffinity)
 		}
+		p.affinities[group] = a
 	}
-	return choice{}
+	return a
 }
 
 // helper returns the link to an instance that can run a statement which this one
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -72,6 +72,9 @@
 	// avoidUntil is when statements are sent to the holder again after it returned one
 	// to be run elsewhere.
 	avoidUntil time.Time
+	// demandPausedUntil is when demand is exchanged again with an instance that does not
+	// have the method.
+	demandPausedUntil time.Time
 	// lastAnswerAt is when the remote instance last answered or was connected.
 	lastAnswerAt time.Time
 }
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -42,6 +42,11 @@
 	cwport.ChangesServer
 	// TakeQuota asks the other instance to admit one operation of a workspace.
 	TakeQuota(ctx context.Context, workspace string) (cwport.QuotaDecision, error)
+	// ExchangeDemand reports the demand of instance self at the members of a group, and
+	// returns that of the other instance. The error is a *cwport.MethodNotFoundError if
+	// the other instance does not have the method, and a *cwport.MalformedAnswerError if
+	// its answer is malformed.
+	ExchangeDemand(ctx context.Context, group, self string, members []cwport.MemberDemand) ([]cwport.MemberDemand, error)
 	// Ping returns an error if the other end does not answer before ctx ends.
 	Ping(ctx context.Context) error
 	// Done returns a channel that is closed once the connection has ended.
@@ -60,7 +65,7 @@
 }
 
 // Peers tracks the instances and the connections to them. It implements
-// cwport.Holders, cwport.Feeders and cwport.QuotaIssuers. Set the exported fields
+// cwport.Holders, cwport.WorkspaceHolders, cwport.Feeders and cwport.QuotaIssuers. Set the exported fields
 // before Run.
 type Peers struct {
 	// Self is this instance.
@@ -81,6 +86,11 @@
 	// PathMonitor records answers and missing answers on connections to other data centres;
 	// it may be nil.
 	PathMonitor PathMonitor
+	// Demand has the demand of this instance for the groups that it holds. If it is nil,
+	// no demand is exchanged.
+	Demand cwport.DemandRecorder
+	// OnMalformed is called with the method of a malformed answer; it may be nil.
+	OnMalformed func(method string)
 
 	mu sync.Mutex
 	// dirty is true if the set of instances has changed since OnChange was last called.
@@ -107,7 +117,12 @@
 	// anyDialEnded is closed when a connection attempt to any instance has ended; nil
 	// if no statement waits for one.
 	anyDialEnded chan struct{}
-	closed       bool
+	// affinities are the loads by which the statements of workspaces are distributed, by
+	// group.
+	affinities map[string]*cwholder.WorkspaceAffinity
+	// demandHeardAt is when the demand of a holder for a group was last received.
+	demandHeardAt map[demandKey]time.Time
+	closed        bool
 }
 
 // Run keeps this instance's row in the table until ctx ends, then closes all
@@ -115,6 +130,11 @@
 func (p *Peers) Run(ctx context.Context) error {
 	defer p.close()
 	p.loopStartup(ctx)
+	if p.Demand != nil {
+		var loops sync.WaitGroup
+		loops.Go(func() { p.loopDemand(ctx) })
+		defer loops.Wait()
+	}
 	for ctx.Err() == nil {
 		p.sleep(ctx, registerInterval)
 		p.removeMissing()
@@ -197,9 +217,10 @@
 }
 
 var (
-	_ cwport.Holders      = (*Peers)(nil)
-	_ cwport.Feeders      = (*Peers)(nil)
-	_ cwport.QuotaIssuers = (*Peers)(nil)
+	_ cwport.Holders          = (*Peers)(nil)
+	_ cwport.WorkspaceHolders = (*Peers)(nil)
+	_ cwport.Feeders          = (*Peers)(nil)
+	_ cwport.QuotaIssuers     = (*Peers)(nil)
 )
 
 // errNoAnswer is the cause for which a connection is closed whose probe was not
