cwholder, cwlimit: the load bound of a workspace's holder allows for chance

Cause: an instance counts few statements for each holder. Chance alone put holders over 1.25 times the average, and the statements of a workspace went to several holders.

--- a/internal/core/cwholder/affinity.go
+++ b/internal/core/cwholder/affinity.go
@@ -11,13 +11,13 @@
 	// affinityLoadFactor is the multiple of the average load up to which a holder gets
 	// the statements of the workspaces that prefer it.
 	affinityLoadFactor = 1.25
-	// affinityLoadDecay is the time constant with which a statement stops counting. It
-	// is long enough for the statements of some hundred milliseconds to reflect the
-	// shares of the workspaces, and short compared with a burst.
-	affinityLoadDecay = time.Second
-	// affinityMinLoad is the load below which a holder is never avoided: a few
-	// statements say nothing about the distribution of the load.
-	affinityMinLoad = 3
+	// affinityLoadDecay is the time constant with which a statement stops counting: long
+	// enough for an instance with a few statements per second to see the distribution,
+	// and within the length of a burst.
+	affinityLoadDecay = 5 * time.Second
+	// affinityMinBound is the least bound: a few statements say nothing about the
+	// distribution of the load.
+	affinityMinBound = 3
 )
 
 // WorkspaceAffinity chooses the same holder of a group for all statements of a workspace,
@@ -28,9 +28,8 @@
 // connection. All instances prefer the same holder for a workspace, so that its
 // statements reuse connections.
 //
-// The load of a holder is the statements that this instance sent to it recently. If no
-// instance exceeds its bound for a holder, neither does the sum. A WorkspaceAffinity
-// belongs to one group. The zero value has no load. It is not safe for concurrent use.
+// The load of a holder is the statements that this instance sent to it recently. The sum
+// over all instances is bounded likewise. A WorkspaceAffinity belongs to one group. The zero value has no load. It is not safe for concurrent use.
 type WorkspaceAffinity struct {
 	// load has the decayed number of statements by holder, as of updatedAt.
 	load      map[string]float64
@@ -58,13 +57,16 @@
 	a.load[holder]++
 }
 
-// bound returns the load that no holder may exceed.
+// bound returns the load that no holder may exceed. It includes the standard deviation of
+// a count around its mean: a single instance sees few statements, and holders that were
+// avoided because of chance would cost as many connections as no preference at all.
 func (a *WorkspaceAffinity) bound(holders []Instance) float64 {
 	sum := 1.0
 	for _, h := range holders {
 		sum += a.load[h.ID]
 	}
-	return max(affinityMinLoad, affinityLoadFactor*sum/float64(max(1, len(holders))))
+	average := sum / float64(max(1, len(holders)))
+	return max(affinityMinBound, affinityLoadFactor*average+math.Sqrt(average))
 }
 
 // overloaded returns 1 if another statement would exceed the bound of a holder, and 0
