cwpeers: a workspace prefers one holder among all data centres

Change: instances with callers of a workspace prefer the same holder of the group, whether or not they hold it. While the path to other data centres is in doubt, they prefer holders in their own. Each failure falls back to the next holder, or to the instance itself.

Result: tests on virtual time pass.

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -106,6 +106,7 @@
 	in.peers = &cwpeers.Peers{
 		Self:  cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen},
 		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
+		PathSuspected: in.remotePath.Suspected,
 	}
 	in.peers.OnChange = in.refreshHolders
 	in.peers.OnMalformed = in.metrics.CountMalformed
--- a/internal/proxy/cwpeers/choose.go
+++ b/internal/proxy/cwpeers/choose.go
@@ -55,11 +55,9 @@
 		return choice{link: p.helper(group, route, tried, now)}
 	}
 	if workspace != "" && !d.ManyGroups {
-		return p.chooseByWorkspace(workspace, group, route, tried, now)
-	}
-	if n := slices.Index(route, p.Self); n >= 0 {
-		route = route[:n]
+		return choice{link: p.chooseByWorkspace(workspace, group, route, tried, now)}
 	}
+	route = beforeSelf(route, p.Self)
 	if d.ManyGroups {
 		return p.chooseOnDemand(route, tried, now)
 	}
@@ -77,30 +75,42 @@
 	return nil
 }
 
-// chooseByWorkspace chooses the holder for a statement of a workspace: one in this data
-// centre by the workspace, or else the next of the route. If this instance holds the
-// group, it may be chosen as well, and then runs the statement itself. The caller holds
-// mu.
-//
-// The choice is limited to this data centre, so that statements do not depend on the path
-// to another one while this one has a holder.
-func (p *Peers) chooseByWorkspace(workspace, group string, route []cwholder.Instance, tried []string, now time.Time) choice {
-	near := slices.DeleteFunc(slices.Clone(route), func(i cwholder.Instance) bool { return i.DataCentre != p.Self.DataCentre })
+// beforeSelf returns the holders that precede this instance, which runs the statements
+// that none of them takes.
+func beforeSelf(order []cwholder.Instance, self cwholder.Instance) []cwholder.Instance {
+	if n := slices.Index(order, self); n >= 0 {
+		return order[:n]
+	}
+	return order
+}
+
+// chooseByWorkspace returns the link to the holder that a workspace prefers, or to the
+// next one if it is not available; nil if this instance runs the statement itself. While
+// the path to other data centres is in doubt, holders in this one are preferred. The
+// caller holds mu.
+func (p *Peers) chooseByWorkspace(workspace, group string, route []cwholder.Instance, tried []string, now time.Time) *link {
 	affinity := p.affinity(group)
-	order := affinity.Order(workspace, group, near, now)
-	order = append(order, slices.DeleteFunc(slices.Clone(route), func(i cwholder.Instance) bool { return i.DataCentre == p.Self.DataCentre })...)
-	own := slices.Index(order, p.Self)
-	if own >= 0 {
-		order = order[:own]
+	order := affinity.Order(workspace, group, route, now)
+	if p.PathSuspected != nil && p.PathSuspected() {
+		slices.SortStableFunc(order, func(x, y cwholder.Instance) int { return p.distance(x) - p.distance(y) })
 	}
-	l := p.firstUsable(order, tried, now)
+	preceding := beforeSelf(order, p.Self)
+	l := p.firstUsable(preceding, tried, now)
 	switch {
 	case l != nil:
 		affinity.Record(l.remote.ID, now)
-	case own >= 0:
+	case len(preceding) < len(order):
 		affinity.Record(p.Self.ID, now)
 	}
-	return choice{link: l}
+	return l
+}
+
+// distance is 0 for instances in this data centre and 1 for others.
+func (p *Peers) distance(i cwholder.Instance) int {
+	if i.DataCentre == p.Self.DataCentre {
+		return 0
+	}
+	return 1
 }
 
 // affinity returns the distribution of the workspaces of a group. The caller holds mu.
--- a/internal/proxy/cwpeers/demand_test.go
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -200,30 +200,35 @@
 }
 
 // Guards against statements of a workspace that open connections at every holder, and
-// against statements that leave the data centre for it.
+// against ones that leave a data centre whose path to the others is in doubt.
 func TestWorkspacePrefersHolder(t *testing.T) {
 	runDemand(t, func(w *demandTest) {
 		time.Sleep(time.Second)
-		chosen := make(map[string]int)
+		suspected := false
+		w.PathSuspected = func() bool { return suspected }
 		choose := func(workspace string) string {
-			time.Sleep(10 * time.Second)
+			time.Sleep(time.Minute)
 			if h, ok := w.WorkspaceHolder(workspace, "g", groupCapacity, nil); ok {
 				return h.Name()
 			}
 			return w.Self.ID
 		}
-		for i := range 20 {
-			workspace := fmt.Sprint("workspace-", i)
-			name := choose(workspace)
-			w.Check(choose(workspace), qt.Equals, name)
-			chosen[name]++
+		chosen := func() map[string]bool {
+			out := make(map[string]bool)
+			for i := range 20 {
+				workspace := fmt.Sprint("workspace-", i)
+				name := choose(workspace)
+				w.Check(choose(workspace), qt.Equals, name)
+				out[name] = true
+			}
+			return out
 		}
-		w.Assert(chosen, qt.HasLen, 2)
-		w.Assert(chosen["a"] > 0 && chosen["c"] > 0, qt.IsTrue)
+		w.Assert(chosen(), qt.DeepEquals, map[string]bool{"a": true, "b": true, "c": true, "d": true})
 		w.Assert(choose(""), qt.Equals, "a")
+		suspected = true
+		w.Assert(chosen(), qt.DeepEquals, map[string]bool{"a": true, "c": true})
 		w.net.withLock(func() { w.net.unresponsive["c"], w.net.refused["c"] = true, true })
-		for i := range 20 {
-			w.Check(choose(fmt.Sprint("workspace-", i)), qt.Equals, "a")
-		}
+		time.Sleep(time.Minute)
+		w.Assert(chosen(), qt.DeepEquals, map[string]bool{"a": true})
 	})
 }
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -86,6 +86,9 @@
 	// PathMonitor records answers and missing answers on connections to other data centres;
 	// it may be nil.
 	PathMonitor PathMonitor
+	// PathSuspected reports whether the path to other data centres is in doubt; it may be
+	// nil.
+	PathSuspected func() bool
 	// Demand has the demand of this instance for the groups that it holds. If it is nil,
 	// no demand is exchanged.
 	Demand cwport.DemandRecorder
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -82,7 +82,7 @@
 // WorkspaceHolders selects the holder for the statements of a workspace.
 type WorkspaceHolders interface {
 	// WorkspaceHolder is Holders.Holder for the statements of a workspace, which prefer
-	// the same holder of a group at all instances of a data centre.
+	// the same holder of a group at all instances.
 	WorkspaceHolder(workspace, group string, d cwholder.TargetCapacity, tried []string) (Holder, bool)
 }
 
