cwpeers, cwengine: the holder is chosen among all data centres while contended

Cause: with one holder for a workspace at all times, statements depend on the path to another data centre and holders forward their callers' statements also where no slot is short.

Change: an answer to a forwarded statement says whether statements wait for the group's members. Instances prefer the same holder for 5 s after that; otherwise a holder runs its callers' statements, and others prefer a holder in their own data centre.

--- a/internal/core/cwlimit/variants_test.go
+++ b/internal/core/cwlimit/variants_test.go
@@ -20,13 +20,14 @@
 	name         string
 	fair, demand bool
 	// one selects the holder by workspace. near limits the choice to the caller's data
-	// centre, and held makes holders run the statements of their own callers.
-	one, near, held bool
+	// centre, and held makes holders run the statements of their own callers; with
+	// uncontended, they do so only while no statement waited for contentionPeriod.
+	one, near, held, uncontended bool
 }
 
 var (
 	currentOrder = variant{name: "current order"}
-	builtVariant = variant{name: "fair queues, demand, one holder", fair: true, demand: true, one: true}
+	builtVariant = variant{name: "as built", fair: true, demand: true, one: true, near: true, held: true, uncontended: true}
 	variants     = []variant{
 		currentOrder,
 		{name: "fair queues", fair: true},
@@ -35,9 +36,10 @@
 		{name: "one holder", one: true},
 		{name: "fair queues, one holder", fair: true, one: true},
 		{name: "demand, one holder", demand: true, one: true},
+		{name: "fair queues, demand, one holder", fair: true, demand: true, one: true},
+		{name: "same, own data centre", fair: true, demand: true, one: true, near: true},
+		{name: "same, holders run their own", fair: true, demand: true, one: true, held: true},
 		builtVariant,
-		{name: "as built, own data centre only", fair: true, demand: true, one: true, near: true},
-		{name: "as built, holders run their own", fair: true, demand: true, one: true, held: true},
 	}
 )
 
@@ -60,6 +62,7 @@
 	holderConnections      = 8
 	connIdleTimeout        = 400 * time.Millisecond
 	reportInterval         = 200 * time.Millisecond
+	contentionPeriod       = 5 * time.Second
 	// One-way delays between instances of a data centre or a member, and between data
 	// centres.
 	nearDelay, farDelay = 500 * time.Microsecond, 5 * time.Millisecond
@@ -179,6 +182,8 @@
 	pools      [holderCount][memberCount]*memberPool
 	members    [memberCount]*sharedTarget
 	affinities [instanceCount]cwholder.WorkspaceAffinity
+	// contendedUntil is until when the group counts as contended at each instance.
+	contendedUntil [instanceCount]time.Duration
 }
 
 func newVariantRun(v variant, seed int64) *variantRun {
@@ -272,7 +277,7 @@
 // statement is a statement on its way through a holder.
 type statement struct {
 	Ticket
-	holder, workspace int
+	instance, holder, workspace int
 	// reply is the delay of the answer, and members are those left to try.
 	reply   time.Duration
 	members []int
@@ -290,9 +295,9 @@
 	if s.r.Float64() < writeShare {
 		st.members = []int{0}
 	}
-	instance := s.r.Intn(instanceCount)
-	st.holder = s.chooseHolder(instance, workspace)
-	if st.holder%centreCount != instance%centreCount {
+	st.instance = s.r.Intn(instanceCount)
+	st.holder = s.chooseHolder(st.instance, workspace)
+	if st.holder%centreCount != st.instance%centreCount {
 		st.reply = farDelay
 	}
 	s.after(st.reply, func() {
@@ -307,13 +312,14 @@
 // chooseHolder returns the holder for a statement that arrived at an instance. The first
 // instances are the holders.
 func (s *variantRun) chooseHolder(instance, workspace int) int {
-	if instance < holderCount && (s.held || !s.one) {
+	contended := s.uncontended && s.now < s.contendedUntil[instance]
+	if instance < holderCount && (!s.one || s.held && !contended) {
 		return instance
 	}
 	self := cwholder.Instance{ID: fmt.Sprint("instance-", instance), DataCentre: fmt.Sprint(instance % centreCount)}
 	order := cwholder.ForwardingOrder(self, "g", s.holders)
 	if s.one {
-		if s.near {
+		if s.near && !contended {
 			order = order[:holderCount/centreCount]
 		}
 		order = s.affinities[instance].Order(fmt.Sprint("workspace-", workspace), "g", order, s.time())
@@ -355,6 +361,9 @@
 }
 
 func (s *variantRun) count(st *statement, o outcome) {
+	if slices.ContainsFunc(s.pools[st.holder][:], func(p *memberPool) bool { return p.Queued() > 0 }) {
+		s.contendedUntil[st.instance] = s.now + contentionPeriod
+	}
 	if st.arrived < burstAt {
 		return
 	}
--- a/internal/proxy/cwengine/demand_test.go
+++ b/internal/proxy/cwengine/demand_test.go
@@ -66,6 +66,11 @@
 		return d.Running+d.Waiting[7] == cap(turns)
 	})
 	env.c.Check(e.ContendedGroups(), qt.HasLen, 1)
+	for workspace, contended := range map[string]bool{"north": true, "": false} {
+		s := &session{engine: e, workspace: workspace}
+		r := s.newForwardResponse(cwport.ForwardRequest{Entry: env.entry}, group, cwstatement.Response{})
+		env.c.Check(r.Contended, qt.Equals, contended)
+	}
 	record()
 	e.UpdateAdmissionMetrics()
 	var text bytes.Buffer
--- a/internal/proxy/cwengine/forwarded.go
+++ b/internal/proxy/cwengine/forwarded.go
@@ -154,7 +154,7 @@
 // here with the guarantee that nothing of it is kept may run on another instance, as
 // may the first statement of a transaction.
 func (s *session) newForwardResponse(h cwport.ForwardRequest, group *cwleadership.Group, a cwstatement.Response) cwport.ForwardResponse {
-	r := cwport.ForwardResponse{Answer: a}
+	r := cwport.ForwardResponse{Answer: a, Contended: s.workspace != "" && group.Contended()}
 	first := h.Transaction == "" || h.Begin != cwstatement.UnknownVerb
 	if a.Code != cwstatement.OK {
 		r.TryOtherHolder = first && group.MajorityUnreachable() && a.Code.NoEffect()
--- a/internal/proxy/cwpeers/choose.go
+++ b/internal/proxy/cwpeers/choose.go
@@ -13,6 +13,11 @@
 // data centres and the queue of a busy instance.
 const maxConnectWait = 200 * time.Millisecond
 
+// contentionPeriod is the time for which a group counts as contended after statements
+// waited for its members. Workspaces that moved back and forth between holders would open
+// more connections than either choice.
+const contentionPeriod = 5 * time.Second
+
 // Holder implements cwport.Holders. With many groups it waits up to maxConnectWait for
 // a connection.
 func (p *Peers) Holder(group string, d cwholder.TargetCapacity, tried []string) (cwport.Holder, bool) {
@@ -85,15 +90,24 @@
 }
 
 // chooseByWorkspace returns the link to the holder that a workspace prefers, or to the
-// next one if it is not available; nil if this instance runs the statement itself. While
-// the path to other data centres is in doubt, holders in this one are preferred. The
+// next one if it is not available; nil if this instance runs the statement itself. The
 // caller holds mu.
+//
+// While statements wait for the members of the group, all instances prefer the same
+// holder, whatever its data centre. Otherwise, and while the path to other data centres is
+// in doubt, instances prefer one in their own data centre, so that their statements do not
+// depend on that path, and holders run the statements of their callers.
 func (p *Peers) chooseByWorkspace(workspace, group string, route []cwholder.Instance, tried []string, now time.Time) *link {
-	affinity := p.affinity(group)
-	order := affinity.Order(workspace, group, route, now)
-	if p.PathSuspected != nil && p.PathSuspected() {
-		slices.SortStableFunc(order, func(x, y cwholder.Instance) int { return p.distance(x) - p.distance(y) })
+	contended := now.Before(p.contendedUntil[group])
+	if !contended && slices.Contains(route, p.Self) {
+		return nil
+	}
+	preferred, others := route, []cwholder.Instance(nil)
+	if !contended || p.PathSuspected != nil && p.PathSuspected() {
+		preferred, others = p.byDistance(route)
 	}
+	affinity := p.affinity(group)
+	order := append(affinity.Order(workspace, group, preferred, now), others...)
 	preceding := beforeSelf(order, p.Self)
 	l := p.firstUsable(preceding, tried, now)
 	switch {
@@ -105,12 +119,26 @@
 	return l
 }
 
-// distance is 0 for instances in this data centre and 1 for others.
-func (p *Peers) distance(i cwholder.Instance) int {
-	if i.DataCentre == p.Self.DataCentre {
-		return 0
+// byDistance returns the instances in this data centre, and the others.
+func (p *Peers) byDistance(route []cwholder.Instance) (near, far []cwholder.Instance) {
+	for _, i := range route {
+		if i.DataCentre == p.Self.DataCentre {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
+	return near, far
+}
+
+// recordContended records that statements wait for the members of a group.
+func (p *Peers) recordContended(group string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.contendedUntil == nil {
+		p.contendedUntil = make(map[string]time.Time)
 	}
-	return 1
+	p.contendedUntil[group] = p.Clock.Now().Add(contentionPeriod)
 }
 
 // affinity returns the distribution of the workspaces of a group. The caller holds mu.
--- a/internal/proxy/cwpeers/demand.go
+++ b/internal/proxy/cwpeers/demand.go
@@ -35,6 +35,7 @@
 		current := make(map[string]bool)
 		for _, g := range p.Demand.ContendedGroups() {
 			current[g.Name] = true
+			p.recordContended(g.Name)
 			p.startExchanges(ctx, g, now)
 		}
 		p.logContended(contended, current)
@@ -124,6 +125,7 @@
 	}
 	if holder != p.Self.ID {
 		p.recordDemand(group, holder, members, p.Clock.Now())
+		p.recordContended(group)
 	}
 	return p.Demand.Demand(group)
 }
--- a/internal/proxy/cwpeers/demand_test.go
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -14,8 +14,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -33,6 +35,8 @@
 	// answers are the errors of the other holders; no entry means an answer.
 	answers   map[string]error
 	malformed int
+	// answerContended is whether answers of holders report contention.
+	answerContended bool
 }
 
 var (
@@ -59,6 +63,12 @@
 	return theirs, errors.Join(refusal, err)
 }
 
+func (c demandConn) Forward(ctx context.Context, h cwport.ForwardRequest) (cwport.ForwardResponse, error) {
+	r, err := c.Conn.Forward(ctx, h)
+	c.test.withLock(func() { r.Contended = c.test.answerContended })
+	return r, err
+}
+
 func (w *demandTest) withLock(f func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -199,8 +209,8 @@
 	})
 }
 
-// Guards against statements of a workspace that open connections at every holder, and
-// against ones that leave a data centre whose path to the others is in doubt.
+// Guards against statements of a workspace that open connections at every holder of a
+// contended group, and against ones that depend on another data centre without need.
 func TestWorkspacePrefersHolder(t *testing.T) {
 	runDemand(t, func(w *demandTest) {
 		time.Sleep(time.Second)
@@ -225,6 +235,10 @@
 		}
 		w.Assert(chosen(), qt.DeepEquals, map[string]bool{"a": true, "b": true, "c": true, "d": true})
 		w.Assert(choose(""), qt.Equals, "a")
+		w.withLock(func() { w.contended = false })
+		time.Sleep(contentionPeriod)
+		w.Assert(chosen(), qt.DeepEquals, map[string]bool{"a": true})
+		w.withLock(func() { w.contended = true })
 		suspected = true
 		w.Assert(chosen(), qt.DeepEquals, map[string]bool{"a": true, "c": true})
 		w.net.withLock(func() { w.net.unresponsive["c"], w.net.refused["c"] = true, true })
@@ -232,3 +246,36 @@
 		w.Assert(chosen(), qt.DeepEquals, map[string]bool{"a": true})
 	})
 }
+
+// Guards against an instance without waiting statements that does not learn from its
+// holders that others wait there.
+func TestAnswerReportsContention(t *testing.T) {
+	runDemand(t, func(w *demandTest) {
+		time.Sleep(time.Second)
+		w.withLock(func() { w.contended = false })
+		time.Sleep(contentionPeriod)
+		forward := func() {
+			entry := cwcatalogue.Entry{Groups: []cwcatalogue.Group{{Name: "g"}}}
+			w.Peers.mu.Lock()
+			l := w.link(instance("b", "z1"))
+			w.Peers.mu.Unlock()
+			_, err := l.Forward(context.Background(), cwport.ForwardRequest{Entry: entry, Statement: cwstatement.Statement{ID: "s"}})
+			w.Assert(err, qt.IsNil)
+		}
+		elsewhere := func() (n int) {
+			for i := range 20 {
+				if _, ok := w.WorkspaceHolder(fmt.Sprint("workspace-", i), "g", groupCapacity, nil); ok {
+					n++
+				}
+			}
+			return n
+		}
+		forward()
+		w.Assert(elsewhere(), qt.Equals, 0)
+		w.withLock(func() { w.answerContended = true })
+		forward()
+		w.Assert(elsewhere() > 0, qt.IsTrue)
+		time.Sleep(contentionPeriod)
+		w.Assert(elsewhere(), qt.Equals, 0)
+	})
+}
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -43,6 +43,9 @@
 	log    *log.Logger
 	// onDialEnded is called after each connection attempt; it may be nil.
 	onDialEnded func()
+	// onContended is called with the group of a statement if others waited for the group's
+	// members at the remote instance; it may be nil.
+	onContended func(group string)
 	// path records answers and missing answers; nil if the remote instance is in this
 	// data centre.
 	path PathMonitor
@@ -359,6 +362,9 @@
 		return resp, err
 	}
 	l.recordAnswer()
+	if resp.Contended && l.onContended != nil {
+		l.onContended(h.Entry.Groups[0].Name)
+	}
 	if resp.TryOtherHolder {
 		l.avoid()
 	}
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -123,6 +123,8 @@
 	// affinities are the loads by which the statements of workspaces are distributed, by
 	// group.
 	affinities map[string]*cwholder.WorkspaceAffinity
+	// contendedUntil is until when a group counts as contended.
+	contendedUntil map[string]time.Time
 	// demandHeardAt is when the demand of a holder for a group was last received.
 	demandHeardAt map[demandKey]time.Time
 	closed        bool
@@ -207,7 +209,7 @@
 func (p *Peers) link(to cwholder.Instance) *link {
 	l := p.links[to.ID]
 	if l == nil {
-		l = &link{remote: to, dial: p.Dial, clock: p.Clock, log: p.Log, onDialEnded: p.wakeDialWaiters}
+		l = &link{remote: to, dial: p.Dial, clock: p.Clock, log: p.Log, onDialEnded: p.wakeDialWaiters, onContended: p.recordContended}
 		if to.DataCentre != p.Self.DataCentre {
 			l.path = p.PathMonitor
 		}
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -55,6 +55,8 @@
 	// TryOtherHolder is true if nothing ran because of the holder's own state, so that
 	// another holder may be able to run the statement.
 	TryOtherHolder bool
+	// Contended is true if statements wait for the group's members at the holder.
+	Contended bool
 }
 
 // Holder is another instance that runs statements of a group.
@@ -82,7 +84,7 @@
 // WorkspaceHolders selects the holder for the statements of a workspace.
 type WorkspaceHolders interface {
 	// WorkspaceHolder is Holders.Holder for the statements of a workspace, which prefer
-	// the same holder of a group at all instances.
+	// the same holder of a contended group at all instances.
 	WorkspaceHolder(workspace, group string, d cwholder.TargetCapacity, tried []string) (Holder, bool)
 }
 
--- a/internal/wire/cwforward/demand_test.go
+++ b/internal/wire/cwforward/demand_test.go
@@ -90,6 +90,11 @@
 			qt.Check(t, err, qt.ErrorAs, new(*MalformedMessageError))
 		}
 	})
+	t.Run("contention in the answer to a statement", func(t *testing.T) {
+		got, err := encodeResult(cwport.ForwardResponse{Contended: true}).decode()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.Contended, qt.IsTrue)
+	})
 	t.Run("unknown fields are ignored", func(t *testing.T) {
 		got, err := decodeDemand([]byte(`{"group":"g","later":1,"members":[{"member":"m","running":1,"later":[]}]}`), "g")
 		qt.Assert(t, err, qt.IsNil)
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -81,6 +81,7 @@
 	State     string       `json:"state"`
 	Wrote     positionBody `json:"wrote,omitzero"`
 	Elsewhere bool         `json:"elsewhere,omitempty"`
+	Contended bool         `json:"contended,omitempty"`
 }
 
 // MalformedMessageError reports a message that is malformed or has values out of range.
@@ -168,7 +169,7 @@
 	a := r.Answer
 	return resultBody{
 		Rows: a.Rows, Proof: a.Proof, Code: a.Code.String(), Detail: a.Detail, State: a.State.String(),
-		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder,
+		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder, Contended: r.Contended,
 	}
 }
 
@@ -179,6 +180,6 @@
 	}
 	return cwport.ForwardResponse{
 		Answer:         cwstatement.Response{Rows: b.Rows, Proof: b.Proof, Code: cwstatement.ParseCode(b.Code), Detail: b.Detail, State: state},
-		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere,
+		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, Contended: b.Contended,
 	}, nil
 }
