--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -73,13 +73,16 @@
 	// Holders tells which instances hold a group. If it is nil, this instance holds
 	// all groups.
 	Holders cwport.Holders
+	// WorkspaceHolders selects the holder for callers with a workspace. If it is nil, the
+	// workspace has no influence.
+	WorkspaceHolders cwport.WorkspaceHolders
+	// Observers returns the instances to ask for reports of a group's members; nil if
+	// this instance asks nobody.
+	Observers cwport.Observers
 	// DataCentre is that of this instance.
 	DataCentre string
 	// RemotePath tracks whether other data centres answer. All groups share it; if it is
 	// nil, New creates one. If it has no clock, it gets that of the engine.
-	// Observers returns the instances to ask for reports of a group's members; nil if
-	// this instance asks nobody.
-	Observers  cwport.Observers
 	RemotePath *cwleadership.RemotePath
 	// PathNetwork reaches other instances to find out whether other data centres answer;
 	// if it is nil, this instance finds out by itself. PathSeed seeds the choice of the
--- a/internal/proxy/cwpeers/choose.go
+++ b/internal/proxy/cwpeers/choose.go
@@ -13,12 +13,22 @@
 // data centres and the queue of a busy instance.
 const maxConnectWait = 200 * time.Millisecond
 
+// contentionPeriod is the time for which a group counts as contended after statements
+// waited for its members. Workspaces that moved back and forth between holders would open
+// more connections than either choice.
+const contentionPeriod = 5 * time.Second
+
 // Holder implements cwport.Holders. With many groups it waits up to maxConnectWait for
 // a connection.
 func (p *Peers) Holder(group string, d cwholder.TargetCapacity, tried []string) (cwport.Holder, bool) {
+	return p.WorkspaceHolder("", group, d, tried)
+}
+
+// WorkspaceHolder implements cwport.WorkspaceHolders.
+func (p *Peers) WorkspaceHolder(workspace, group string, d cwholder.TargetCapacity, tried []string) (cwport.Holder, bool) {
 	end := p.Clock.Now().Add(maxConnectWait)
 	for {
-		c := p.choose(group, d, tried)
+		c := p.choose(workspace, group, d, tried)
 		if c.link != nil {
 			return c.link, true
 		}
@@ -41,7 +51,7 @@
 
 // choose chooses the holder that runs a statement. A list of tried instances that
 // contains this one means that it cannot run the statement itself.
-func (p *Peers) choose(group string, d cwholder.TargetCapacity, tried []string) choice {
+func (p *Peers) choose(workspace, group string, d cwholder.TargetCapacity, tried []string) choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -49,18 +59,99 @@
 	if slices.Contains(tried, p.Self.ID) {
 		return choice{link: p.helper(group, route, tried, now)}
 	}
-	if n := slices.Index(route, p.Self); n >= 0 {
-		route = route[:n]
+	if workspace != "" && !d.ManyGroups {
+		return choice{link: p.chooseByWorkspace(workspace, group, route, tried, now)}
 	}
+	route = beforeSelf(route, p.Self)
 	if d.ManyGroups {
 		return p.chooseOnDemand(route, tried, now)
 	}
+	return choice{link: p.firstUsable(route, tried, now)}
+}
+
+// firstUsable returns the link to the first untried holder of a route to which statements
+// can be forwarded now; nil if there is none. The caller holds mu.
+func (p *Peers) firstUsable(route []cwholder.Instance, tried []string, now time.Time) *link {
 	for _, i := range route {
 		if l := p.link(i); !slices.Contains(tried, i.ID) && l.ensureUsable(now) {
-			return choice{link: l}
+			return l
+		}
+	}
+	return nil
+}
+
+// beforeSelf returns the holders that precede this instance, which runs the statements
+// that none of them takes.
+func beforeSelf(order []cwholder.Instance, self cwholder.Instance) []cwholder.Instance {
+	if n := slices.Index(order, self); n >= 0 {
+		return order[:n]
+	}
+	return order
+}
+
+// chooseByWorkspace returns the link to the holder that a workspace prefers, or to the
+// next one if it is not available; nil if this instance runs the statement itself. The
+// caller holds mu.
+//
+// While statements wait for the members of the group, all instances prefer the same
+// holder, whatever its data centre. Otherwise, and while the path to other data centres is
+// in doubt, instances prefer one in their own data centre, so that their statements do not
+// depend on that path, and holders run the statements of their callers.
+func (p *Peers) chooseByWorkspace(workspace, group string, route []cwholder.Instance, tried []string, now time.Time) *link {
+	contended := now.Before(p.contendedUntil[group])
+	if !contended && slices.Contains(route, p.Self) {
+		return nil
+	}
+	preferred, others := route, []cwholder.Instance(nil)
+	if !contended || p.PathSuspected != nil && p.PathSuspected() {
+		preferred, others = p.byDistance(route)
+	}
+	affinity := p.affinity(group)
+	order := append(affinity.Order(workspace, group, preferred, now), others...)
+	preceding := beforeSelf(order, p.Self)
+	l := p.firstUsable(preceding, tried, now)
+	switch {
+	case l != nil:
+		affinity.Record(l.remote.ID, now)
+	case len(preceding) < len(order):
+		affinity.Record(p.Self.ID, now)
+	}
+	return l
+}
+
+// byDistance returns the instances in this data centre, and the others.
+func (p *Peers) byDistance(route []cwholder.Instance) (near, far []cwholder.Instance) {
+	for _, i := range route {
+		if i.DataCentre == p.Self.DataCentre {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
+	return near, far
+}
+
+// recordContended records that statements wait for the members of a group.
+func (p *Peers) recordContended(group string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.contendedUntil == nil {
+		p.contendedUntil = make(map[string]time.Time)
+	}
+	p.contendedUntil[group] = p.Clock.Now().Add(contentionPeriod)
+}
+
+// affinity returns the distribution of the workspaces of a group. The caller holds mu.
+func (p *Peers) affinity(group string) *cwholder.WorkspaceAffinity {
+	a := p.affinities[group]
+	if a == nil {
+		a = &cwholder.WorkspaceAffinity{}
+		if p.affinities == nil {
+			p.affinities = make(map[string]*cwholder.WorkspaceAffinity)
 		}
+		p.affinities[group] = a
 	}
-	return choice{}
+	return a
 }
 
 // helper returns the link to an instance that can run a statement which this one
--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -43,6 +43,9 @@
 	log    *log.Logger
 	// onDialEnded is called after each connection attempt; it may be nil.
 	onDialEnded func()
+	// onContended is called with the group of a statement if others waited for the group's
+	// members at the remote instance; it may be nil.
+	onContended func(group string)
 	// path records answers and missing answers; nil if the remote instance is in this
 	// data centre.
 	path PathMonitor
@@ -72,6 +75,9 @@
 	// avoidUntil is when statements are sent to the holder again after it returned one
 	// to be run elsewhere.
 	avoidUntil time.Time
+	// demandPausedUntil is when demand is exchanged again with an instance that does not
+	// have the method.
+	demandPausedUntil time.Time
 	// lastAnswerAt is when the remote instance last answered or was connected.
 	lastAnswerAt time.Time
 }
@@ -360,6 +366,9 @@
 		return resp, err
 	}
 	l.recordAnswer()
+	if resp.Contended && l.onContended != nil {
+		l.onContended(h.Entry.Groups[0].Name)
+	}
 	if resp.TryOtherHolder {
 		l.avoid()
 	}
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -10,6 +10,9 @@
 // the background, the next holder or this instance itself runs the statement. With many
 // groups a holder is connected when the first statement for it arrives, and that
 // statement waits up to maxConnectWait.
+//
+// While statements wait for the members of a group, its holders exchange the numbers of
+// waiting statements, by which they divide the members' slots.
 package cwpeers
 
 import (
@@ -47,6 +50,11 @@
 	TakeQuota(ctx context.Context, workspace string) (cwport.QuotaDecision, error)
 	// Members requests the other instance's reports of a group's members.
 	Members(ctx context.Context, q cwport.MembersRequest) (cwport.MembersResponse, error)
+	// ExchangeDemand reports the demand of instance self at the members of a group, and
+	// returns that of the other instance. The error is a *cwport.MethodUnknownError if
+	// the other instance does not have the method, and a *cwport.MalformedAnswerError if
+	// its answer is malformed.
+	ExchangeDemand(ctx context.Context, group, self string, members []cwport.MemberDemand) ([]cwport.MemberDemand, error)
 	// Ping returns an error if the other end does not answer before ctx ends.
 	Ping(ctx context.Context) error
 	// Done returns a channel that is closed once the connection has ended.
@@ -65,8 +73,8 @@
 }
 
 // Peers tracks the instances and the connections to them. It implements
-// cwport.Holders, cwport.Feeders, cwport.QuotaIssuers, cwport.PathNetwork and
-// cwport.Observers. Set the exported fields before Run.
+// cwport.Holders, cwport.WorkspaceHolders, cwport.Feeders, cwport.QuotaIssuers,
+// cwport.PathNetwork and cwport.Observers. Set the exported fields before Run.
 type Peers struct {
 	// Self is this instance.
 	Self cwholder.Instance
@@ -92,6 +100,14 @@
 	// PathDown reports whether other data centres do not answer, so that statements are
 	// not forwarded there; it may be nil.
 	PathDown func() bool
+	// PathSuspected reports whether the path to other data centres is in doubt; it may be
+	// nil.
+	PathSuspected func() bool
+	// Demand has the demand of this instance for the groups that it holds. If it is nil,
+	// no demand is exchanged.
+	Demand cwport.DemandRecorder
+	// OnMalformed is called with the method of a malformed answer; it may be nil.
+	OnMalformed func(method string)
 
 	mu sync.Mutex
 	// dirty is true if the set of instances has changed since OnChange was last called.
@@ -118,7 +134,14 @@
 	// anyDialEnded is closed when a connection attempt to any instance has ended; nil
 	// if no statement waits for one.
 	anyDialEnded chan struct{}
-	closed       bool
+	// affinities are the loads by which the statements of workspaces are distributed, by
+	// group.
+	affinities map[string]*cwholder.WorkspaceAffinity
+	// contendedUntil is until when a group counts as contended.
+	contendedUntil map[string]time.Time
+	// demandHeardAt is when the demand of a holder for a group was last received.
+	demandHeardAt map[demandKey]time.Time
+	closed        bool
 }
 
 // Run keeps this instance's row in the table until ctx ends, then closes all
@@ -126,6 +149,11 @@
 func (p *Peers) Run(ctx context.Context) error {
 	defer p.close()
 	p.loopStartup(ctx)
+	if p.Demand != nil {
+		var loops sync.WaitGroup
+		loops.Go(func() { p.loopDemand(ctx) })
+		defer loops.Wait()
+	}
 	for ctx.Err() == nil {
 		p.sleep(ctx, registerInterval)
 		p.removeMissing()
@@ -195,7 +223,7 @@
 func (p *Peers) link(to cwholder.Instance) *link {
 	l := p.links[to.ID]
 	if l == nil {
-		l = &link{remote: to, dial: p.Dial, clock: p.Clock, log: p.Log, onDialEnded: p.wakeDialWaiters}
+		l = &link{remote: to, dial: p.Dial, clock: p.Clock, log: p.Log, onDialEnded: p.wakeDialWaiters, onContended: p.recordContended}
 		if to.DataCentre != p.Self.DataCentre {
 			l.path = p.PathMonitor
 		}
@@ -208,11 +236,12 @@
 }
 
 var (
-	_ cwport.Holders      = (*Peers)(nil)
-	_ cwport.Feeders      = (*Peers)(nil)
-	_ cwport.QuotaIssuers = (*Peers)(nil)
-	_ cwport.PathNetwork  = (*Peers)(nil)
-	_ cwport.Observers    = (*Peers)(nil)
+	_ cwport.Holders          = (*Peers)(nil)
+	_ cwport.WorkspaceHolders = (*Peers)(nil)
+	_ cwport.Feeders          = (*Peers)(nil)
+	_ cwport.QuotaIssuers     = (*Peers)(nil)
+	_ cwport.PathNetwork      = (*Peers)(nil)
+	_ cwport.Observers        = (*Peers)(nil)
 )
 
 // errNoAnswer is the cause for which a connection is closed whose probe was not
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -55,6 +55,8 @@
 	// TryOtherHolder is true if nothing ran because of the holder's own state, so that
 	// another holder may be able to run the statement.
 	TryOtherHolder bool
+	// Contended is true if statements wait for the group's members at the holder.
+	Contended bool
 }
 
 // Holder is another instance that runs statements of a group.
@@ -79,6 +81,13 @@
 	HolderRank(group string, d cwholder.TargetCapacity) (rank int, ok bool)
 }
 
+// WorkspaceHolders selects the holder for the statements of a workspace.
+type WorkspaceHolders interface {
+	// WorkspaceHolder is Holders.Holder for the statements of a workspace, which prefer
+	// the same holder of a contended group at all instances.
+	WorkspaceHolder(workspace, group string, d cwholder.TargetCapacity, tried []string) (Holder, bool)
+}
+
 // NoResponseError reports a forwarded statement without an answer. The statement may
 // have run unless NotSent is true.
 type NoResponseError struct {
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -36,7 +36,8 @@
 }
 
 // Server handles requests from other instances: forwarded statements, requests for
-// store changes, quota requests and path reports.
+// store changes, quota requests, path reports, requests for reports of members and
+// reports of demand.
 type Server struct {
 	Handler Handler
 	// News answers requests for store changes. If it is nil, they are refused.
@@ -45,11 +46,13 @@
 	Quotas cwport.QuotaServer
 	// Path processes path reports. If it is nil, they are refused.
 	Path cwport.PathServer
+	// Members answers requests for reports of members. If it is nil, they are refused.
+	Members cwport.MembersServer
+	// Demands answers reports of demand. If it is nil, they are refused.
+	Demands cwport.DemandServer
 	// OnMalformed is called with the method of a message that was dropped because it is
 	// malformed; it may be nil.
 	OnMalformed func(method string)
-	// Members answers requests for reports of members. If it is nil, they are refused.
-	Members cwport.MembersServer
 
 	encoder newsEncoder
 }
@@ -76,6 +79,8 @@
 			return s.answerPath(req)
 		case methodMembers:
 			return s.answerMembers(ctx, req)
+		case methodDemand:
+			return s.answerDemand(req)
 		}
 		return s.answerPingOrStatement(bounded, req)
 	}
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -4,7 +4,7 @@
 // An instance forwards a caller's statement to a holder, which is one of the
 // instances that keep connections to the group's targets. The response holds the
 // answer, or says that the holder did not run the statement. A connection carries
-// many concurrent calls. There are five methods:
+// many concurrent calls. The methods are:
 //
 //   - hand forwards a statement.
 //   - ping checks the connection. It distinguishes an unresponsive connection from a
@@ -14,6 +14,8 @@
 //   - quota takes one operation from a workspace's quota.
 //   - path reports that other data centres do not answer, or answer again.
 //   - members requests the other instance's reports of a group's members.
+//   - demand exchanges the numbers of statements that wait and run at the members of a
+//     group.
 package cwforward
 
 import (
@@ -34,6 +36,7 @@
 	methodQuota   = "quota"
 	methodPath    = "path"
 	methodMembers = "members"
+	methodDemand  = "demand"
 )
 
 type statementBody struct {
@@ -82,6 +85,7 @@
 	State     string       `json:"state"`
 	Wrote     positionBody `json:"wrote,omitzero"`
 	Elsewhere bool         `json:"elsewhere,omitempty"`
+	Contended bool         `json:"contended,omitempty"`
 }
 
 // MalformedMessageError reports a message that is malformed or has values out of range.
@@ -169,7 +173,7 @@
 	a := r.Answer
 	return resultBody{
 		Rows: a.Rows, Proof: a.Proof, Code: a.Code.String(), Detail: a.Detail, State: a.State.String(),
-		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder,
+		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder, Contended: r.Contended,
 	}
 }
 
@@ -180,6 +184,6 @@
 	}
 	return cwport.ForwardResponse{
 		Answer:         cwstatement.Response{Rows: b.Rows, Proof: b.Proof, Code: cwstatement.ParseCode(b.Code), Detail: b.Detail, State: state},
-		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere,
+		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, Contended: b.Contended,
 	}, nil
 }
