cwquota: shards with a sliding window, priorities, delays and refunds

Cause: a shard was a token bucket, so a workspace that had used nothing got a part of what its window allows, refused callers were all told the same short time, low priority took the tokens of high priority, and the token of an operation that ran nowhere was lost.

Change: a shard counts what it issues by slot and, under a lease that is recorded in the store as quota/<workspace>, issues up to the limit of the window. A successor issues only its initial tokens while the window of its predecessor may matter. Tokens are set aside for higher priorities while there are refusals, delays and retry times follow the tokens that return, and grants can be returned once. The meter asks the issuer with the shortest retry time a second time. An instance that gained a shard by a change of the list counts from that change, and one that doesn't keep a shard according to its own list says so; before, a successor's bucket was filled since the start of its process. The engine returns the quota of operations that ran nowhere.

--- a/internal/core/cwquota/quota.go
+++ b/internal/core/cwquota/quota.go
@@ -1,19 +1,26 @@
-// Package cwquota enforces the quota of a workspace across many instances with
-// distributed token buckets.
+// Package cwquota enforces the quota of a workspace across many instances.
 //
 // A quota is divided into shards of equal size, with the same number of shards in
-// each data centre. Each shard is a token bucket at one instance, its issuer. An
-// instance that begins an operation takes a token from a shard in its own data
-// centre, or from any other shard that it can reach. Issuers don't communicate
-// with each other, so no agreement is needed while data centres are cut off from
-// each other: each side of a partition spends its own shards.
+// each data centre. Each shard is kept by one instance, its issuer. An instance
+// that begins an operation takes a token from a shard in its own data centre, or
+// from any other shard that it can reach. Issuers don't communicate with each
+// other, so no agreement is needed while data centres are cut off from each other:
+// each side of a partition spends its own shards.
 //
-// The sum of all shards stays within the quota because a token bucket issues at
-// most its depth plus t times its rate in any time t. An issuer that replaces
-// another one begins with an almost empty bucket. Both together then issue no
-// more than a single bucket would have, apart from the initial tokens of the
-// new one, which are part of the rule's slack. An issuer may therefore be killed
-// at any moment, and its replacement needs neither stored state nor a delay.
+// A shard issues tokens in one of two modes:
+//
+//   - In bucket mode it is a token bucket, which issues at most its depth plus t
+//     times its rate in any time t. An issuer that replaces another one begins with
+//     an almost empty bucket. Both together then issue no more than a single bucket
+//     would have, apart from the initial tokens of the new one.
+//   - In window mode it issues as long as the sum over the last window stays within
+//     its limit, so that the whole limit is available at once. An issuer that
+//     replaces one in window mode would have to know what that one issued.
+//     Therefore window mode is recorded in the platform's store before it is used,
+//     and the successor issues only its initial tokens until the window of its
+//     predecessor is over. See Tenure, Attempt and Watch.
+//
+// An issuer may be killed at any moment and keeps no persistent state.
 package cwquota
 
 import (
@@ -22,14 +29,19 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 )
 
-// BucketParams holds the parameters of one shard's token bucket.
-type BucketParams struct {
-	// Rate is the number of tokens that are added per second. Depth is the
-	// greatest number of tokens that accumulate.
+// Params holds the parameters of one shard.
+type Params struct {
+	// Rate is the number of tokens that are added to the bucket per second. Depth is
+	// the greatest number of tokens that accumulate in it.
 	Rate, Depth float64
 	// Initial is the number of tokens with which an issuer begins that may
 	// replace another one.
 	Initial float64
+	// Limit is the number of tokens that are issued in any Window. It equals what the
+	// bucket issues in one window, so that the initial tokens of a successor are
+	// within the rule in both modes.
+	Limit  float64
+	Window time.Duration
 }
 
 // replacementSlackShare is the part of the rule's slack that is reserved for the
@@ -39,70 +51,45 @@
 // partition, and tokens in shards that no caller uses are lost.
 const replacementSlackShare = 0.25
 
-// BucketParamsFor returns the bucket parameters of each shard of a quota. Even if
-// every issuer is replaced once per window of the rule, all shards together issue
-// at most what the rule allows.
-func BucketParamsFor(q cwcatalogue.Quota, r cwcatalogue.QuotaTolerance, shards int) BucketParams {
+// ParamsFor returns the parameters of each shard of a quota. Even if every issuer is
+// replaced once per window of the rule, all shards together issue at most what the
+// rule allows.
+func ParamsFor(q cwcatalogue.Quota, r cwcatalogue.QuotaTolerance, shards int) Params {
 	n := float64(max(1, shards))
-	return BucketParams{
+	p := Params{
 		Rate:    (1 + r.Overage) * q.Rate / n,
 		Depth:   ((1+r.Overage)*q.Burst + (1-replacementSlackShare)*r.Slack) / n,
 		Initial: replacementSlackShare * r.Slack / n,
+		Window:  r.Window,
 	}
+	p.Limit = p.Depth + p.Rate*r.Window.Seconds()
+	return p
 }
 
-// Shard is the token bucket of one shard at its issuer. It is created by
-// NewShard and is not safe for concurrent use.
-type Shard struct {
-	params BucketParams
-	// level is the number of tokens at updatedAt; 0 <= level <= params.Depth.
-	level     float64
-	updatedAt time.Time
+// Request is a request for one token.
+type Request struct {
+	// Priority is that of the operation; 0 is the highest.
+	Priority int
+	// MaxWait is how long the operation may wait for its token. It is 0 in a round of
+	// requests to all issuers, which accepts no delay and is given no place in the
+	// order of retries.
+	MaxWait time.Duration
 }
 
-// NewShard returns the shard of an issuer that has issued no tokens since the
-// given time. first is true if the shard had no issuer before; the bucket is then
-// full.
-func NewShard(params BucketParams, since time.Time, first bool) *Shard {
-	level := params.Initial
-	if first {
-		level = params.Depth
-	}
-	return &Shard{params: params, level: min(level, params.Depth), updatedAt: since}
+// Decision is the answer to a Request.
+type Decision struct {
+	Allowed bool
+	// Delay is the time after which an allowed operation may begin.
+	Delay time.Duration
+	// RetryAfter is the time until the token returns that is meant for the refused
+	// operation.
+	RetryAfter time.Duration
+	// Grant identifies an issued token for Shard.Return; 0 if it cannot be returned.
+	Grant Grant
+	// Sample is set at most once per slot, when an operation is refused or delayed.
+	Sample Sample
 }
 
-// SetParams changes the parameters of the bucket after a change of the quota.
-// Tokens above the new depth are lost.
-func (s *Shard) SetParams(params BucketParams, now time.Time) {
-	if s.params == params {
-		return
-	}
-	s.refill(now)
-	s.params, s.level = params, min(s.level, params.Depth)
-}
-
-// Take takes a token. If there is none, it returns false and the time until the
-// next token is available, or zeroRateWait if no tokens are added.
-func (s *Shard) Take(now time.Time) (ok bool, wait time.Duration) {
-	s.refill(now)
-	if s.level >= 1 {
-		s.level--
-		return true, 0
-	}
-	if s.params.Rate <= 0 {
-		return false, zeroRateWait
-	}
-	return false, time.Duration((1 - s.level) / s.params.Rate * float64(time.Second))
-}
-
-// zeroRateWait is the wait that Take returns for a quota with a rate of zero,
-// which never has another token unless the quota is changed.
-const zeroRateWait = 10 * time.Second
-
-// refill adds the tokens that have accumulated since updatedAt.
-func (s *Shard) refill(now time.Time) {
-	if d := now.Sub(s.updatedAt); d > 0 {
-		s.level = min(s.params.Depth, s.level+d.Seconds()*s.params.Rate)
-		s.updatedAt = now
-	}
-}
+// Sample compares what a shard issued in the last window with its limit, at a time at
+// which more was requested. It is zero if nothing was measured.
+type Sample struct{ Issued, Allowed int }
--- /dev/null
+++ b/internal/core/cwquota/shard.go
@@ -0,0 +1,255 @@
+package cwquota
+
+import "time"
+
+// Shard is one shard at its issuer. It is created by NewShard and is not safe for
+// concurrent use.
+type Shard struct {
+	params Params
+	tenure Tenure
+	// level is the number of tokens in the bucket at updatedAt; 0 <= level <=
+	// params.Depth.
+	level     float64
+	updatedAt time.Time
+	// issuedEarly is the number of tokens that were issued before tenure.capUntil.
+	issuedEarly float64
+	ring        slotRing
+	// creditFrom is the first grant that is credited to the bucket when it is returned.
+	// For an earlier one, the bucket has been full since, or window mode was used.
+	creditFrom Grant
+	// leaseUntil is the end of the lease for window mode, and windowUntil the time until
+	// which tokens that window mode issued may be in the window.
+	leaseUntil, windowUntil time.Time
+	// exceeded is true if the bucket was empty at a request since the last call of
+	// WantsLease.
+	exceeded bool
+	demand   demand
+	// contendedUntil is one window after the last request for which no token was left.
+	// Priorities are compared until then.
+	contendedUntil time.Time
+	// sampledSlot is the slot for which the last Sample was returned.
+	sampledSlot int64
+}
+
+// NewShard returns the shard of an issuer.
+func NewShard(params Params, t Tenure) *Shard {
+	level := params.Initial
+	if t.full {
+		level = params.Depth
+	}
+	return &Shard{
+		params: params, tenure: t, level: min(level, params.Depth), updatedAt: t.since,
+		ring: newSlotRing(params.Window, t.since), demand: demand{averaging: params.Window / demandTimePart},
+	}
+}
+
+// SetParams changes the parameters after a change of the quota. Tokens above the new
+// depth are lost.
+func (s *Shard) SetParams(params Params, now time.Time) {
+	if s.params == params {
+		return
+	}
+	s.advance(now)
+	s.params, s.level = params, min(s.level, params.Depth)
+}
+
+// PredecessorInactive records that the predecessor did not use window mode. It has no
+// effect on a shard that was gained.
+func (s *Shard) PredecessorInactive() {
+	if s.tenure.refillFrom.Equal(s.tenure.since) {
+		s.tenure.capUntil = time.Time{}
+	}
+}
+
+// Gain begins a new tenure of a shard that another instance may have kept in between.
+func (s *Shard) Gain(t Tenure, now time.Time) {
+	s.advance(now)
+	s.tenure, s.level, s.issuedEarly = t, min(s.level, s.params.Initial), 0
+	s.leaseUntil = time.Time{}
+}
+
+// Lease allows window mode until a time.
+func (s *Shard) Lease(until time.Time) { s.leaseUntil = later(s.leaseUntil, until) }
+
+// DropLease ends window mode.
+func (s *Shard) DropLease() { s.leaseUntil = time.Time{} }
+
+// LeaseUntil returns the end of the last lease; zero if there was none.
+func (s *Shard) LeaseUntil() time.Time { return s.leaseUntil }
+
+// WindowMode reports whether the shard issues in window mode.
+func (s *Shard) WindowMode(now time.Time) bool {
+	return now.Before(s.leaseUntil) && now.After(s.tenure.settledAt)
+}
+
+// WantsLease reports whether a lease is needed, or has to be renewed, because the bucket
+// was empty at a request since the last call.
+func (s *Shard) WantsLease(now time.Time) bool {
+	wanted := s.exceeded
+	s.exceeded = false
+	return wanted && now.After(s.tenure.settledAt) && !now.Before(s.leaseUntil.Add(-renewBefore))
+}
+
+// Take requests a token.
+func (s *Shard) Take(r Request, now time.Time) Decision {
+	s.advance(now)
+	p := PriorityIndex(r.Priority)
+	s.demand.record(p, now)
+	s.exceeded = s.exceeded || s.level < 1
+	if s.WindowMode(now) {
+		return s.takeFromWindow(p, r.MaxWait, now)
+	}
+	return s.takeFromBucket(p, r.MaxWait, now)
+}
+
+// Return takes back the token of an operation that ran nowhere. It returns false if the
+// token is unknown, older than the window, or was returned before.
+func (s *Shard) Return(g Grant, now time.Time) bool {
+	s.advance(now)
+	if !s.ring.giveBack(g) {
+		return false
+	}
+	if g >= s.creditFrom {
+		s.level = min(s.params.Depth, s.level+1)
+		s.issuedEarly = max(0, s.issuedEarly-1)
+	}
+	return true
+}
+
+// advance refills the bucket and makes the slot of now the current one.
+func (s *Shard) advance(now time.Time) {
+	if d := now.Sub(later(s.updatedAt, s.tenure.refillFrom)); d > 0 {
+		s.level = min(s.params.Depth, s.level+d.Seconds()*s.params.Rate)
+	}
+	s.updatedAt = later(s.updatedAt, now)
+	s.ring.advance(now)
+	s.demand.advance(s.ring.current)
+	if s.level >= s.params.Depth {
+		s.creditFrom = max(s.creditFrom, newGrant(s.ring.current, uint32(s.ring.at(s.ring.current).issued)))
+	}
+}
+
+// asideRate returns the rate per second of the tokens that are set aside for higher
+// priorities. While every request is served, no priority has to give way.
+func (s *Shard) asideRate(priority int, now time.Time) float64 {
+	if !now.Before(s.contendedUntil) {
+		return 0
+	}
+	return s.demand.higherRate(priority)
+}
+
+// takeFromWindow requests a token in window mode.
+func (s *Shard) takeFromWindow(priority int, maxWait time.Duration, now time.Time) Decision {
+	f := s.ring.forecast(s.params.Limit, s.asideRate(priority, now), now)
+	if f[0] >= 1 {
+		return s.issueFromWindow(0, now)
+	}
+	s.contendedUntil = now.Add(s.params.Window)
+	d := Decision{}
+	k, ok := f.first(1, 1)
+	if ok && k <= delaySlots && s.ring.start(k).Sub(now) <= maxWait {
+		d = s.issueFromWindow(k, now)
+	} else {
+		d.RetryAfter = s.place(priority, s.windowWait(&f, priority, now), maxWait, now)
+	}
+	d.Sample = s.sample(maxWait)
+	return d
+}
+
+// issueFromWindow issues a token for the slot k slots after the current one.
+func (s *Shard) issueFromWindow(k int, now time.Time) Decision {
+	s.level = max(0, s.level-1)
+	s.creditFrom = newGrant(s.ring.current+delaySlots+1, 0)
+	s.windowUntil = now.Add(s.params.Window + MaxDelay(s.params.Window) + s.ring.length)
+	d := Decision{Allowed: true, Grant: s.ring.issue(k)}
+	if k > 0 {
+		d.Delay = s.ring.start(k).Sub(now)
+	}
+	return d
+}
+
+// windowWait returns the time until the token returns that follows those that were
+// promised to operations of the same or a higher priority.
+func (s *Shard) windowWait(f *forecast, priority int, now time.Time) time.Duration {
+	ahead := float64(s.demand.ahead(priority))
+	if k, ok := f.first(1, 1+ahead); ok {
+		return s.ring.start(k).Sub(now)
+	}
+	if s.params.Limit < 1 {
+		return max(s.params.Window, zeroRateWait)
+	}
+	return s.params.Window + time.Duration(ahead/s.params.Limit*float64(s.params.Window))
+}
+
+// takeFromBucket requests a token in bucket mode. No delay is granted: a successor
+// doesn't know of delayed operations, and begins to issue at once.
+func (s *Shard) takeFromBucket(priority int, maxWait time.Duration, now time.Time) Decision {
+	aside := s.asideRate(priority, now)
+	if s.bucketAllows(aside, now) {
+		s.level--
+		if now.Before(s.tenure.capUntil) {
+			s.issuedEarly++
+		}
+		return Decision{Allowed: true, Grant: s.ring.issue(0)}
+	}
+	s.contendedUntil = now.Add(s.params.Window)
+	return Decision{RetryAfter: s.place(priority, s.bucketWait(aside, priority, now), maxWait, now), Sample: s.sample(maxWait)}
+}
+
+// bucketAllows reports whether a token may be issued in bucket mode, while tokens are
+// set aside at the given rate for one window.
+func (s *Shard) bucketAllows(aside float64, now time.Time) bool {
+	if now.Before(s.tenure.capUntil) && s.issuedEarly+1 > s.params.Initial {
+		return false
+	}
+	if s.level-max(0, aside-s.params.Rate)*s.params.Window.Seconds() < 1 {
+		return false
+	}
+	if now.Before(s.windowUntil) {
+		f := s.ring.forecast(s.params.Limit, 0, now)
+		return f[0] >= 1
+	}
+	return true
+}
+
+// zeroRateWait is the wait for a quota that never has another token unless it is
+// changed.
+const zeroRateWait = 10 * time.Second
+
+// bucketWait returns the time until the bucket has the token that follows those that
+// were promised to operations of the same or a higher priority.
+func (s *Shard) bucketWait(aside float64, priority int, now time.Time) time.Duration {
+	if s.params.Rate <= 0 {
+		return zeroRateWait
+	}
+	missing := 1 + float64(s.demand.ahead(priority)) - s.level
+	wait := s.params.Window
+	if rate := s.params.Rate - aside; rate > 0 {
+		wait = time.Duration(missing / rate * float64(time.Second))
+	}
+	if now.Before(s.windowUntil) {
+		f := s.ring.forecast(s.params.Limit, 0, now)
+		wait = max(wait, s.windowWait(&f, priority, now))
+	}
+	return max(0, wait, s.tenure.capUntil.Sub(now))
+}
+
+// place gives a refused operation its place in the order of retries if it has asked for
+// one, and returns its wait.
+func (s *Shard) place(priority int, wait, maxWait time.Duration, now time.Time) time.Duration {
+	if maxWait > 0 && wait <= s.params.Window {
+		s.demand.promise(priority, s.ring.number(now.Add(wait)))
+	}
+	return wait
+}
+
+// sample returns the use of the window at a request that got no token at once. Only
+// requests that no other issuer could serve count.
+func (s *Shard) sample(maxWait time.Duration) Sample {
+	allowed := int(s.params.Limit)
+	if maxWait <= 0 || s.sampledSlot == s.ring.current || allowed == 0 {
+		return Sample{}
+	}
+	s.sampledSlot = s.ring.current
+	return Sample{Issued: min(s.ring.inWindow, allowed), Allowed: allowed}
+}
--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -49,6 +49,7 @@
 	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.group.RecordOverdue(l.place.Member, sent) })
 	defer overdue.Stop()
 	r := s.send(l.conn, w, t.limits)
+	s.recordExchange(w.command.Verb, r)
 	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
 		l.endTurn(r)
 	}
--- a/internal/proxy/cwengine/forwarded.go
+++ b/internal/proxy/cwengine/forwarded.go
@@ -154,7 +154,7 @@
 // here with the guarantee that nothing of it is kept may run on another instance, as
 // may the first statement of a transaction.
 func (s *session) newForwardResponse(h cwport.ForwardRequest, group *cwleadership.Group, a cwstatement.Response) cwport.ForwardResponse {
-	r := cwport.ForwardResponse{Answer: a}
+	r := cwport.ForwardResponse{Answer: a, NotRun: !s.operation.mayHaveRun && a.Code != cwstatement.OK}
 	first := h.Transaction == "" || h.Begin != cwstatement.UnknownVerb
 	if a.Code != cwstatement.OK {
 		r.TryOtherHolder = first && group.MajorityUnreachable() && a.Code.NoEffect()
@@ -168,7 +168,7 @@
 
 // runElsewhere returns the answer that makes the caller's instance try another holder.
 func runElsewhere(detail string) cwport.ForwardResponse {
-	return cwport.ForwardResponse{Answer: cwstatement.RetryLater(cwstatement.Aborted, detail, unreachableRetryAfter), TryOtherHolder: true}
+	return cwport.ForwardResponse{Answer: cwstatement.RetryLater(cwstatement.Aborted, detail, unreachableRetryAfter), TryOtherHolder: true, NotRun: true}
 }
 
 // ConnectionClosed rolls back the transactions that arrived on a connection that has ended.
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 )
 
@@ -29,6 +31,13 @@
 	// those whose quota could not be checked, and Unauthorised statements and
 	// sessions with an unknown key.
 	QuotaRefused, QuotaUnknown, Unauthorised *metrics.Counter
+	// QuotaContendedIssued and QuotaContendedAllowed sum up, over the times at which an
+	// operation was refused or delayed by this instance as an issuer, the operations
+	// issued in the last window and the limit of the window. QuotaReturned counts
+	// grants that were returned to it, QuotaDelayed operations that it delayed, and
+	// QuotaIssuerRefused those that it refused, by priority.
+	QuotaContendedIssued, QuotaContendedAllowed, QuotaReturned, QuotaDelayed *metrics.Counter
+	QuotaIssuerRefused                                                       [cwquota.Priorities]*metrics.Counter
 	// TargetConnections counts the connections opened to targets.
 	TargetConnections *metrics.Counter
 	// AckWait is how long commits waited for a second member, in seconds.
@@ -42,7 +51,7 @@
 // NewMetrics returns a new set of metrics, all zero.
 func NewMetrics() *Metrics {
 	set := metrics.NewSet()
-	return &Metrics{
+	m := &Metrics{
 		set:       set,
 		Attempts:  set.NewCounter("cicadawalk_attempts_total"),
 		Retries:   set.NewCounter("cicadawalk_retries_total"),
@@ -54,15 +63,25 @@
 		StoreRestores:        set.NewCounter("cicadawalk_store_restores_total"),
 		OutdatedStoreAnswers: set.NewCounter("cicadawalk_store_answers_outdated_total"),
 
-		QuotaRefused:      set.NewCounter("cicadawalk_quota_refused_total"),
-		QuotaUnknown:      set.NewCounter("cicadawalk_quota_unknown_total"),
-		Unauthorised:      set.NewCounter("cicadawalk_unauthorised_total"),
+		QuotaRefused: set.NewCounter("cicadawalk_quota_refused_total"),
+		QuotaUnknown: set.NewCounter("cicadawalk_quota_unknown_total"),
+		Unauthorised: set.NewCounter("cicadawalk_unauthorised_total"),
+
+		QuotaContendedIssued:  set.NewCounter("cicadawalk_quota_contended_issued_total"),
+		QuotaContendedAllowed: set.NewCounter("cicadawalk_quota_contended_allowed_total"),
+		QuotaReturned:         set.NewCounter("cicadawalk_quota_returned_total"),
+		QuotaDelayed:          set.NewCounter("cicadawalk_quota_delayed_total"),
+
 		TargetConnections: set.NewCounter("cicadawalk_target_connections_total"),
 
 		AckWait:   set.NewHistogram("cicadawalk_ack_wait_seconds"),
 		ReadAge:   set.NewHistogram("cicadawalk_read_age_seconds"),
 		Statement: set.NewHistogram("cicadawalk_statement_seconds"),
 	}
+	for p := range m.QuotaIssuerRefused {
+		m.QuotaIssuerRefused[p] = set.NewCounter(`cicadawalk_quota_issuer_refused_total{priority="` + strconv.Itoa(p) + `"}`)
+	}
+	return m
 }
 
 // AddAgeGauge adds a gauge of the maximum possible age of the desired state in force,
--- a/internal/proxy/cwengine/remote.go
+++ b/internal/proxy/cwengine/remote.go
@@ -71,6 +71,9 @@
 	defer cancel()
 	e.cfg.Metrics.Forwarded.Inc()
 	r, err := to.Forward(ctx, h)
+	if err == nil && !r.NotRun || err != nil && !isNotSent(err) {
+		s.operation.mayHaveRun = true
+	}
 	if err != nil {
 		e.cfg.Log.Info("answerLost", "id", h.Statement.ID, "group", h.Entry.Groups[0].Name, "holder", to.Name(),
 			"waitedMs", e.cfg.Clock.Since(began).Milliseconds(), "cause", err)
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -53,6 +53,8 @@
 	database  string
 	key       cwcatalogue.KeyDigest
 	workspace string
+	// operation is the operation that the latest statement belongs to.
+	operation operation
 	// forwarded is set for a session that runs statements for another instance.
 	forwarded *forwardedContext
 	// settings is replaced as a whole, never modified, when the caller sets one.
@@ -87,6 +89,7 @@
 		}
 		began := s.engine.cfg.Clock.Now()
 		a := s.handle(st, began)
+		s.returnQuota()
 		took := s.engine.cfg.Clock.Since(began)
 		s.engine.cfg.Metrics.countStatement(st.Verb, a.Code)
 		s.engine.cfg.Metrics.Statement.Update(took.Seconds())
@@ -186,6 +189,7 @@
 // handleEnd rolls back the open transaction after the caller's connection has ended.
 func (s *session) handleEnd(err error) {
 	s.failTransaction("the caller is gone")
+	s.returnQuota()
 	if !errors.Is(err, io.EOF) {
 		s.engine.cfg.Log.Debug("sessionEnded", "database", s.database, "cause", err)
 	}
@@ -228,7 +232,7 @@
 	if a := s.authorise(st, began); a.Code != cwstatement.OK {
 		return a
 	}
-	if a := s.checkQuota(st); a.Code != cwstatement.OK {
+	if a := s.checkQuota(st, began); a.Code != cwstatement.OK {
 		return a
 	}
 	if s.tx != nil {
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -128,7 +129,11 @@
 	if cfg.QuotaTolerance.Window > 0 {
 		in.meter = &cwquotameter.Meter{
 			Tolerance: cfg.QuotaTolerance, Issuers: in.peers, Clock: cfg.Clock, Log: cfg.Log, QuotaOf: in.quota,
-			DataCentres: cfg.DataCentres, FirstStart: cfg.FirstStart,
+			DataCentres: cfg.DataCentres, FirstStart: cfg.FirstStart, Table: cfg.Table, Name: cfg.Name, RunID: cfg.RunID,
+			Counts: cwquotameter.Counts{
+				ContendedIssued: in.metrics.QuotaContendedIssued, ContendedAllowed: in.metrics.QuotaContendedAllowed,
+				Returned: in.metrics.QuotaReturned, Delayed: in.metrics.QuotaDelayed, Refused: in.metrics.QuotaIssuerRefused,
+			},
 		}
 		engine.Meter = in.meter
 	}
@@ -218,6 +223,7 @@
 	in.engine.Start(run, eg)
 	if in.meter != nil {
 		in.meter.Start()
+		eg.Go(func() error { return in.meter.Run(run) })
 	}
 	httpServers := []*http.Server{in.newHTTPServer(in.cfg.ReadyListen, in.cfg.ReadyPath, in.serveReady)}
 	if in.cfg.MetricsListen != "" {
@@ -273,7 +279,13 @@
 func (in *Instance) serveMetrics(w http.ResponseWriter, _ *http.Request) { in.metrics.Write(w) }
 
 // SetCatalogue implements cwdirectory.Sink.
-func (in *Instance) SetCatalogue(c cwcatalogue.Catalogue) { in.engine.SetCatalogue(c) }
+func (in *Instance) SetCatalogue(c cwcatalogue.Catalogue) {
+	in.engine.SetCatalogue(c)
+	limited := slices.ContainsFunc(c.Workspaces, func(w cwcatalogue.Workspace) bool { return w.Quota.Limited() })
+	if in.meter != nil && limited {
+		in.meter.Prepare()
+	}
+}
 
 // SetTargets implements cwdirectory.Sink.
 func (in *Instance) SetTargets(all []cwport.ListedTarget) { in.engine.SetTargets(all) }
@@ -284,7 +296,12 @@
 }
 
 // SetEra implements cwdirectory.Sink.
-func (in *Instance) SetEra(era uint64) { in.engine.SetEra(era) }
+func (in *Instance) SetEra(era uint64) {
+	in.engine.SetEra(era)
+	if in.meter != nil {
+		in.meter.SetEra(era)
+	}
+}
 
 // ApplyRows implements cwdirectory.Sink.
 func (in *Instance) ApplyRows(rows []cwport.Row, complete bool) {
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -41,7 +41,9 @@
 	Forward(ctx context.Context, h cwport.ForwardRequest) (cwport.ForwardResponse, error)
 	cwport.ChangesServer
 	// TakeQuota asks the other instance to admit one operation of a workspace.
-	TakeQuota(ctx context.Context, workspace string) (cwport.QuotaDecision, error)
+	TakeQuota(ctx context.Context, r cwport.QuotaRequest) (cwport.QuotaDecision, error)
+	// ReturnQuota gives back quota that the other instance has issued.
+	ReturnQuota(ctx context.Context, workspace string, g cwport.QuotaGrant) error
 	// Ping returns an error if the other end does not answer before ctx ends.
 	Ping(ctx context.Context) error
 	// Done returns a channel that is closed once the connection has ended.
@@ -98,7 +100,14 @@
 	ownRowETag string
 	// issuers caches the issuers of each workspace's quota, in the order in which this
 	// instance asks them. It is cleared when an instance changes.
-	issuers map[string][]cwholder.Instance
+	issuers map[string]issuerList
+	// addedAt is when an instance was last added to this data centre, and gainedAt when
+	// one was last removed from it or this instance was added, each after the first list
+	// was read. See cwquota.Listing.
+	addedAt, gainedAt time.Time
+	// centreListed is true once all instances of this data centre are in placement.
+	// newcomer is true if the table had no row of this instance when it started.
+	centreListed, newcomer bool
 	// links are the connections to other instances, by instance name.
 	links map[string]*link
 	// lastHelper is the instance that was last chosen to run the statements of a group
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -25,7 +27,7 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	var out, connecting []cwport.QuotaIssuer
-	for _, i := range p.quotaIssuers(workspace) {
+	for _, i := range p.quotaIssuers(workspace).order {
 		if remote != (i.DataCentre != p.Self.DataCentre) {
 			continue
 		}
@@ -35,7 +37,7 @@
 		}
 		l := p.link(i)
 		l.keepOpen()
-		issuer := cwport.QuotaIssuer{Name: i.ID, Ask: l.askQuota}
+		issuer := cwport.QuotaIssuer{Name: i.ID, Remote: l}
 		switch {
 		case l.ensureConnected(now):
 			out = append(out, issuer)
@@ -46,33 +48,101 @@
 	return append(out, connecting...)
 }
 
-// quotaIssuers returns the issuers of a workspace's quota in the order in which this
-// instance asks them. The caller holds mu.
-func (p *Peers) quotaIssuers(workspace string) []cwholder.Instance {
+// issuerList is the issuers of one workspace's quota.
+type issuerList struct {
+	// order is the order in which this instance asks them.
+	order []cwholder.Instance
+	// rank is the index of this instance in the order that is the same for all
+	// instances; -1 if it is no issuer.
+	rank int
+}
+
+// quotaIssuers returns the issuers of a workspace's quota. The caller holds mu.
+func (p *Peers) quotaIssuers(workspace string) issuerList {
 	if list, ok := p.issuers[workspace]; ok {
 		return list
 	}
 	key := quotaHashPrefix + workspace
-	list := cwholder.ForwardingOrder(p.Self, key, p.placement.Holders(key, cwholder.TargetCapacity{}))
+	holders := p.placement.Holders(key, cwholder.TargetCapacity{})
+	list := issuerList{
+		order: cwholder.ForwardingOrder(p.Self, key, holders),
+		rank:  slices.IndexFunc(holders, func(i cwholder.Instance) bool { return i.ID == p.Self.ID }),
+	}
 	if p.issuers == nil {
-		p.issuers = make(map[string][]cwholder.Instance)
+		p.issuers = make(map[string]issuerList)
 	}
 	p.issuers[workspace] = list
 	return list
 }
 
-// askQuota asks the remote instance to admit one operation of a workspace, after a
-// connection attempt in progress has ended.
-func (l *link) askQuota(ctx context.Context, workspace string) (cwport.QuotaDecision, error) {
+// QuotaListing implements cwport.QuotaIssuers.
+func (p *Peers) QuotaListing(workspace string) cwquota.Listing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.centreListed {
+		return cwquota.Listing{}
+	}
+	rank := p.quotaIssuers(workspace).rank
+	return cwquota.Listing{Known: true, Issuer: rank >= 0, Rank: rank, GainedAt: p.gainedAt, AddedAt: p.addedAt}
+}
+
+// recordAddition records that an instance was added. The issuers in a data centre depend
+// only on the instances there. The caller holds mu.
+func (p *Peers) recordAddition(i cwholder.Instance) {
+	switch {
+	case i.DataCentre != p.Self.DataCentre || !p.centreListed:
+	case i.ID == p.Self.ID:
+		p.gainedAt = p.Clock.Now()
+	default:
+		p.addedAt = p.Clock.Now()
+	}
+}
+
+// recordRemoval records that an instance was removed. The caller holds mu.
+func (p *Peers) recordRemoval(i cwholder.Instance) {
+	if i.DataCentre == p.Self.DataCentre {
+		p.gainedAt = p.Clock.Now()
+	}
+}
+
+// recordNewcomer records that the table had no row of this instance when it started. It
+// thus takes shards from other instances once its row is written.
+func (p *Peers) recordNewcomer() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.newcomer = true
+}
+
+// recordFirstList records that the instances of this data centre are known. The caller
+// holds mu.
+func (p *Peers) recordFirstList() {
+	if p.newcomer && !p.centreListed {
+		p.gainedAt = p.Clock.Now()
+	}
+	p.centreListed = true
+}
+
+// AskQuota implements cwport.RemoteQuota. It waits for a connection attempt in progress.
+func (l *link) AskQuota(ctx context.Context, r cwport.QuotaRequest) (cwport.QuotaDecision, error) {
 	l.awaitDial(ctx)
 	conn := l.acquire()
 	defer l.release()
 	if conn == nil {
 		return cwport.QuotaDecision{}, &cwport.NoResponseError{Instance: l.remote.ID, NotSent: true, Cause: errNoAnswer}
 	}
-	v, err := conn.TakeQuota(ctx, workspace)
+	v, err := conn.TakeQuota(ctx, r)
 	if err == nil {
 		l.recordAnswer()
 	}
 	return v, err
 }
+
+// ReturnQuota implements cwport.RemoteQuota.
+func (l *link) ReturnQuota(ctx context.Context, workspace string, g cwport.QuotaGrant) error {
+	conn := l.acquire()
+	defer l.release()
+	if conn == nil {
+		return &cwport.NoResponseError{Instance: l.remote.ID, NotSent: true, Cause: errNoAnswer}
+	}
+	return conn.ReturnQuota(ctx, workspace, g)
+}
--- a/internal/proxy/cwpeers/rows.go
+++ b/internal/proxy/cwpeers/rows.go
@@ -98,6 +98,7 @@
 	}
 	if whole {
 		p.recordMissing(present)
+		p.recordFirstList()
 	}
 	p.logInstances(changedInstances)
 }
@@ -159,7 +160,11 @@
 // setInstance adds or updates an instance, and reports whether it is new or has another
 // address or data centre. The caller holds mu.
 func (p *Peers) setInstance(i cwholder.Instance) bool {
+	before, known := p.placement.Instance(i.ID)
 	changed := p.placement.Set(i)
+	if !known || before.DataCentre != i.DataCentre {
+		p.recordAddition(i)
+	}
 	if changed {
 		p.instanceChanged(i.ID)
 	}
@@ -168,7 +173,9 @@
 
 // removeInstance removes an instance. The caller holds mu.
 func (p *Peers) removeInstance(name string) {
+	i, _ := p.placement.Instance(name)
 	if p.placement.Remove(name) {
+		p.recordRemoval(i)
 		p.instanceChanged(name)
 	}
 }
--- a/internal/proxy/cwpeers/start.go
+++ b/internal/proxy/cwpeers/start.go
@@ -60,18 +60,23 @@
 		return nil, err
 	}
 	var out []cwholder.Instance
+	registered := false
 	for _, r := range rows {
 		name, ok := instanceOfKey(r.Key)
 		if !ok {
 			continue
 		}
 		if name == p.Self.ID {
+			registered = true
 			p.setOwnRowETag(r.ETag)
 		}
 		if i, ok := p.decodeRow(name, cwport.Row{Key: r.Key, Value: r.Value}); ok {
 			out = append(out, i)
 		}
 	}
+	if !registered {
+		p.recordNewcomer()
+	}
 	return out, nil
 }
 
@@ -97,6 +102,7 @@
 		p.setInstance(i)
 	}
 	p.centreRowsRead = true
+	p.recordFirstList()
 	p.Log.Info("placed", "dataCentre", p.Self.DataCentre, "instances", len(p.placement.InstanceIDs(p.Self.DataCentre)))
 }
 
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -55,6 +55,9 @@
 	// TryOtherHolder is true if nothing ran because of the holder's own state, so that
 	// another holder may be able to run the statement.
 	TryOtherHolder bool
+	// NotRun is true if no statement of the operation has reached a target there, apart
+	// from those that the target refused. It is false if the holder is of an older build.
+	NotRun bool
 }
 
 // Holder is another instance that runs statements of a group.
--- a/internal/proxy/cwquotameter/meter.go
+++ b/internal/proxy/cwquotameter/meter.go
@@ -3,22 +3,25 @@
 //
 // For each operation, a Meter asks the issuers of the workspace's quota until one
 // allows it. It also answers the requests of other instances for the shards that
-// this instance keeps. How a quota is split and how much an issuer allows is
-// decided by cwquota.
+// this instance keeps, and records in the platform's store that an issuer may use
+// window mode. How a quota is split, how much an issuer allows, and what the record
+// permits is decided by cwquota.
 package cwquotameter
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
-	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
 // Timeouts of requests to issuers.
@@ -29,8 +32,9 @@
 	// waits as well.
 	askTimeout = 50 * time.Millisecond
 	// unresponsivePause is the time for which an issuer that did not answer isn't
-	// asked again.
+	// asked again, and unsupportedPause that for one that keeps no quotas.
 	unresponsivePause = 500 * time.Millisecond
+	unsupportedPause  = 30 * time.Second
 	// connectWait is the time for which an operation waits for a connection to any
 	// issuer, and connectPollInterval the interval at which it checks. Connections are
 	// opened within some milliseconds once instances know of each other.
@@ -39,8 +43,31 @@
 	// unknownRetryAfter is the time after which callers are told to retry if no issuer
 	// can be asked: the time in which an instance finds out which others are reachable.
 	unknownRetryAfter = 300 * time.Millisecond
+	// minWait is the MaxWait of an operation that can't wait but is to get a place in
+	// the order of retries.
+	minWait = time.Microsecond
 )
 
+// Counts holds the metrics of a Meter. Nil counters are skipped.
+type Counts struct {
+	// ContendedIssued and ContendedAllowed sum up, over the times at which an operation
+	// was refused or delayed by this issuer, the tokens issued in the last window and
+	// the limit of the window.
+	ContendedIssued, ContendedAllowed *metrics.Counter
+	// Returned counts grants that were returned, Delayed operations that were allowed
+	// after a delay.
+	Returned, Delayed *metrics.Counter
+	// Refused counts refused operations by priority.
+	Refused [cwquota.Priorities]*metrics.Counter
+}
+
+// add increases a counter that may be nil.
+func add(c *metrics.Counter, n int) {
+	if c != nil {
+		c.Add(n)
+	}
+}
+
 // Meter implements cwport.QuotaMeter and cwport.QuotaServer. Set the exported fields
 // before use. Its methods are safe for concurrent use.
 type Meter struct {
@@ -48,8 +75,10 @@
 	Tolerance cwcatalogue.QuotaTolerance
 	// Issuers selects the issuers to ask.
 	Issuers cwport.QuotaIssuers
-	Clock   clockwork.Clock
-	Log     *log.Logger
+	// Table holds the records of window mode. If it is nil, window mode isn't used.
+	Table cwplatform.Table
+	Clock clockwork.Clock
+	Log   *log.Logger
 	// QuotaOf returns a workspace's quota according to the catalogue in force; false if
 	// it is not known.
 	QuotaOf func(workspace string) (cwcatalogue.Quota, bool)
@@ -58,19 +87,32 @@
 	// FirstStart is true if no instance ran before, so that the shards have had no
 	// earlier issuer and start full.
 	FirstStart bool
+	// Name is the name of this instance, and RunID that of this run of it.
+	Name, RunID string
+	Counts      Counts
 
 	startOnce sync.Once
 	started   time.Time
+	// needed is closed once a workspace has a quota.
+	neededOnce sync.Once
+	needed     chan struct{}
 
 	mu sync.Mutex
 	// shards are the shards that this instance keeps, by workspace.
-	shards map[string]*cwquota.Shard
+	shards map[string]*issuedShard
+	// records is what is known of the rows in the store.
+	records recordTable
 	// pauses are the issuers that aren't asked for now.
 	pauses map[issuerKey]issuerPause
+	// era is the newest known era of the store.
+	era uint64
 }
 
-// issuerKey identifies an issuer of a workspace's quota.
-type issuerKey struct{ workspace, issuer string }
+// issuerKey identifies an issuer of a workspace's quota for operations of a priority.
+type issuerKey struct {
+	workspace, issuer string
+	priority          int
+}
 
 // issuerPause is the time until which an issuer isn't asked, and the reason.
 type issuerPause struct {
@@ -82,20 +124,39 @@
 
 // Start records the time from which this instance issues quota. Only the first
 // call has an effect.
-func (m *Meter) Start() { m.startOnce.Do(func() { m.started = m.Clock.Now() }) }
+func (m *Meter) Start() {
+	m.startOnce.Do(func() { m.started, m.needed = m.Clock.Now(), make(chan struct{}) })
+}
+
+// offer is the best decision so far, and the issuer that gave it.
+type offer struct {
+	cwport.QuotaDecision
+	issuer cwport.QuotaIssuer
+}
 
 // Take implements cwport.QuotaMeter. It asks the issuers of this data centre, then
-// those of the others, and waits up to connectWait while none can be asked.
-func (m *Meter) Take(workspace string) cwport.QuotaDecision {
+// those of the others, and waits up to connectWait while none can be asked. If all have
+// refused, it asks the one with the shortest retry time again, which may allow the
+// operation after a delay.
+func (m *Meter) Take(r cwport.QuotaRequest) cwport.QuotaDecision {
 	m.Start()
-	end := m.Clock.Now().Add(connectWait)
+	now := m.Clock.Now()
+	waitEnd, connectEnd := now.Add(r.MaxWait), now.Add(connectWait)
+	r.MaxWait = 0
 	for {
-		v := m.askIssuers(workspace, false)
-		if !v.Allowed {
-			v = betterDecision(v, m.askIssuers(workspace, true))
+		best := m.askIssuers(r, false)
+		if !best.Allowed {
+			best = best.better(m.askIssuers(r, true))
 		}
-		if !v.Unknown || !m.Clock.Now().Before(end) {
-			return v
+		now = m.Clock.Now()
+		switch {
+		case best.Allowed:
+			return best.QuotaDecision
+		case !best.Unknown:
+			r.MaxWait = max(minWait, waitEnd.Sub(now))
+			return m.askAgain(r, best)
+		case !now.Before(connectEnd):
+			return best.QuotaDecision
 		}
 		m.Clock.Sleep(connectPollInterval)
 	}
@@ -103,31 +164,44 @@
 
 // askIssuers asks the issuers of this data centre, or those of the others if remote
 // is true, until one allows the operation. It returns the best decision.
-func (m *Meter) askIssuers(workspace string, remote bool) cwport.QuotaDecision {
-	out := cwport.QuotaDecision{Unknown: true, RetryAfter: unknownRetryAfter}
-	for _, issuer := range m.Issuers.QuotaIssuers(workspace, remote) {
-		pause, ok := m.pauseOf(issuerKey{workspace, issuer.Name})
+func (m *Meter) askIssuers(r cwport.QuotaRequest, remote bool) offer {
+	out := offer{QuotaDecision: cwport.QuotaDecision{Unknown: true, RetryAfter: unknownRetryAfter}}
+	for _, issuer := range m.Issuers.QuotaIssuers(r.Workspace, remote) {
+		pause, ok := m.pauseOf(issuerKey{r.Workspace, issuer.Name, r.Priority})
 		v := cwport.QuotaDecision{Unknown: pause.unresponsive, RetryAfter: pause.until.Sub(m.Clock.Now())}
 		if !ok {
-			v = m.ask(workspace, issuer)
+			v = m.ask(r, issuer)
 		}
-		if out = betterDecision(out, v); out.Allowed {
+		if out = out.better(offer{QuotaDecision: v, issuer: issuer}); out.Allowed {
 			return out
 		}
 	}
 	return out
 }
 
-// betterDecision returns the decision that is better for the caller: an allowed one
-// first, then the one with the shorter RetryAfter, and an unknown one last.
-func betterDecision(a, b cwport.QuotaDecision) cwport.QuotaDecision {
+// askAgain asks the issuer that stated the shortest retry time, and waits for the delay
+// after which it allows the operation. An issuer of an older build grants no delays.
+func (m *Meter) askAgain(r cwport.QuotaRequest, best offer) cwport.QuotaDecision {
+	v := m.ask(r, best.issuer)
+	switch {
+	case v.Unknown || v.Delay > r.MaxWait:
+		return best.QuotaDecision
+	case v.Allowed && v.Delay > 0:
+		m.Clock.Sleep(v.Delay)
+	}
+	return v
+}
+
+// better returns the offer that is better for the caller: an allowed one first, then the
+// one with the shorter RetryAfter, and an unknown one last.
+func (o offer) better(other offer) offer {
 	switch {
-	case a.Allowed || b.Unknown:
-		return a
-	case b.Allowed || a.Unknown || b.RetryAfter < a.RetryAfter:
-		return b
+	case o.Allowed || other.Unknown:
+		return o
+	case other.Allowed || o.Unknown || other.RetryAfter < o.RetryAfter:
+		return other
 	}
-	return a
+	return o
 }
 
 // pauseOf returns the current pause of an issuer; false if it may be asked.
@@ -157,18 +231,21 @@
 }
 
 // ask asks one issuer, and pauses it if it does not allow the operation.
-func (m *Meter) ask(workspace string, issuer cwport.QuotaIssuer) cwport.QuotaDecision {
-	if issuer.Ask == nil {
-		return m.IssueQuota(workspace)
+func (m *Meter) ask(r cwport.QuotaRequest, issuer cwport.QuotaIssuer) cwport.QuotaDecision {
+	if issuer.Remote == nil {
+		v := m.IssueQuota(r)
+		v.Issuer = issuer.Name
+		return v
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout+min(r.MaxWait, recordWait))
 	defer cancel()
-	v, err := issuer.Ask(ctx, workspace)
-	key := issuerKey{workspace, issuer.Name}
+	v, err := issuer.Remote.AskQuota(ctx, r)
+	v.Issuer = issuer.Name
+	key := issuerKey{r.Workspace, issuer.Name, r.Priority}
 	switch {
 	case err != nil:
-		m.Log.Debug("quotaNotAsked", "workspace", workspace, "issuer", issuer.Name, "cause", err)
-		m.setPause(key, unresponsivePause, true)
+		m.Log.Debug("quotaNotAsked", "workspace", r.Workspace, "issuer", issuer.Name, "cause", err)
+		m.setPause(key, pauseAfter(err), true)
 		return cwport.QuotaDecision{Unknown: true}
 	case !v.Allowed:
 		m.setPause(key, v.RetryAfter, v.Unknown)
@@ -176,26 +253,41 @@
 	return v
 }
 
-// IssueQuota implements cwport.QuotaServer.
-func (m *Meter) IssueQuota(workspace string) cwport.QuotaDecision {
-	m.Start()
-	quota, ok := m.QuotaOf(workspace)
-	if !ok {
-		return cwport.QuotaDecision{Unknown: true, RetryAfter: unknownRetryAfter}
+// pauseAfter returns how long an issuer isn't asked after an error.
+func pauseAfter(err error) time.Duration {
+	var unsupported *cwport.UnsupportedError
+	if errors.As(err, &unsupported) {
+		return unsupportedPause
 	}
-	params := cwquota.BucketParamsFor(quota, m.Tolerance, max(1, m.DataCentres)*cwholder.MinPerDataCentre)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.Clock.Now()
-	shard := m.shards[workspace]
-	if shard == nil {
-		shard = cwquota.NewShard(params, m.started, m.FirstStart)
-		if m.shards == nil {
-			m.shards = make(map[string]*cwquota.Shard)
+	return unresponsivePause
+}
+
+// Return implements cwport.QuotaMeter. A return that does not reach the issuer is lost:
+// the token then counts until the end of the window.
+func (m *Meter) Return(workspace string, d cwport.QuotaDecision) {
+	if d.Grant == (cwport.QuotaGrant{}) {
+		return
+	}
+	for _, remote := range []bool{false, true} {
+		for _, issuer := range m.Issuers.QuotaIssuers(workspace, remote) {
+			if issuer.Name != d.Issuer {
+				continue
+			}
+			if issuer.Remote == nil {
+				m.ReturnIssued(workspace, d.Grant)
+			} else {
+				go m.runReturn(issuer, workspace, d.Grant)
+			}
+			return
 		}
-		m.shards[workspace] = shard
 	}
-	shard.SetParams(params, now)
-	allowed, wait := shard.Take(now)
-	return cwport.QuotaDecision{Allowed: allowed, RetryAfter: wait}
+}
+
+// runReturn sends a grant back to its issuer.
+func (m *Meter) runReturn(issuer cwport.QuotaIssuer, workspace string, g cwport.QuotaGrant) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if err := issuer.Remote.ReturnQuota(ctx, workspace, g); err != nil {
+		m.Log.Debug("quotaNotReturned", "workspace", workspace, "issuer", issuer.Name, "cause", err)
+	}
 }
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -65,6 +65,8 @@
 			return s.answerNews(ctx, req)
 		case methodQuota:
 			return s.answerQuota(req)
+		case methodQuotaReturn:
+			return s.answerQuotaReturn(req)
 		}
 		return s.answerPingOrStatement(bounded, req)
 	}
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -4,7 +4,7 @@
 // An instance forwards a caller's statement to a holder, which is one of the
 // instances that keep connections to the group's targets. The response holds the
 // answer, or says that the holder did not run the statement. A connection carries
-// many concurrent calls. There are four methods:
+// many concurrent calls. There are five methods:
 //
 //   - hand forwards a statement.
 //   - ping checks the connection. It distinguishes an unresponsive connection from a
@@ -12,6 +12,7 @@
 //   - news requests the changes that the other instance has received from the
 //     platform's store.
 //   - quota takes one operation from a workspace's quota.
+//   - quotaReturn gives back the quota of an operation that did not run.
 package cwforward
 
 import (
@@ -26,10 +27,11 @@
 
 // Names of the RPC methods.
 const (
-	methodForward = "hand"
-	methodPing    = "ping"
-	methodNews    = "news"
-	methodQuota   = "quota"
+	methodForward     = "hand"
+	methodPing        = "ping"
+	methodNews        = "news"
+	methodQuota       = "quota"
+	methodQuotaReturn = "quotaReturn"
 )
 
 type statementBody struct {
@@ -78,6 +80,7 @@
 	State     string       `json:"state"`
 	Wrote     positionBody `json:"wrote,omitzero"`
 	Elsewhere bool         `json:"elsewhere,omitempty"`
+	NotRun    bool         `json:"notRun,omitempty"`
 }
 
 // MalformedMessageError reports a message that is malformed or has values out of range.
@@ -165,7 +168,7 @@
 	a := r.Answer
 	return resultBody{
 		Rows: a.Rows, Proof: a.Proof, Code: a.Code.String(), Detail: a.Detail, State: a.State.String(),
-		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder,
+		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder, NotRun: r.NotRun,
 	}
 }
 
@@ -176,6 +179,6 @@
 	}
 	return cwport.ForwardResponse{
 		Answer:         cwstatement.Response{Rows: b.Rows, Proof: b.Proof, Code: cwstatement.ParseCode(b.Code), Detail: b.Detail, State: state},
-		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere,
+		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, NotRun: b.NotRun,
 	}, nil
 }
