--- a/internal/core/cwquota/shard.go
+++ b/internal/core/cwquota/shard.go
@@ -129,18 +129,33 @@
 	}
 }
 
-// asideRate returns the rate per second of the tokens that are set aside for higher
-// priorities. While every request is served, no priority has to give way.
-func (s *Shard) asideRate(priority int, now time.Time) float64 {
-	if !now.Before(s.contendedUntil) {
-		return 0
+// contended reports whether priorities are compared. While every request is served, no
+// priority has to give way.
+func (s *Shard) contended(now time.Time) bool { return now.Before(s.contendedUntil) }
+
+// forecast returns the number of tokens that can be issued for each slot to operations
+// of a priority. It sets aside what the higher priorities will request at their present
+// rates, and what their refused operations were promised.
+func (s *Shard) forecast(priority int, now time.Time) forecast {
+	f := s.ring.forecast(s.params.Limit)
+	if priority == 0 || !s.contended(now) {
+		return f
 	}
-	return s.demand.higherRate(priority)
+	rate := s.demand.higherRate(priority)
+	first, each := rate*s.ring.start(1).Sub(now).Seconds(), rate*s.ring.length.Seconds()
+	f.setAside(func(k int) float64 {
+		expected := each
+		if k == 0 {
+			expected = first
+		}
+		return max(expected, float64(s.demand.promisedIn(k, priority)))
+	})
+	return f
 }
 
 // takeFromWindow requests a token in window mode.
 func (s *Shard) takeFromWindow(priority int, maxWait time.Duration, now time.Time) Decision {
-	f := s.ring.forecast(s.params.Limit, s.asideRate(priority, now), now)
+	f := s.forecast(priority, now)
 	if f[0] >= 1 {
 		return s.issueFromWindow(0, now)
 	}
@@ -169,22 +184,26 @@
 }
 
 // windowWait returns the time until the token returns that follows those that were
-// promised to operations of the same or a higher priority.
+// promised to operations of the same priority. The forecast leaves out those of higher
+// ones.
 func (s *Shard) windowWait(f *forecast, priority int, now time.Time) time.Duration {
-	ahead := float64(s.demand.ahead(priority))
-	if k, ok := f.first(1, 1+ahead); ok {
+	if k, ok := f.first(1, 1+float64(s.demand.outstanding[priority])); ok {
 		return s.ring.start(k).Sub(now)
 	}
+	ahead := float64(s.demand.ahead(priority))
 	if s.params.Limit < 1 {
 		return max(s.params.Window, zeroRateWait)
 	}
-	return s.params.Window + time.Duration(ahead/s.params.Limit*float64(s.params.Window))
+	return s.params.Window + time.Duration((1+ahead)/s.params.Limit*float64(s.params.Window))
 }
 
 // takeFromBucket requests a token in bucket mode. No delay is granted: a successor
 // doesn't know of delayed operations, and begins to issue at once.
 func (s *Shard) takeFromBucket(priority int, maxWait time.Duration, now time.Time) Decision {
-	aside := s.asideRate(priority, now)
+	aside := 0.0
+	if s.contended(now) {
+		aside = s.demand.higherRate(priority)
+	}
 	if s.bucketAllows(aside, now) {
 		s.level--
 		if now.Before(s.tenure.capUntil) {
@@ -206,7 +225,7 @@
 		return false
 	}
 	if now.Before(s.windowUntil) {
-		f := s.ring.forecast(s.params.Limit, 0, now)
+		f := s.ring.forecast(s.params.Limit)
 		return f[0] >= 1
 	}
 	return true
@@ -228,7 +247,7 @@
 		wait = time.Duration(missing / rate * float64(time.Second))
 	}
 	if now.Before(s.windowUntil) {
-		f := s.ring.forecast(s.params.Limit, 0, now)
+		f := s.forecast(priority, now)
 		wait = max(wait, s.windowWait(&f, priority, now))
 	}
 	return max(0, wait, s.tenure.capUntil.Sub(now))
@@ -237,7 +256,7 @@
 // place gives a refused operation its place in the order of retries if it has asked for
 // one, and returns its wait.
 func (s *Shard) place(priority int, wait, maxWait time.Duration, now time.Time) time.Duration {
-	if maxWait > 0 && wait <= s.params.Window {
+	if maxWait > 0 && wait <= maxPromiseWindows*s.params.Window {
 		s.demand.promise(priority, s.ring.number(now.Add(wait)))
 	}
 	return wait
--- a/internal/core/cwquota/slots.go
+++ b/internal/core/cwquota/slots.go
@@ -132,23 +132,35 @@
 // be issued for it: the smallest number that is left in it or in a later slot.
 type forecast [slotsPerWindow + 1]float64
 
-// forecast returns the forecast for a limit, less what is set aside at the given rate
-// per second until the end of each slot.
-func (r *slotRing) forecast(limit, asideRate float64, now time.Time) forecast {
-	var f forecast
+// forecast returns the forecast for a limit, if nothing is set aside.
+func (r *slotRing) forecast(limit float64) (f forecast) {
 	sum := r.inWindow
 	for k := range f {
-		aside := asideRate * r.start(k+1).Sub(now).Seconds()
-		f[k] = limit - float64(sum) - aside
+		f[k] = limit - float64(sum)
 		sum -= r.at(r.current + int64(k) - slotsPerWindow).count()
 		if k < delaySlots {
 			sum += r.at(r.current + int64(k) + 1).count()
 		}
 	}
+	f.useLater()
+	return f
+}
+
+// useLater lowers each number to the smallest one of the later slots.
+func (f *forecast) useLater() {
 	for k := len(f) - 2; k >= 0; k-- {
 		f[k] = min(f[k], f[k+1])
 	}
-	return f
+}
+
+// setAside takes out what is set aside by the end of each slot.
+func (f *forecast) setAside(aside func(k int) float64) {
+	sum := 0.0
+	for k := range f {
+		sum += aside(k)
+		f[k] -= sum
+	}
+	f.useLater()
 }
 
 // first returns the first slot at or after from for which n tokens can be issued; false
