--- a/internal/proxy/cwengine/access_test.go
+++ b/internal/proxy/cwengine/access_test.go
@@ -9,7 +9,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
-	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -195,52 +194,6 @@
 	assertOK(env.c, s.ask(cwstatement.Write, "WRITE a 3"))
 }
 
-// testMeter allows a fixed number of operations.
-type testMeter struct {
-	remaining atomic.Int64
-	// returned has the grants that were returned, which are numbered from 1.
-	returned []cwquota.Grant
-	granted  cwquota.Grant
-}
-
-func (m *testMeter) Take(cwport.QuotaRequest) cwport.QuotaDecision {
-	if m.remaining.Add(-1) < 0 {
-		return cwport.QuotaDecision{RetryAfter: time.Second}
-	}
-	m.granted++
-	return cwport.QuotaDecision{Allowed: true, Grant: cwport.QuotaGrant{Run: "1", Grant: m.granted}}
-}
-
-func (m *testMeter) Return(_ string, d cwport.QuotaDecision) {
-	m.returned = append(m.returned, d.Grant.Grant)
-}
-
-// Checks what counts as an operation. With a quota of three operations, a transaction of
-// many statements is one of them. The fourth operation is refused without having run, at
-// once and with a retry delay.
-func TestQuotaCountsOperations(t *testing.T) {
-	env := newKeyedEnv(t)
-	m := &testMeter{}
-	m.remaining.Store(3)
-	env.engine.cfg.Meter = m
-	env.engine.mu.Lock()
-	env.engine.access.quotas["north"] = cwcatalogue.Quota{Rate: 3}
-	env.engine.mu.Unlock()
-	s := env.caller("n1")
-	assertOK(env.c, s.ask(cwstatement.Begin, "BEGIN"))
-	for _, text := range []string{"WRITE a 1", "WRITE b 1", "WRITE c 1"} {
-		assertOK(env.c, s.ask(cwstatement.Write, text))
-	}
-	assertOK(env.c, s.ask(cwstatement.Commit, "COMMIT"))
-	assertOK(env.c, s.ask(cwstatement.Read, "READ a"))
-	assertOK(env.c, s.ask(cwstatement.Write, "WRITE a 2"))
-	a := s.ask(cwstatement.Write, "WRITE a 3")
-	env.c.Assert(a.Code, qt.Equals, cwstatement.Busy)
-	env.c.Assert(a.Detail, qt.Matches, ".*notRun=true retryAfterMs=1000")
-	env.assertNeverRan("WRITE a 3")
-	assertOK(env.c, env.caller("s1").ask(cwstatement.Write, "WRITE d 1"))
-}
-
 // Guards against a deadlock between a probe and a change of the list of targets.
 func TestProbeDoesNotDeadlockWithTargetChanges(t *testing.T) {
 	env := newTestEnv(t, cwcatalogue.ReadLatest)
--- a/internal/proxy/cwpeers/quota_test.go
+++ b/internal/proxy/cwpeers/quota_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"io"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -38,3 +43,54 @@
 		})
 	})
 }
+
+// Guards against an instance that believes that it kept a shard all the time although
+// another one may have kept it before: when it is new, or when another one is removed.
+func TestQuotaListing(t *testing.T) {
+	self, other := instance("a", "z"), instance("b", "z")
+	start := func(registered bool) (*Peers, *clockwork.FakeClock) {
+		clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+		n := newRowTable()
+		if registered {
+			n.rows[InstanceKey(self)] = row(self).Value
+		}
+		p := &Peers{Self: self, Table: n, Clock: clock, Log: log.New(io.Discard)}
+		qt.Assert(t, p.QuotaListing("north").Known, qt.IsFalse)
+		instances, err := p.readDataCentre(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		p.setDataCentreInstances(append(instances, self))
+		return p, clock
+	}
+	t.Run("restart", func(t *testing.T) {
+		p, _ := start(true)
+		qt.Assert(t, p.QuotaListing("north"), qt.Equals, cwquota.Listing{Known: true, Issuer: true})
+	})
+	t.Run("new instance", func(t *testing.T) {
+		p, clock := start(false)
+		qt.Assert(t, p.QuotaListing("north").GainedAt, qt.Equals, clock.Now())
+	})
+	t.Run("changes of the list", func(t *testing.T) {
+		p, clock := start(true)
+		clock.Advance(time.Second)
+		p.ApplyRows([]cwport.Row{row(self), row(other), row(instance("c", "y"))}, true)
+		added := clock.Now()
+		clock.Advance(time.Second)
+		removed := row(other)
+		removed.Removed = true
+		p.ApplyRows([]cwport.Row{removed}, false)
+		l := p.QuotaListing("north")
+		qt.Assert(t, l.AddedAt, qt.Equals, added)
+		qt.Assert(t, l.GainedAt, qt.Equals, clock.Now())
+	})
+	t.Run("shard of others", func(t *testing.T) {
+		p, _ := start(true)
+		p.ApplyRows([]cwport.Row{row(self), row(other), row(instance("c", "z")), row(instance("d", "z"))}, true)
+		issuers := 0
+		for n := range 100 {
+			if p.QuotaListing("workspace " + strconv.Itoa(n)).Issuer {
+				issuers++
+			}
+		}
+		qt.Assert(t, issuers > 30 && issuers < 70, qt.IsTrue, qt.Commentf("%d", issuers))
+	})
+}
--- a/internal/tool/cwcommand/explain.go
+++ b/internal/tool/cwcommand/explain.go
@@ -35,9 +35,14 @@
 // request.
 var instanceEvents = []string{
 	"storeLost", "storeRegained", "pathSuspected", "isolated", "reconnected", "draining", "drained", "started", "stopped",
-	"historyLost", "linesLeftOut", "newsSource", "feederLost",
+	"historyLost", "linesLeftOut", "newsSource", "feederLost", "quotaRowsNotRead",
 }
 
+// workspaceEvents are the log messages about a workspace that can explain why a request
+// was refused as over the quota, or was served. They may be logged by other instances,
+// which issue the quota.
+var workspaceEvents = []string{"quotaChanged", "quotaWindowMode", "quotaBucketMode", "quotaNotRecorded"}
+
 // logLine is one parsed line of a log file.
 type logLine struct {
 	at     time.Time
@@ -58,8 +63,8 @@
 		Use:   "explain ID FILE...",
 		Short: "Show what happened to a request, from the logs of instances",
 		Long: `Reads log files of one or more instances and prints, ordered by time, the lines of
-the request with the id, and the events of its group and its instance shortly
-before and after. Exits with code 1 if no line has the id.`,
+the request with the id, and the events of its group, its workspace's quota and its
+instance shortly before and after. Exits with code 1 if no line has the id.`,
 		Example: "  cicadawalk explain 5c0e7a21d94b36f8 front-*.log",
 		Args:    cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -139,7 +144,7 @@
 }
 
 // isRelevant reports whether a line has the request's id, is about the request's
-// group, or is about an instance that handled the request.
+// group or workspace, or is about an instance that handled the request.
 func isRelevant(l logLine, id string, requestLines []logLine) bool {
 	if l.fields["id"] == id {
 		return true
@@ -149,6 +154,10 @@
 		if group != "" && l.fields["group"] == group && slices.Contains(groupEvents, l.fields["msg"]) {
 			return true
 		}
+		workspace := o.fields["workspace"]
+		if workspace != "" && l.fields["workspace"] == workspace && slices.Contains(workspaceEvents, l.fields["msg"]) {
+			return true
+		}
 		if l.file == o.file && slices.Contains(instanceEvents, l.fields["msg"]) {
 			return true
 		}
--- a/internal/tool/cwcommand/explain_test.go
+++ b/internal/tool/cwcommand/explain_test.go
@@ -11,7 +11,7 @@
 
 const instanceXLog = `time=2026-01-02T03:04:05.1Z level=warn msg=targetLost group=s target=i-1 cause="connection refused"
 time=2026-01-02T03:04:05.2Z level=info msg=statementFailed id=5c verb=write database=d group=s code=aborted why="it does not answer" tookMs=2
-time=2026-01-02T03:04:05.2Z level=info msg=statementFailed id=77 verb=write database=e group=other code=busy tookMs=2
+time=2026-01-02T03:04:05.2Z level=info msg=statementFailed id=77 verb=write database=e group=other workspace=w code=busy tookMs=2
 time=2026-01-02T03:04:05.3Z level=info msg=claimSeen group=other term=2
 not a log line
 time=never msg=broken id=5c
@@ -21,6 +21,8 @@
 time=2026-01-02T03:04:06.9Z level=info msg=primaryKnown group=s primary=i-2 term=2
 time=2026-01-02T03:05:00Z level=info msg=primaryKnown group=s primary=i-3 term=3
 time=2026-01-02T03:04:05.2Z level=warn msg=storeLost topic=own
+time=2026-01-02T03:04:04.9Z level=warn msg=quotaNotRecorded workspace=w cause="the platform is away"
+time=2026-01-02T03:04:04.9Z level=info msg=quotaWindowMode workspace=v leaseMs=30000
 `
 
 func parseTestLogs(t *testing.T) []logLine {
@@ -35,18 +37,25 @@
 // the connection to the target, the other one replaced the primary. Lines of other
 // groups, of other times, and without a valid time are left out.
 func TestExplain(t *testing.T) {
+	qt.Assert(t, explained(t, "5c"), qt.DeepEquals, []string{
+		"x.log targetLost", "y.log claimSeen", "x.log statementFailed", "y.log primaryKnown",
+	})
+	t.Run("quota at another instance", func(t *testing.T) {
+		qt.Assert(t, explained(t, "77"), qt.DeepEquals, []string{"y.log quotaNotRecorded", "x.log statementFailed", "x.log claimSeen"})
+	})
+}
+
+// explained returns the file and the message of each line that explains a request.
+func explained(t *testing.T, id string) (got []string) {
 	var out bytes.Buffer
-	qt.Assert(t, explain(&out, "5c", parseTestLogs(t)), qt.IsNil)
-	var got []string
+	qt.Assert(t, explain(&out, id, parseTestLogs(t)), qt.IsNil)
 	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
 		file, rest, _ := strings.Cut(line, " ")
 		_, msg, _ := strings.Cut(rest, "msg=")
 		msg, _, _ = strings.Cut(msg, " ")
 		got = append(got, file+" "+msg)
 	}
-	qt.Assert(t, got, qt.DeepEquals, []string{
-		"x.log targetLost", "y.log claimSeen", "x.log statementFailed", "y.log primaryKnown",
-	})
+	return got
 }
 
 func TestExplainUnknownRequest(t *testing.T) {
