cwquota: window mode and priorities only where no issuer could serve

Cause: callers ask the shards of their own data centre first, so a shard's bucket is often empty although the workspace is below its quota. The row was then written, and operations of low priority made one more round trip than before.

Change: a shard compares priorities, and asks for a lease, only after a request of the second round, which all issuers have refused. A request allocates nothing in either mode.

--- a/internal/core/cwquota/shard.go
+++ b/internal/core/cwquota/shard.go
@@ -20,12 +20,12 @@
 	// leaseUntil is the end of the lease for window mode, and windowUntil the time until
 	// which tokens that window mode issued may be in the window.
 	leaseUntil, windowUntil time.Time
-	// exceeded is true if the bucket was empty at a request since the last call of
-	// WantsLease.
+	// exceeded is true if the bucket was empty, since the last call of WantsLease, at a
+	// request that no other issuer could serve, or at any request in window mode.
 	exceeded bool
 	demand   demand
-	// contendedUntil is one window after the last request for which no token was left.
-	// Priorities are compared until then.
+	// contendedUntil is one window after the last request that no issuer could serve at
+	// once. Priorities are compared until then.
 	contendedUntil time.Time
 	// sampledSlot is the slot for which the last Sample was returned.
 	sampledSlot int64
@@ -95,11 +95,21 @@
 	s.advance(now)
 	p := PriorityIndex(r.Priority)
 	s.demand.record(p, now)
-	s.exceeded = s.exceeded || s.level < 1
-	if s.WindowMode(now) {
-		return s.takeFromWindow(p, r.MaxWait, now)
+	windowMode := s.WindowMode(now)
+	// A shard with an empty bucket doesn't mean that the workspace exceeds its quota:
+	// callers use the shards of their own data centre first.
+	s.exceeded = s.exceeded || s.level < 1 && (windowMode || r.MaxWait > 0)
+	d := Decision{}
+	if windowMode {
+		d = s.takeFromWindow(p, r.MaxWait, now)
+	} else {
+		d = s.takeFromBucket(p, r.MaxWait, now)
 	}
-	return s.takeFromBucket(p, r.MaxWait, now)
+	if r.MaxWait > 0 && (!d.Allowed || d.Delay > 0) {
+		s.contendedUntil = now.Add(s.params.Window)
+		d.Sample = s.sample()
+	}
+	return d
 }
 
 // Return takes back the token of an operation that ran nowhere. It returns false if the
@@ -159,16 +169,11 @@
 	if f[0] >= 1 {
 		return s.issueFromWindow(0, now)
 	}
-	s.contendedUntil = now.Add(s.params.Window)
-	d := Decision{}
 	k, ok := f.first(1, 1)
 	if ok && k <= delaySlots && s.ring.start(k).Sub(now) <= maxWait {
-		d = s.issueFromWindow(k, now)
-	} else {
-		d.RetryAfter = s.place(priority, s.windowWait(&f, priority, now), maxWait, now)
+		return s.issueFromWindow(k, now)
 	}
-	d.Sample = s.sample(maxWait)
-	return d
+	return Decision{RetryAfter: s.place(priority, s.windowWait(&f, priority, now), maxWait, now)}
 }
 
 // issueFromWindow issues a token for the slot k slots after the current one.
@@ -211,8 +216,7 @@
 		}
 		return Decision{Allowed: true, Grant: s.ring.issue(0)}
 	}
-	s.contendedUntil = now.Add(s.params.Window)
-	return Decision{RetryAfter: s.place(priority, s.bucketWait(aside, priority, now), maxWait, now), Sample: s.sample(maxWait)}
+	return Decision{RetryAfter: s.place(priority, s.bucketWait(aside, priority, now), maxWait, now)}
 }
 
 // bucketAllows reports whether a token may be issued in bucket mode, while tokens are
@@ -262,11 +266,10 @@
 	return wait
 }
 
-// sample returns the use of the window at a request that got no token at once. Only
-// requests that no other issuer could serve count.
-func (s *Shard) sample(maxWait time.Duration) Sample {
+// sample returns the use of the window, at most once per slot.
+func (s *Shard) sample() Sample {
 	allowed := int(s.params.Limit)
-	if maxWait <= 0 || s.sampledSlot == s.ring.current || allowed == 0 {
+	if s.sampledSlot == s.ring.current || allowed == 0 {
 		return Sample{}
 	}
 	s.sampledSlot = s.ring.current
--- a/internal/proxy/cwquotameter/cluster_test.go
+++ b/internal/proxy/cwquotameter/cluster_test.go
@@ -1,6 +1,7 @@
 package cwquotameter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -214,6 +215,8 @@
 	priority int
 	maxWait  time.Duration
 	retries  int
+	// instances is the number of instances at which they are, all if it is 0.
+	instances int
 }
 
 // outcome counts the operations of callers.
@@ -233,7 +236,7 @@
 		wg.Go(func() {
 			for end := time.Now().Add(d); time.Now().Before(end); {
 				time.Sleep(time.Duration(random.ExpFloat64() / from.rate * float64(time.Second)))
-				at := random.IntN(clusterSize)
+				at := random.IntN(cmp.Or(from.instances, clusterSize))
 				wg.Go(func() { c.operate(at, from, out[i]) })
 			}
 		})
--- a/internal/proxy/cwquotameter/load_test.go
+++ b/internal/proxy/cwquotameter/load_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwquota"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
 // wait is what is left for quota of the aim of the callers' operations.
@@ -63,12 +64,14 @@
 }
 
 // Guards against requests to the store, and against refused or late operations, while
-// the load is below the quota, in particular right after all instances were restarted.
+// the load is below the quota, in particular right after all instances were restarted,
+// and while all of it is in one data centre, whose shards are then empty.
 func TestUsualLoadIsServedAtOnce(t *testing.T) {
 	runCluster(t, func(c *cluster) {
 		c.settle()
 		for range 2 {
-			out := c.run(3*time.Second, callers{rate: usualLoad, maxWait: wait})
+			// More than the rate of the shards of one data centre, less than that of all.
+			out := c.run(2*window, callers{rate: 0.8 * quotaRate, maxWait: wait, instances: perCentre})
 			qt.Assert(c, out[0].served, qt.Equals, out[0].sent)
 			qt.Assert(c, c.table.gets+c.table.commits, qt.Equals, 0)
 			for i := range c.meters {
@@ -78,3 +81,17 @@
 		}
 	})
 }
+
+// Guards against a request for quota that costs more than its decision.
+func TestRequestsAllocateLittle(t *testing.T) {
+	m, clock := newMeter(&fakeIssuers{})
+	clock.Advance(time.Minute)
+	low := cwport.QuotaRequest{Workspace: workspace, Priority: 3, MaxWait: minWait}
+	for name, lease := range map[string]time.Duration{"bucket mode": 0, "window mode": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			m.IssueQuota(low)
+			m.shards[workspace].shard.Lease(clock.Now().Add(lease))
+			qt.Assert(t, testing.AllocsPerRun(1000, func() { m.IssueQuota(low) }), qt.Equals, 0.0)
+		})
+	}
+}
