cwquota: shards share the fractions of small quotas by rank

Cause: tokens are whole, and each shard rounded its share of the window down. Of a quota of 11 a second with 16 shards, 5 of 5.5 tokens of each shard could be issued.

Change: the shares of the issuers, in their order, are rounded so that they add up to the whole. An issuer rounds down until its list has not changed for two windows and the longest delay, so that two issuers with different lists don't both issue the token.

The model does not tell an issuer that does not wait from one that does: the tokens at stake are within the slack for initial tokens, which few plays use up.

--- a/internal/core/cwquota/model_test.go
+++ b/internal/core/cwquota/model_test.go
@@ -27,8 +27,13 @@
 
 // modelIssuer is an issuer with its attempt to get a lease.
 type modelIssuer struct {
-	shard   *Shard
-	attempt Attempt
+	shard *Shard
+	// rank is according to the issuer's list, which last changed at changedAt. It changes
+	// by turn at turnAt, if that is not zero.
+	rank      int
+	changedAt time.Time
+	turnAt    time.Time
+	attempt   Attempt
 	// stage is the next step of the attempt, which is due at stageAt; 0 if there is none.
 	stage   int
 	stageAt time.Time
@@ -66,6 +71,9 @@
 	// pause is the longest pause between two events. The store is away until awayUntil.
 	pause     time.Duration
 	awayUntil time.Time
+	// turns is the number of changes of the ranks; the next one comes after turnAfter.
+	turns     int
+	turnAfter time.Time
 }
 
 // draw returns a random number from least to most. The generators of rapid prefer small
@@ -82,12 +90,28 @@
 }
 
 func (m *model) add(shard int, t Tenure) *modelIssuer {
-	i := &modelIssuer{shard: NewShard(m.params, t)}
+	i := &modelIssuer{rank: (shard + m.turns) % len(m.shards), changedAt: t.since}
+	i.shard = NewShard(m.paramsOf(i), t)
 	m.all = append(m.all, i)
 	m.shards[shard] = append(m.shards[shard], i)
 	return i
 }
 
+// paramsOf returns the parameters of an issuer, whose list has not changed since it
+// began.
+func (m *model) paramsOf(i *modelIssuer) Params {
+	return m.params.ForRank(Listing{Complete: true, Rank: i.rank, ChangedAt: i.changedAt}, start, m.now)
+}
+
+// turn changes the ranks of all issuers, which learn of it within one window.
+func (m *model) turn() {
+	m.turns++
+	m.turnAfter = m.now.Add(rule.Window)
+	for _, i := range m.all {
+		i.turnAt = m.now.Add(m.drawTime(rule.Window))
+	}
+}
+
 // restart kills the issuer of a shard and starts another one in its place. The rows are
 // read later, or never if the store is away. A write in progress may still arrive.
 func (m *model) restart(shard int) {
@@ -119,6 +143,9 @@
 			i.shard.PredecessorInactive()
 		}
 	}
+	if !i.turnAt.IsZero() && !m.now.Before(i.turnAt) {
+		i.rank, i.changedAt, i.turnAt = (i.rank+1)%len(m.shards), i.turnAt, time.Time{}
+	}
 	for i.stage > 0 && !m.now.Before(i.stageAt) {
 		m.stepAttempt(i)
 	}
@@ -167,6 +194,7 @@
 func (m *model) request(i *modelIssuer, n int) {
 	wait := m.drawTime(2 * MaxDelay(rule.Window))
 	priority := m.draw(0, 2)
+	i.shard.SetParams(m.paramsOf(i), m.now)
 	for range n {
 		d := i.shard.Take(Request{Priority: priority, MaxWait: wait}, m.now)
 		if !d.Allowed {
@@ -231,7 +259,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{T: t, now: start, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))}
 		n := m.draw(1, 6)
-		q := cwcatalogue.Quota{Rate: float64(m.draw(0, 300)), Burst: float64(m.draw(0, 300))}
+		most := []int{20, 300}[m.draw(0, 1)]
+		q := cwcatalogue.Quota{Rate: float64(m.draw(0, most)), Burst: float64(m.draw(0, most))}
 		m.params, m.shards = ParamsFor(q, rule, n), make([][]*modelIssuer, n)
 		m.replaceAfter, m.overlapUntil = make([]time.Time, n), make([]time.Time, n)
 		m.pause = []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond}[m.draw(0, 1)]
@@ -273,11 +302,10 @@
 	case event == 3:
 		lower := cwcatalogue.Quota{Rate: q.Rate * float64(m.draw(0, 10)) / 10, Burst: q.Burst}
 		m.params = ParamsFor(lower, rule, len(m.shards))
-		for _, i := range m.all {
-			i.shard.SetParams(m.params, m.now)
-		}
 	case event == 4:
 		m.awayUntil = m.now.Add(m.drawTime(2 * Lease))
+	case event == 5 && m.now.After(m.turnAfter):
+		m.turn()
 	}
 	m.clear(m.all[m.draw(0, len(m.all)-1)])
 	for _, i := range m.shards[shard] {
--- a/internal/core/cwquota/quota.go
+++ b/internal/core/cwquota/quota.go
@@ -24,6 +24,7 @@
 package cwquota
 
 import (
+	"math"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
@@ -37,13 +38,31 @@
 	// Initial is the number of tokens with which an issuer begins that may
 	// replace another one.
 	Initial float64
-	// Limit is the number of tokens that are issued in any Window. It equals what the
+	// Limit is the number of tokens that are issued in any Window. It is what the
 	// bucket issues in one window, so that the initial tokens of a successor are
-	// within the rule in both modes.
+	// within the rule in both modes. Since tokens are whole, what the bucket issues is
+	// less by a fraction; see ForRank.
 	Limit  float64
 	Window time.Duration
 }
 
+// ForRank returns the parameters of the issuer to which the listing refers. Together,
+// the limits of all issuers have the whole tokens that the fractions of their shares add
+// up to.
+//
+// Ranks that differ between instances would let some of these tokens be issued twice.
+// An issuer therefore uses the lower number until its list has not changed for the time
+// after which everybody has the same list and has forgotten what was issued before.
+func (p Params) ForRank(l Listing, started, now time.Time) Params {
+	share, settled := p.Limit, later(started, l.ChangedAt).Add(2*p.Window+MaxDelay(p.Window))
+	p.Limit = math.Floor(share)
+	if l.Complete && l.Rank >= 0 && now.After(settled) {
+		rank := float64(l.Rank)
+		p.Limit = math.Floor((rank+1)*share) - math.Floor(rank*share)
+	}
+	return p
+}
+
 // replacementSlackShare is the part of the rule's slack that is reserved for the
 // initial tokens of replacement issuers, so that small workspaces are served
 // immediately after a start. The rest of the slack, and the overage, compensate
--- a/internal/core/cwquota/quota_test.go
+++ b/internal/core/cwquota/quota_test.go
@@ -1,6 +1,7 @@
 package cwquota
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -116,3 +117,19 @@
 		qt.Assert(t, settling, qt.Equals, FirstTenure(start).WithSettling(at(6)))
 	})
 }
+
+// Guards against small quotas of which the fraction of each shard is lost, and against
+// shards that together have more than the whole.
+func TestRanksShareFractions(t *testing.T) {
+	const shards = 16
+	params := ParamsFor(cwcatalogue.Quota{Rate: 11, Burst: 11}, rule, shards)
+	settled := start.Add(3 * rule.Window)
+	total, least := 0.0, 0.0
+	for rank := range shards {
+		l := Listing{Complete: true, Rank: rank}
+		total += params.ForRank(l, start, settled).Limit
+		least += params.ForRank(l, start, start.Add(rule.Window)).Limit
+	}
+	qt.Assert(t, total, qt.Equals, math.Floor(params.Limit*shards))
+	qt.Assert(t, least, qt.Equals, math.Floor(params.Limit)*shards)
+}
--- a/internal/core/cwquota/tenure.go
+++ b/internal/core/cwquota/tenure.go
@@ -58,6 +58,10 @@
 	// index among the issuers of the workspace.
 	Issuer bool
 	Rank   int
+	// Complete is true if the instances of all data centres are known, and ChangedAt is
+	// the last change of the list; Rank depends on all of them.
+	Complete  bool
+	ChangedAt time.Time
 	// GainedAt is the last change by which the instance may have gained shards: the
 	// removal of another instance, or its own addition. AddedAt is the last addition of
 	// another instance, by which it may have lost some. They are zero if there was none
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -83,12 +83,16 @@
 		return cwquota.Listing{}
 	}
 	rank := p.quotaIssuers(workspace).rank
-	return cwquota.Listing{Known: true, Issuer: rank >= 0, Rank: rank, GainedAt: p.gainedAt, AddedAt: p.addedAt}
+	return cwquota.Listing{
+		Known: true, Issuer: rank >= 0, Rank: rank, Complete: p.allRowsRead, ChangedAt: p.listChangedAt,
+		GainedAt: p.gainedAt, AddedAt: p.addedAt,
+	}
 }
 
 // recordAddition records that an instance was added. The issuers in a data centre depend
 // only on the instances there. The caller holds mu.
 func (p *Peers) recordAddition(i cwholder.Instance) {
+	p.listChangedAt = p.Clock.Now()
 	switch {
 	case i.DataCentre != p.Self.DataCentre || !p.centreListed:
 	case i.ID == p.Self.ID:
@@ -100,6 +104,7 @@
 
 // recordRemoval records that an instance was removed. The caller holds mu.
 func (p *Peers) recordRemoval(i cwholder.Instance) {
+	p.listChangedAt = p.Clock.Now()
 	if i.DataCentre == p.Self.DataCentre {
 		p.gainedAt = p.Clock.Now()
 	}
--- a/internal/proxy/cwpeers/quota_test.go
+++ b/internal/proxy/cwpeers/quota_test.go
@@ -12,7 +12,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
-	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -63,7 +62,9 @@
 	}
 	t.Run("restart", func(t *testing.T) {
 		p, _ := start(true)
-		qt.Assert(t, p.QuotaListing("north"), qt.Equals, cwquota.Listing{Known: true, Issuer: true})
+		l := p.QuotaListing("north")
+		qt.Assert(t, l.GainedAt, qt.Equals, time.Time{})
+		qt.Assert(t, l.Known && l.Issuer && !l.Complete, qt.IsTrue)
 	})
 	t.Run("new instance", func(t *testing.T) {
 		p, clock := start(false)
@@ -81,6 +82,11 @@
 		l := p.QuotaListing("north")
 		qt.Assert(t, l.AddedAt, qt.Equals, added)
 		qt.Assert(t, l.GainedAt, qt.Equals, clock.Now())
+		qt.Assert(t, l.Complete, qt.IsTrue)
+		clock.Advance(time.Second)
+		p.ApplyRows([]cwport.Row{row(instance("d", "y"))}, false)
+		l.ChangedAt = clock.Now()
+		qt.Assert(t, p.QuotaListing("north"), qt.Equals, l)
 	})
 	t.Run("shard of others", func(t *testing.T) {
 		p, _ := start(true)
--- a/internal/proxy/cwquotameter/cluster_test.go
+++ b/internal/proxy/cwquotameter/cluster_test.go
@@ -184,7 +184,7 @@
 }
 
 func (s *clusterIssuers) QuotaListing(string) cwquota.Listing {
-	return cwquota.Listing{Known: true, Issuer: true, Rank: s.self}
+	return cwquota.Listing{Known: true, Issuer: true, Complete: true, Rank: s.self}
 }
 
 // clusterLink is the link to an instance.
--- a/internal/proxy/cwquotameter/issuer.go
+++ b/internal/proxy/cwquotameter/issuer.go
@@ -76,7 +76,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
-	s := m.shardOf(r.Workspace, params, listing, now)
+	s := m.shardOf(r.Workspace, params.ForRank(listing, m.started, now), listing, now)
 	request := cwquota.Request{Priority: r.Priority, MaxWait: r.MaxWait}
 	if s.attempt != nil && !s.shard.WindowMode(now) {
 		// Until the attempt has ended, the place in the order of retries isn't known.
