cwquota: a refund gives a bucket no more than it lost

Cause: a returned token was credited if the bucket had not been full since it was taken. If it had been almost full, several returned tokens each brought back what only the first one had cost.

Change: each slot keeps the smallest headroom of the bucket, and a returned token is credited at most the smallest headroom since its slot, which the credit then uses up.

--- a/internal/core/cwquota/quota_test.go
+++ b/internal/core/cwquota/quota_test.go
@@ -70,36 +70,43 @@
 func TestReturn(t *testing.T) {
 	params := ParamsFor(cwcatalogue.Quota{Rate: 10, Burst: 10}, rule, 1)
 	s := NewShard(params, FirstTenure(start))
+	drain(s, start)
+	now := start.Add(time.Second)
 	grants := []Grant{}
-	for range int(params.Depth) {
-		grants = append(grants, s.Take(Request{}, start).Grant)
+	for range 10 {
+		grants = append(grants, s.Take(Request{}, now).Grant)
 	}
+	drain(s, now)
 	t.Run("counts once", func(t *testing.T) {
-		qt.Assert(t, s.Return(grants[0], start), qt.IsTrue)
-		qt.Assert(t, s.Return(grants[0], start), qt.IsFalse)
-		qt.Assert(t, drain(s, start), qt.Equals, 1)
+		qt.Assert(t, s.Return(grants[0], now), qt.IsTrue)
+		qt.Assert(t, s.Return(grants[0], now), qt.IsFalse)
+		qt.Assert(t, drain(s, now), qt.Equals, 1)
 	})
 	t.Run("unknown grant", func(t *testing.T) {
-		qt.Assert(t, s.Return(grants[0]+1000, start), qt.IsFalse)
-		qt.Assert(t, s.Return(0, start), qt.IsFalse)
+		qt.Assert(t, s.Return(grants[0]+1000, now), qt.IsFalse)
+		qt.Assert(t, s.Return(0, now), qt.IsFalse)
 	})
-	t.Run("grant of a full bucket since", func(t *testing.T) {
-		later := start.Add(3 * time.Second)
-		qt.Assert(t, drain(s, later), qt.Equals, int(params.Depth))
-		qt.Assert(t, s.Return(grants[1], later), qt.IsTrue)
-		qt.Assert(t, drain(s, later), qt.Equals, 0)
+	t.Run("grants that an almost full bucket would have lost", func(t *testing.T) {
+		almostFull := now.Add(time.Duration((params.Depth - 2.5) / params.Rate * float64(time.Second)))
+		drain(s, almostFull)
+		for _, g := range grants[1:8] {
+			qt.Assert(t, s.Return(g, almostFull), qt.IsTrue)
+		}
+		n := drain(s, almostFull)
+		qt.Assert(t, n >= 2 && n <= 3, qt.IsTrue, qt.Commentf("%d", n))
 	})
 	t.Run("grant of window mode is not credited to the bucket", func(t *testing.T) {
-		now := start.Add(3 * time.Second)
+		now := now.Add(rule.Window)
 		s.Lease(now.Add(time.Second))
 		g := s.Take(Request{}, now)
 		qt.Assert(t, g.Allowed, qt.IsTrue)
 		s.DropLease()
+		drain(s, now)
 		qt.Assert(t, s.Return(g.Grant, now), qt.IsTrue)
 		qt.Assert(t, drain(s, now), qt.Equals, 0)
 	})
 	t.Run("grant older than the window", func(t *testing.T) {
-		qt.Assert(t, s.Return(grants[2], start.Add(2*rule.Window)), qt.IsFalse)
+		qt.Assert(t, s.Return(grants[8], now.Add(2*rule.Window)), qt.IsFalse)
 	})
 }
 
--- a/internal/core/cwquota/shard.go
+++ b/internal/core/cwquota/shard.go
@@ -14,9 +14,6 @@
 	// issuedEarly is the number of tokens that were issued before tenure.capUntil.
 	issuedEarly float64
 	ring        slotRing
-	// creditFrom is the first grant that is credited to the bucket when it is returned.
-	// For an earlier one, the bucket has been full since, or window mode was used.
-	creditFrom Grant
 	// leaseUntil is the end of the lease for window mode, and windowUntil the time until
 	// which tokens that window mode issued may be in the window.
 	leaseUntil, windowUntil time.Time
@@ -51,6 +48,7 @@
 	}
 	s.advance(now)
 	s.params, s.level = params, min(s.level, params.Depth)
+	s.ring.observe(0, params.Depth-s.level)
 }
 
 // PredecessorInactive records that the predecessor did not use window mode. It has no
@@ -65,6 +63,7 @@
 func (s *Shard) Gain(t Tenure, now time.Time) {
 	s.advance(now)
 	s.tenure, s.level, s.issuedEarly = t, min(s.level, s.params.Initial), 0
+	s.ring.observe(0, 0)
 	s.leaseUntil = time.Time{}
 }
 
@@ -119,10 +118,7 @@
 	if !s.ring.giveBack(g) {
 		return false
 	}
-	if g >= s.creditFrom {
-		s.level = min(s.params.Depth, s.level+1)
-		s.issuedEarly = max(0, s.issuedEarly-1)
-	}
+	s.level = min(s.params.Depth, s.level+s.ring.credit(g))
 	return true
 }
 
@@ -134,9 +130,7 @@
 	s.updatedAt = later(s.updatedAt, now)
 	s.ring.advance(now)
 	s.demand.advance(s.ring.current)
-	if s.level >= s.params.Depth {
-		s.creditFrom = max(s.creditFrom, newGrant(s.ring.current, uint32(s.ring.at(s.ring.current).issued)))
-	}
+	s.ring.observe(0, s.params.Depth-s.level)
 }
 
 // contended reports whether priorities are compared. While every request is served, no
@@ -179,7 +173,9 @@
 // issueFromWindow issues a token for the slot k slots after the current one.
 func (s *Shard) issueFromWindow(k int, now time.Time) Decision {
 	s.level = max(0, s.level-1)
-	s.creditFrom = newGrant(s.ring.current+delaySlots+1, 0)
+	// The bucket does not count all tokens of window mode, so it gets none of them back.
+	s.ring.observe(0, 0)
+	s.ring.observe(k, 0)
 	s.windowUntil = now.Add(s.params.Window + MaxDelay(s.params.Window) + s.ring.length)
 	d := Decision{Allowed: true, Grant: s.ring.issue(k)}
 	if k > 0 {
--- a/internal/core/cwquota/slots.go
+++ b/internal/core/cwquota/slots.go
@@ -50,8 +50,14 @@
 	issued int
 	// returned are the indices of the tokens that were returned; nil if there are none.
 	returned map[uint32]struct{}
+	// headroom is the smallest number of tokens that the bucket lacked to be full at a
+	// request in the slot, if the tokens returned so far had never been taken.
+	headroom float64
 }
 
+// emptySlot returns a slot without requests.
+func emptySlot() slot { return slot{headroom: math.Inf(1)} }
+
 // count returns the number of tokens that were issued and not returned.
 func (s slot) count() int { return s.issued - len(s.returned) }
 
@@ -70,9 +76,16 @@
 func newSlotRing(window time.Duration, now time.Time) slotRing {
 	r := slotRing{length: slotLength(window)}
 	r.current = r.number(now)
+	r.clear()
 	return r
 }
 
+func (r *slotRing) clear() {
+	for i := range r.slots {
+		r.slots[i] = emptySlot()
+	}
+}
+
 func (r *slotRing) number(t time.Time) int64 { return t.UnixNano() / int64(r.length) }
 
 // start returns the beginning of the slot that is k slots after the current one.
@@ -86,7 +99,7 @@
 func (r *slotRing) advance(now time.Time) {
 	n := r.number(now)
 	if n-r.current >= ringSize {
-		clear(r.slots[:])
+		r.clear()
 		r.inWindow, r.current = 0, n
 		return
 	}
@@ -94,7 +107,7 @@
 		r.current++
 		oldest := r.at(r.current + delaySlots)
 		r.inWindow += r.at(r.current).count() - oldest.count()
-		*oldest = slot{}
+		*oldest = emptySlot()
 	}
 }
 
@@ -131,6 +144,28 @@
 	return true
 }
 
+// observe records the headroom of the bucket in the slot k slots after the current one.
+func (r *slotRing) observe(k int, headroom float64) {
+	s := r.at(r.current + int64(k))
+	s.headroom = min(s.headroom, headroom)
+}
+
+// credit returns how much of a returned token the bucket gets back. The bucket would have
+// been full, and the token or a part of it lost, if it had not been taken.
+func (r *slotRing) credit(g Grant) float64 {
+	if g.slot() > r.current {
+		return 0
+	}
+	c := 1.0
+	for n := g.slot(); n <= r.current; n++ {
+		c = min(c, r.at(n).headroom)
+	}
+	for n := g.slot(); n <= r.current; n++ {
+		r.at(n).headroom -= c
+	}
+	return c
+}
+
 // forecast has, for slot k after the current one, the number of tokens that can still
 // be issued for it: the smallest number that is left in it or in a later slot.
 type forecast [slotsPerWindow + 1]float64
