cwquotameter: rows count as active after a restore of the store

The store was restored from a copy older than the row of window mode, while all instances were killed; their successors read no row and issued in bucket mode beside what had been issued.

Change: a started instance trusts the rows only in the first era of the store, or in one in which some instance has lived until all earlier leases were over and has written it to the row quotaEra. Otherwise every workspace counts as active for its first window. A store that was never restored is asked nothing more.

TestRestartAfterRestore fails without the change (682 operations in one window, 680 allowed).

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -129,7 +129,7 @@
 	if cfg.QuotaTolerance.Window > 0 {
 		in.meter = &cwquotameter.Meter{
 			Tolerance: cfg.QuotaTolerance, Issuers: in.peers, Clock: cfg.Clock, Log: cfg.Log, QuotaOf: in.quota,
-			DataCentres: cfg.DataCentres, FirstStart: cfg.FirstStart, Table: cfg.Table, Name: cfg.Name, RunID: cfg.RunID,
+			DataCentres: cfg.DataCentres, FirstStart: cfg.FirstStart, Table: cfg.Table, Era: cfg.Era, Name: cfg.Name, RunID: cfg.RunID,
 			Counts: cwquotameter.Counts{
 				ContendedIssued: in.metrics.QuotaContendedIssued, ContendedAllowed: in.metrics.QuotaContendedAllowed,
 				Returned: in.metrics.QuotaReturned, Delayed: in.metrics.QuotaDelayed, Refused: in.metrics.QuotaIssuerRefused,
--- a/internal/proxy/cwquotameter/cluster_test.go
+++ b/internal/proxy/cwquotameter/cluster_test.go
@@ -33,7 +33,9 @@
 	versions int
 	// away makes requests fail, lostAnswers is the number of writes that are applied and
 	// whose answer is lost.
-	away                 bool
+	away bool
+	// era is the number of restores from older copies.
+	era                  uint64
 	lostAnswers          int
 	gets, lists, commits int
 }
@@ -152,6 +154,7 @@
 		Tolerance: cwcatalogue.QuotaTolerance{Window: window, Overage: 0.1, Slack: 20},
 		Issuers:   &clusterIssuers{cluster: c, self: i}, Table: c.table, Clock: clockwork.NewRealClock(), Log: log.New(io.Discard),
 		QuotaOf:     func(string) (cwcatalogue.Quota, bool) { return c.quota, true },
+		Era:         c.era,
 		DataCentres: dataCentres, Name: strconv.Itoa(i), RunID: strconv.Itoa(i) + time.Now().String(),
 		Counts: Counts{
 			ContendedIssued: &metrics.Counter{}, ContendedAllowed: &metrics.Counter{}, Returned: &metrics.Counter{}, Delayed: &metrics.Counter{},
@@ -163,6 +166,12 @@
 	go func() { _ = m.Run(ctx) }()
 }
 
+func (c *cluster) era() uint64 {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.table.era
+}
+
 // clusterIssuers implements cwport.QuotaIssuers at one instance.
 type clusterIssuers struct {
 	cluster *cluster
--- a/internal/proxy/cwquotameter/failure_test.go
+++ b/internal/proxy/cwquotameter/failure_test.go
@@ -188,3 +188,28 @@
 		qt.Assert(c, delayed > 0, qt.IsTrue)
 	})
 }
+
+// Guards against issuers that start after the store was restored from a copy without the
+// row on which their predecessors relied, and against instances that are capped for good
+// because the store was restored once.
+func TestRestartAfterRestore(t *testing.T) {
+	runCluster(t, func(c *cluster) {
+		c.settle()
+		c.run(time.Second, overload)
+		c.table.mu.Lock()
+		clear(c.table.rows)
+		c.table.era++
+		c.table.mu.Unlock()
+		for i := range c.meters {
+			c.start(i)
+		}
+		c.run(2*window, overload)
+		c.assertWithinQuota()
+		time.Sleep(4 * (cwquota.Lease + window))
+		for i := range c.meters {
+			c.start(i)
+		}
+		time.Sleep(5 * storeTime)
+		qt.Assert(c, c.meters[0].records.activeAtStart(workspace), qt.IsFalse)
+	})
+}
--- a/internal/proxy/cwquotameter/issuer.go
+++ b/internal/proxy/cwquotameter/issuer.go
@@ -103,7 +103,7 @@
 	s := m.shards[workspace]
 	switch {
 	case s == nil:
-		active := !m.records.read || m.records.activeAtStart[workspace]
+		active := m.records.activeAtStart(workspace)
 		tenure := l.FirstTenureOf(m.started, params.Window, m.FirstStart, active)
 		s = &issuedShard{shard: cwquota.NewShard(params, tenure)}
 		if m.shards == nil {
@@ -145,14 +145,14 @@
 		return
 	}
 	s.attempt = make(chan struct{})
-	go m.runAttempt(workspace, s, m.era)
+	go m.runAttempt(workspace, s, m.era.number)
 }
 
 // runAttempt writes the workspace's row, so that window mode may be used.
 func (m *Meter) runAttempt(workspace string, s *issuedShard, era uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	until, err := recordStore{table: m.Table, clock: m.Clock, log: m.Log}.lease(ctx, workspace, m.Name)
+	until, err := m.store().lease(ctx, workspace, m.Name)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	defer close(s.attempt)
@@ -163,7 +163,7 @@
 		s.attemptAfter = now.Add(attemptPause)
 		m.Log.Warn("quotaNotRecorded", "workspace", workspace, "cause", err)
 		return
-	case era != m.era:
+	case era != m.era.number:
 		// The row may be missing from the copy to which the store was restored.
 		return
 	}
@@ -174,20 +174,3 @@
 		m.Log.Info("quotaWindowMode", "workspace", workspace, "leaseMs", until.Sub(now).Milliseconds())
 	}
 }
-
-// SetEra ends window mode if the store was restored from an older copy, which may not
-// have the rows.
-func (m *Meter) SetEra(era uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if era <= m.era {
-		return
-	}
-	restored := m.era != 0
-	m.era = era
-	for _, s := range m.shards {
-		if restored {
-			s.shard.DropLease()
-		}
-	}
-}
--- a/internal/proxy/cwquotameter/meter.go
+++ b/internal/proxy/cwquotameter/meter.go
@@ -77,6 +77,9 @@
 	Issuers cwport.QuotaIssuers
 	// Table holds the records of window mode. If it is nil, window mode isn't used.
 	Table cwplatform.Table
+	// Era returns the newest era of the store in any of its answers; nil if it is never
+	// restored.
+	Era   func() uint64
 	Clock clockwork.Clock
 	Log   *log.Logger
 	// QuotaOf returns a workspace's quota according to the catalogue in force; false if
@@ -105,7 +108,7 @@
 	// pauses are the issuers that aren't asked for now.
 	pauses map[issuerKey]issuerPause
 	// era is the newest known era of the store.
-	era uint64
+	era storeEra
 }
 
 // issuerKey identifies an issuer of a workspace's quota for operations of a priority.
--- a/internal/proxy/cwquotameter/watch.go
+++ b/internal/proxy/cwquotameter/watch.go
@@ -18,10 +18,11 @@
 
 // recordTable is what an instance knows of the rows of window mode.
 type recordTable struct {
-	// read is true once the rows were read after the start, or need not be read.
-	read bool
-	// activeAtStart are the workspaces whose rows were active then.
-	activeAtStart map[string]bool
+	// complete is true once the rows were read after the start, or need not be read, and
+	// none can be missing.
+	complete bool
+	// active are the workspaces whose rows were active then.
+	active map[string]bool
 	// watched are the rows that are expected to be active.
 	watched map[string]*watchedRow
 }
@@ -34,6 +35,9 @@
 	leaseUntil time.Time
 }
 
+// activeAtStart reports whether a predecessor may have used window mode.
+func (t *recordTable) activeAtStart(workspace string) bool { return !t.complete || t.active[workspace] }
+
 // expectActive records that this instance has a lease.
 func (t *recordTable) expectActive(workspace string, leaseUntil time.Time) {
 	if t.watched == nil {
@@ -71,7 +75,7 @@
 		return nil
 	}
 	if m.Table == nil || m.FirstStart {
-		m.applyRows(nil, m.Clock.Now())
+		m.applyRows(nil, true, m.Clock.Now())
 	} else {
 		m.loopList(ctx)
 	}
@@ -84,14 +88,13 @@
 // loopList reads the rows until that succeeds, or until no predecessor can matter any
 // more.
 func (m *Meter) loopList(ctx context.Context) {
-	store := recordStore{table: m.Table, clock: m.Clock, log: m.Log}
 	end := m.started.Add(m.Tolerance.Window + cwquota.MaxDelay(m.Tolerance.Window))
 	for ctx.Err() == nil && m.Clock.Now().Before(end) {
 		listCtx, cancel := context.WithTimeout(ctx, recordTimeout)
-		rows, err := store.list(listCtx)
+		rows, complete, err := m.listRows(listCtx)
 		cancel()
 		if err == nil {
-			m.applyRows(rows, m.Clock.Now())
+			m.applyRows(rows, complete, m.Clock.Now())
 			return
 		}
 		m.Log.Warn("quotaRowsNotRead", "cause", err)
@@ -99,30 +102,46 @@
 	}
 }
 
+// listRows returns the rows, and whether none can be missing.
+func (m *Meter) listRows(ctx context.Context) (rows map[string]cwquota.Record, complete bool, err error) {
+	if rows, err = m.store().list(ctx); err != nil {
+		return nil, false, err
+	}
+	era := m.currentEra()
+	if era.number == 0 {
+		return rows, true, nil
+	}
+	settled, _, err := m.store().readEra(ctx)
+	return rows, settled == era.number, err
+}
+
+func (m *Meter) store() recordStore { return recordStore{table: m.Table, clock: m.Clock, log: m.Log} }
+
 // applyRows applies all rows as they were after the start of this instance.
-func (m *Meter) applyRows(rows map[string]cwquota.Record, now time.Time) {
+func (m *Meter) applyRows(rows map[string]cwquota.Record, complete bool, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := &m.records
-	t.read, t.activeAtStart = true, make(map[string]bool)
+	t.complete, t.active = complete, make(map[string]bool)
 	for workspace, r := range rows {
 		if r.Active {
-			t.activeAtStart[workspace] = true
+			t.active[workspace] = true
 			t.expectActive(workspace, time.Time{})
 			t.watched[workspace].seen = cwquota.Watch{Version: r.Version, SeenAt: now}
 		}
 	}
 	for workspace, s := range m.shards {
-		if !t.activeAtStart[workspace] {
+		if !t.activeAtStart(workspace) {
 			s.shard.PredecessorInactive()
 		}
 	}
-	m.Log.Info("quotaRowsRead", "rows", len(rows), "active", len(t.activeAtStart))
+	m.Log.Info("quotaRowsRead", "rows", len(rows), "active", len(t.active), "complete", complete)
 }
 
 // loopWatch logs the end of window mode, and clears rows that are no longer used.
 func (m *Meter) loopWatch(ctx context.Context) {
 	for m.sleep(ctx, watchInterval) {
+		m.settleEra(ctx)
 		for _, workspace := range m.dueRows() {
 			m.checkRow(ctx, workspace)
 		}
@@ -179,7 +198,7 @@
 func (m *Meter) checkRow(ctx context.Context, workspace string) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	store := recordStore{table: m.Table, clock: m.Clock, log: m.Log}
+	store := m.store()
 	r, err := store.read(ctx, workspace)
 	if err != nil {
 		m.Log.Warn("quotaRowNotCleared", "workspace", workspace, "cause", err)
