Merge branch 'load-quota': quotas under contention

Cause: a shard issued its bucket, not the window that the rule allows; operations of low priority took tokens from those of high priority; refused callers were told times at which nothing was free.

--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -49,6 +49,7 @@
 	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.recordOverdue(l, sent) })
 	r := s.send(l.conn, w, t.limits)
 	t.recordResult(l, w, r, !overdue.Stop())
+	s.recordExchange(w.command.Verb, r)
 	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
 		l.endTurn(r)
 	}
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwoutlier"
+	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
 )
@@ -36,6 +38,13 @@
 	// those whose quota could not be checked, and Unauthorised statements and
 	// sessions with an unknown key.
 	QuotaRefused, QuotaUnknown, Unauthorised *metrics.Counter
+	// QuotaContendedIssued and QuotaContendedAllowed sum up, over the times at which an
+	// operation was refused or delayed by this instance as an issuer, the operations
+	// issued in the last window and the limit of the window. QuotaReturned counts
+	// grants that were returned to it, QuotaDelayed operations that it delayed, and
+	// QuotaIssuerRefused those that it refused, by priority.
+	QuotaContendedIssued, QuotaContendedAllowed, QuotaReturned, QuotaDelayed *metrics.Counter
+	QuotaIssuerRefused                                                       [cwquota.Priorities]*metrics.Counter
 	// TargetConnections counts the connections opened to targets.
 	TargetConnections *metrics.Counter
 	// PathReports counts the path reports sent, PathReportsLost those without an answer,
@@ -64,7 +73,7 @@
 // NewMetrics returns a new set of metrics, all zero.
 func NewMetrics() *Metrics {
 	set := metrics.NewSet()
-	return &Metrics{
+	m := &Metrics{
 		set:       set,
 		Attempts:  set.NewCounter("cicadawalk_attempts_total"),
 		Retries:   set.NewCounter("cicadawalk_retries_total"),
@@ -77,9 +86,15 @@
 		StoreRestores:        set.NewCounter("cicadawalk_store_restores_total"),
 		OutdatedStoreAnswers: set.NewCounter("cicadawalk_store_answers_outdated_total"),
 
-		QuotaRefused:      set.NewCounter("cicadawalk_quota_refused_total"),
-		QuotaUnknown:      set.NewCounter("cicadawalk_quota_unknown_total"),
-		Unauthorised:      set.NewCounter("cicadawalk_unauthorised_total"),
+		QuotaRefused: set.NewCounter("cicadawalk_quota_refused_total"),
+		QuotaUnknown: set.NewCounter("cicadawalk_quota_unknown_total"),
+		Unauthorised: set.NewCounter("cicadawalk_unauthorised_total"),
+
+		QuotaContendedIssued:  set.NewCounter("cicadawalk_quota_contended_issued_total"),
+		QuotaContendedAllowed: set.NewCounter("cicadawalk_quota_contended_allowed_total"),
+		QuotaReturned:         set.NewCounter("cicadawalk_quota_returned_total"),
+		QuotaDelayed:          set.NewCounter("cicadawalk_quota_delayed_total"),
+
 		TargetConnections: set.NewCounter("cicadawalk_target_connections_total"),
 
 		PathReports:         set.NewCounter("cicadawalk_path_reports_sent_total"),
@@ -95,6 +110,10 @@
 
 		waitingPriorities: make(map[int]bool), shareGauges: make(map[string]bool),
 	}
+	for p := range m.QuotaIssuerRefused {
+		m.QuotaIssuerRefused[p] = set.NewCounter(`cicadawalk_quota_issuer_refused_total{priority="` + strconv.Itoa(p) + `"}`)
+	}
+	return m
 }
 
 // AddAgeGauge adds a gauge of the maximum possible age of the desired state in force,
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -47,7 +47,9 @@
 	// *cwport.MethodUnknownError if its build does not know the method.
 	SendPathReport(ctx context.Context, r cwport.PathReport) (cwport.PathReply, error)
 	// TakeQuota asks the other instance to admit one operation of a workspace.
-	TakeQuota(ctx context.Context, workspace string) (cwport.QuotaDecision, error)
+	TakeQuota(ctx context.Context, r cwport.QuotaRequest) (cwport.QuotaDecision, error)
+	// ReturnQuota gives back quota that the other instance has issued.
+	ReturnQuota(ctx context.Context, workspace string, g cwport.QuotaGrant) error
 	// Members requests the other instance's reports of a group's members.
 	Members(ctx context.Context, q cwport.MembersRequest) (cwport.MembersResponse, error)
 	// ExchangeDemand reports the demand of instance self at the members of a group, and
@@ -125,7 +127,16 @@
 	ownRowETag string
 	// issuers caches the issuers of each workspace's quota, in the order in which this
 	// instance asks them. It is cleared when an instance changes.
-	issuers map[string][]cwholder.Instance
+	issuers map[string]issuerList
+	// addedAt is when an instance was last added to this data centre, and gainedAt when
+	// one was last removed from it or this instance was added, each after the first list
+	// was read. See cwquota.Listing.
+	addedAt, gainedAt time.Time
+	// listChangedAt is when an instance of any data centre was last added or removed.
+	listChangedAt time.Time
+	// centreListed is true once all instances of this data centre are in placement.
+	// newcomer is true if the table had no row of this instance when it started.
+	centreListed, newcomer bool
 	// links are the connections to other instances, by instance name.
 	links map[string]*link
 	// lastHelper is the instance that was last chosen to run the statements of a group
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -126,12 +126,16 @@
 	return cwport.MembersResponse{Observes: true, Reports: []cwport.MemberReport{{Member: cwgroup.MemberID(q.Group)}}}, nil
 }
 
-func (c *fakeConn) TakeQuota(ctx context.Context, _ string) (cwport.QuotaDecision, error) {
+func (c *fakeConn) SendPathReport(ctx context.Context, _ cwport.PathReport) (cwport.PathReply, error) {
+	return cwport.PathReply{}, c.awaitAnswer(ctx)
+}
+
+func (c *fakeConn) TakeQuota(ctx context.Context, _ cwport.QuotaRequest) (cwport.QuotaDecision, error) {
 	return cwport.QuotaDecision{Allowed: true}, c.awaitAnswer(ctx)
 }
 
-func (c *fakeConn) SendPathReport(ctx context.Context, _ cwport.PathReport) (cwport.PathReply, error) {
-	return cwport.PathReply{}, c.awaitAnswer(ctx)
+func (c *fakeConn) ReturnQuota(ctx context.Context, _ string, _ cwport.QuotaGrant) error {
+	return c.awaitAnswer(ctx)
 }
 
 func (c *fakeConn) Ping(ctx context.Context) error { return c.awaitAnswer(ctx) }
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -57,6 +57,9 @@
 	TryOtherHolder bool
 	// Contended is true if statements wait for the group's members at the holder.
 	Contended bool
+	// NotRun is true if no statement of the operation has reached a target there, apart
+	// from those that the target refused. It is false if the holder is of an older build.
+	NotRun bool
 }
 
 // Holder is another instance that runs statements of a group.
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -81,6 +81,8 @@
 			return s.answerMembers(ctx, req)
 		case methodDemand:
 			return s.answerDemand(req)
+		case methodQuotaReturn:
+			return s.answerQuotaReturn(req)
 		}
 		return s.answerPingOrStatement(bounded, req)
 	}
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -12,6 +12,7 @@
 //   - news requests the changes that the other instance has received from the
 //     platform's store.
 //   - quota takes one operation from a workspace's quota.
+//   - quotaReturn gives back the quota of an operation that did not run.
 //   - path reports that other data centres do not answer, or answer again.
 //   - members requests the other instance's reports of a group's members.
 //   - demand exchanges the numbers of statements that wait and run at the members of a
@@ -30,13 +31,14 @@
 
 // Names of the RPC methods.
 const (
-	methodForward = "hand"
-	methodPing    = "ping"
-	methodNews    = "news"
-	methodQuota   = "quota"
-	methodPath    = "path"
-	methodMembers = "members"
-	methodDemand  = "demand"
+	methodForward     = "hand"
+	methodPing        = "ping"
+	methodNews        = "news"
+	methodQuota       = "quota"
+	methodQuotaReturn = "quotaReturn"
+	methodPath        = "path"
+	methodMembers     = "members"
+	methodDemand      = "demand"
 )
 
 type statementBody struct {
@@ -86,6 +88,7 @@
 	Wrote     positionBody `json:"wrote,omitzero"`
 	Elsewhere bool         `json:"elsewhere,omitempty"`
 	Contended bool         `json:"contended,omitempty"`
+	NotRun    bool         `json:"notRun,omitempty"`
 }
 
 // MalformedMessageError reports a message that is malformed or has values out of range.
@@ -173,7 +176,7 @@
 	a := r.Answer
 	return resultBody{
 		Rows: a.Rows, Proof: a.Proof, Code: a.Code.String(), Detail: a.Detail, State: a.State.String(),
-		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder, Contended: r.Contended,
+		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder, Contended: r.Contended, NotRun: r.NotRun,
 	}
 }
 
@@ -184,6 +187,6 @@
 	}
 	return cwport.ForwardResponse{
 		Answer:         cwstatement.Response{Rows: b.Rows, Proof: b.Proof, Code: cwstatement.ParseCode(b.Code), Detail: b.Detail, State: state},
-		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, Contended: b.Contended,
+		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, Contended: b.Contended, NotRun: b.NotRun,
 	}, nil
 }
