cwquota: window mode is recorded for 10 s instead of 30

A workspace that was contended within the lease and a window before all instances were restarted is nearly without quota for one window.

--- a/internal/core/cwquota/record.go
+++ b/internal/core/cwquota/record.go
@@ -4,8 +4,10 @@
 
 // Times of the record of window mode in the platform's store.
 const (
-	// Lease is how long window mode may be used after a write of the record.
-	Lease = 30 * time.Second
+	// Lease is how long window mode may be used after a write of the record. After a
+	// restart within that time of its last use, a workspace is nearly without quota for
+	// one window; a shorter lease costs more writes.
+	Lease = 10 * time.Second
 	// renewBefore is how long before its end a lease is renewed. It leaves time for
 	// several attempts if the store is slow.
 	renewBefore = Lease / 2
