--- a/internal/proxy/cwquotameter/failure_test.go
+++ b/internal/proxy/cwquotameter/failure_test.go
@@ -13,7 +13,7 @@
 // overload is seven times the usual load, without retries.
 var overload = callers{rate: burstLoad, maxWait: wait}
 
-// issues reports whether an instance issues in window mode.
+// inWindowMode reports whether an instance issues in window mode.
 func (c *cluster) inWindowMode(i int) bool {
 	m := c.meters[i]
 	m.mu.Lock()
@@ -210,6 +210,9 @@
 			c.start(i)
 		}
 		time.Sleep(5 * storeTime)
-		qt.Assert(c, c.meters[0].records.activeAtStart(workspace), qt.IsFalse)
+		m := c.meters[0]
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		qt.Assert(c, m.records.activeAtStart(workspace), qt.IsFalse)
 	})
 }
