cwquota: demand counts once, and what is set aside comes back sooner

Each refused operation asked all issuers, and each of them counted it as demand of its priority, so several times too much was set aside; a requester also left an issuer alone for as long as its retry time said. A repeated request no longer counts, an issuer is asked again after 200 ms, and one token is left for a higher priority two slots early. Rows that the first issuer cannot clear are cleared by others 5 s later instead of after twice the time.

--- a/internal/core/cwquota/quota.go
+++ b/internal/core/cwquota/quota.go
@@ -93,6 +93,10 @@
 	// requests to all issuers, which accepts no delay and is given no place in the
 	// order of retries.
 	MaxWait time.Duration
+	// Repeated is true if another issuer was asked for the operation before. It then
+	// doesn't count as demand: the demand of all shards together would be a multiple of
+	// the real one, and too much would be set aside for higher priorities.
+	Repeated bool
 }
 
 // Decision is the answer to a Request.
--- a/internal/core/cwquota/record.go
+++ b/internal/core/cwquota/record.go
@@ -11,6 +11,9 @@
 	// renewBefore is how long before its end a lease is renewed. It leaves time for
 	// several attempts if the store is slow.
 	renewBefore = Lease / 2
+	// clearDelay is how much later than the first issuer the others clear a row: time for
+	// a few attempts, so that they seldom write at once.
+	clearDelay = 5 * time.Second
 )
 
 // Record is the content of a workspace's row in the store.
@@ -55,11 +58,11 @@
 
 // ClearAt returns when the row may be cleared if it still has the same version: no
 // issuer has a lease then, nor a token in its window. The first issuer of the workspace
-// does so, and the others only if it has not done so after twice that time.
+// does so, and the others only if it has not done so after clearDelay.
 func (w Watch) ClearAt(window time.Duration, firstIssuer bool) time.Time {
 	idle := Lease + window + MaxDelay(window)
 	if !firstIssuer {
-		idle *= 2
+		idle += clearDelay
 	}
 	return w.SeenAt.Add(idle)
 }
--- a/internal/core/cwquota/shard.go
+++ b/internal/core/cwquota/shard.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// lookaheadSlots is the number of slots by which tokens are set aside early, so that one
+// is left for a request of a higher priority that comes a little sooner than on average.
+const lookaheadSlots = 2
+
 // Shard is one shard at its issuer. It is created by NewShard and is not safe for
 // concurrent use.
 type Shard struct {
@@ -93,7 +97,9 @@
 func (s *Shard) Take(r Request, now time.Time) Decision {
 	s.advance(now)
 	p := PriorityIndex(r.Priority)
-	s.demand.record(p, now)
+	if !r.Repeated {
+		s.demand.record(p, now)
+	}
 	windowMode := s.WindowMode(now)
 	// A shard with an empty bucket doesn't mean that the workspace exceeds its quota:
 	// callers use the shards of their own data centre first.
@@ -150,7 +156,7 @@
 	f.setAside(func(k int) float64 {
 		expected := each
 		if k == 0 {
-			expected = first
+			expected = first + lookaheadSlots*each
 		}
 		return max(expected, float64(s.demand.promisedIn(k, priority)))
 	})
@@ -221,7 +227,13 @@
 	if now.Before(s.tenure.capUntil) && s.issuedEarly+1 > s.params.Initial {
 		return false
 	}
-	if s.level-max(0, aside-s.params.Rate)*s.params.Window.Seconds() < 1 {
+	reserve := max(0, aside-s.params.Rate) * s.params.Window.Seconds()
+	if aside > 0 {
+		// The next request of a higher priority finds a token, also if the bucket fills
+		// as fast as these come on average.
+		reserve++
+	}
+	if s.level-reserve < 1 {
 		return false
 	}
 	if now.Before(s.windowUntil) {
--- a/internal/proxy/cwport/quota.go
+++ b/internal/proxy/cwport/quota.go
@@ -25,6 +25,8 @@
 	// MaxWait is how long the operation may wait for quota. An issuer gives a refused
 	// operation a place in the order of retries only if MaxWait is not 0.
 	MaxWait time.Duration
+	// Repeated is true if another issuer was asked for the operation before.
+	Repeated bool
 }
 
 // QuotaGrant identifies the quota that an issuer allowed; zero if it cannot be returned.
--- a/internal/proxy/cwquotameter/issuer.go
+++ b/internal/proxy/cwquotameter/issuer.go
@@ -77,7 +77,7 @@
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
 	s := m.shardOf(r.Workspace, params.ForRank(listing, m.started, now), listing, now)
-	request := cwquota.Request{Priority: r.Priority, MaxWait: r.MaxWait}
+	request := cwquota.Request{Priority: r.Priority, MaxWait: r.MaxWait, Repeated: r.Repeated}
 	if s.attempt != nil && !s.shard.WindowMode(now) {
 		// Until the attempt has ended, the place in the order of retries isn't known.
 		request.MaxWait = 0
--- a/internal/proxy/cwquotameter/meter.go
+++ b/internal/proxy/cwquotameter/meter.go
@@ -35,6 +35,10 @@
 	// asked again, and unsupportedPause that for one that keeps no quotas.
 	unresponsivePause = 500 * time.Millisecond
 	unsupportedPause  = 30 * time.Second
+	// maxRefusedPause is the longest time for which an issuer that refused isn't asked
+	// again. Tokens that are returned, or that higher priorities don't need after all,
+	// come back sooner than the retry time that it stated.
+	maxRefusedPause = 200 * time.Millisecond
 	// connectWait is the time for which an operation waits for a connection to any
 	// issuer, and connectPollInterval the interval at which it checks. Connections are
 	// opened within some milliseconds once instances know of each other.
@@ -147,9 +151,9 @@
 	waitEnd, connectEnd := now.Add(r.MaxWait), now.Add(connectWait)
 	r.MaxWait = 0
 	for {
-		best := m.askIssuers(r, false)
+		best := m.askIssuers(&r, false)
 		if !best.Allowed {
-			best = best.better(m.askIssuers(r, true))
+			best = best.better(m.askIssuers(&r, true))
 		}
 		now = m.Clock.Now()
 		switch {
@@ -166,14 +170,16 @@
 }
 
 // askIssuers asks the issuers of this data centre, or those of the others if remote
-// is true, until one allows the operation. It returns the best decision.
-func (m *Meter) askIssuers(r cwport.QuotaRequest, remote bool) offer {
+// is true, until one allows the operation, and records in r that one was asked. It
+// returns the best decision.
+func (m *Meter) askIssuers(r *cwport.QuotaRequest, remote bool) offer {
 	out := offer{QuotaDecision: cwport.QuotaDecision{Unknown: true, RetryAfter: unknownRetryAfter}}
 	for _, issuer := range m.Issuers.QuotaIssuers(r.Workspace, remote) {
 		pause, ok := m.pauseOf(issuerKey{r.Workspace, issuer.Name, r.Priority})
 		v := cwport.QuotaDecision{Unknown: pause.unresponsive, RetryAfter: pause.until.Sub(m.Clock.Now())}
 		if !ok {
-			v = m.ask(r, issuer)
+			v = m.ask(*r, issuer)
+			r.Repeated = true
 		}
 		if out = out.better(offer{QuotaDecision: v, issuer: issuer}); out.Allowed {
 			return out
@@ -250,8 +256,10 @@
 		m.Log.Debug("quotaNotAsked", "workspace", r.Workspace, "issuer", issuer.Name, "cause", err)
 		m.setPause(key, pauseAfter(err), true)
 		return cwport.QuotaDecision{Unknown: true}
+	case v.Unknown:
+		m.setPause(key, v.RetryAfter, true)
 	case !v.Allowed:
-		m.setPause(key, v.RetryAfter, v.Unknown)
+		m.setPause(key, min(v.RetryAfter, maxRefusedPause), false)
 	}
 	return v
 }
--- a/internal/wire/cwforward/quota.go
+++ b/internal/wire/cwforward/quota.go
@@ -22,6 +22,7 @@
 	Workspace string `json:"workspace"`
 	Priority  int    `json:"priority,omitempty"`
 	MaxWaitUS int64  `json:"maxWaitUs,omitempty"`
+	Repeated  bool   `json:"repeated,omitempty"`
 }
 
 type quotaResultBody struct {
@@ -55,7 +56,7 @@
 	if err == nil && b.Priority < 0 {
 		err = &MalformedMessageError{Reason: "quota: negative priority"}
 	}
-	return cwport.QuotaRequest{Workspace: b.Workspace, Priority: b.Priority, MaxWait: wait}, err
+	return cwport.QuotaRequest{Workspace: b.Workspace, Priority: b.Priority, MaxWait: wait, Repeated: b.Repeated}, err
 }
 
 func encodeQuotaResult(d cwport.QuotaDecision) quotaResultBody {
@@ -125,7 +126,7 @@
 // RPC call if that failed.
 func (c *Conn) TakeQuota(ctx context.Context, r cwport.QuotaRequest) (cwport.QuotaDecision, error) {
 	var b quotaResultBody
-	body := quotaRequestBody{Workspace: r.Workspace, Priority: r.Priority, MaxWaitUS: r.MaxWait.Microseconds()}
+	body := quotaRequestBody{Workspace: r.Workspace, Priority: r.Priority, MaxWaitUS: r.MaxWait.Microseconds(), Repeated: r.Repeated}
 	if err := c.rpc.Call(ctx, methodQuota, body, &b); err != nil {
 		return cwport.QuotaDecision{}, asUnsupported(methodQuota, err)
 	}
--- a/internal/wire/cwforward/quota_test.go
+++ b/internal/wire/cwforward/quota_test.go
@@ -49,7 +49,7 @@
 	c, ctx := qt.New(t), context.Background()
 	s := &quotaServer{answer: cwport.QuotaDecision{Allowed: true, Delay: time.Millisecond, Grant: cwport.QuotaGrant{Run: "r", Grant: 1 << 60}}}
 	conn := dialQuotas(c, s)
-	r := cwport.QuotaRequest{Workspace: "north", Priority: 2, MaxWait: 30 * time.Millisecond}
+	r := cwport.QuotaRequest{Workspace: "north", Priority: 2, MaxWait: 30 * time.Millisecond, Repeated: true}
 	v, err := conn.TakeQuota(ctx, r)
 	c.Assert(err, qt.IsNil)
 	c.Assert(v, qt.Equals, s.answer)
