cwquotameter: the last change of a row of window mode is known from the feed

The issuers read a row only when their lease had ended, and waited a lease and a window from then on.

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -341,6 +341,9 @@
 func (in *Instance) ApplyRows(rows []cwport.Row, complete bool) {
 	in.peers.ApplyRows(rows, complete)
 	in.members.ObserveRows(rows, complete)
+	if in.meter != nil {
+		in.meter.ObserveRows(rows)
+	}
 	for _, r := range rows {
 		service, ok := cwclaim.GroupOfKey(r.Key)
 		if !ok || r.Removed {
--- a/internal/proxy/cwquotameter/failure_test.go
+++ b/internal/proxy/cwquotameter/failure_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwfeed"
 	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -216,3 +217,29 @@
 		qt.Assert(c, m.records.activeAtStart(workspace), qt.IsFalse)
 	})
 }
+
+// Guards against a row that stays active long after its last use because its issuers
+// learn late when it was last written: after a restart, its workspace is nearly without
+// quota.
+func TestRowIsDueAfterItsLastChange(t *testing.T) {
+	m, clock := newMeter(&fakeIssuers{})
+	m.records.expectActive(workspace, clock.Now().Add(cwquota.Lease))
+	observe := func(value string, version cwfeed.Version) {
+		m.ObserveRows([]cwport.Row{{Key: KeyPrefix + workspace, Value: []byte(value), Version: version}})
+	}
+	due := func() time.Duration {
+		return m.records.watched[workspace].dueAt(m.Tolerance.Window, true).Sub(clock.Now())
+	}
+	idle := cwquota.Lease + m.Tolerance.Window + cwquota.MaxDelay(m.Tolerance.Window)
+	clock.Advance(time.Second)
+	observe(`{"active":true}`, 7)
+	qt.Assert(t, due(), qt.Equals, idle)
+	clock.Advance(time.Second)
+	observe(`{"active":true}`, 7)
+	qt.Assert(t, due(), qt.Equals, idle-time.Second)
+	observe(`{"active":true}`, 8)
+	qt.Assert(t, due(), qt.Equals, idle)
+	clock.Advance(cwquota.Lease)
+	observe(`{}`, 9)
+	qt.Assert(t, m.records.watched[workspace], qt.IsNil)
+}
--- a/internal/proxy/cwquotameter/watch.go
+++ b/internal/proxy/cwquotameter/watch.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwquota"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
 // Times of the watch over rows.
 const (
 	// watchInterval is the interval at which leases and active rows are checked. Rows
 	// are cleared after tens of seconds.
-	watchInterval = 5 * time.Second
+	watchInterval = 2 * time.Second
 	// listRetry is the pause after the rows could not be read.
 	listRetry = 200 * time.Millisecond
 )
@@ -43,7 +46,12 @@
 	if t.watched == nil {
 		t.watched = make(map[string]*watchedRow)
 	}
-	t.watched[workspace] = &watchedRow{leaseUntil: leaseUntil}
+	row := t.watched[workspace]
+	if row == nil {
+		row = &watchedRow{}
+		t.watched[workspace] = row
+	}
+	row.leaseUntil = leaseUntil
 }
 
 // dueAt returns when the row is to be read. The first issuer reads it when its lease has
@@ -58,6 +66,37 @@
 	return cwquota.Watch{SeenAt: r.leaseUntil}.ClearAt(window, false)
 }
 
+// ObserveRows records changed rows of the store, so that the time of the last change of a
+// watched row is known without reading it. Rows of other kinds are ignored.
+//
+// A row that is received late only looks younger, so it is cleared later.
+func (m *Meter) ObserveRows(rows []cwport.Row) {
+	for _, r := range rows {
+		workspace, ok := strings.CutPrefix(r.Key, KeyPrefix)
+		if !ok {
+			continue
+		}
+		rec := cwquota.Record{}
+		if !r.Removed {
+			rec = m.store().decode(cwplatform.Row{Key: r.Key, Value: r.Value, ETag: r.ETag()})
+		}
+		m.observeRow(workspace, rec)
+	}
+}
+
+func (m *Meter) observeRow(workspace string, r cwquota.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, now := m.records.watched[workspace], m.Clock.Now()
+	switch {
+	case row == nil || r.Version == row.seen.Version:
+	case r.Active:
+		row.seen = cwquota.Watch{Version: r.Version, SeenAt: now}
+	case now.After(row.leaseUntil):
+		delete(m.records.watched, workspace)
+	}
+}
+
 // Prepare makes the instance read the rows of window mode. It is called when a workspace
 // with a quota is known. Only the first call has an effect.
 func (m *Meter) Prepare() {
