cwquota, cwquotameter: shards are token buckets only, and requesters wait for places

The rows, leases, era, watch and list at start are removed, and with them the share of fractions by rank and the delays that issuers granted. Parameters of buckets are unchanged, as are priorities, refunds and the rule for shards gained by a change of the list. An operation whose retry time is within its wait now waits and asks that issuer once more, with its place, for which the issuer has kept a token. Retry times include the tokens set aside for higher priorities.

Tests that only concern window mode are removed: TestLease, TestRanksShareFractions, the refund of a grant of window mode, TestStoreAway, TestLostAnswerToWrite, TestRestartAfterRestore, TestRowIsDueAfterItsLastChange, and the leases, rows and ranks of the property test. That one still has kills, stale lists, refunds and lowered quotas, and now also used places and shards that come back to an instance. TestRestartUnderOverload and TestWaitingOperation replace TestRestartInActiveWorkspace and TestDelayedOperation. TestRetryTimes runs on an empty bucket. TestPriorities compares later windows with the refill, since a bucket issues its depth once, and its callers of high priority don't wait, so that it notices if nothing is set aside for them.

--- a/internal/core/cwquota/demand.go
+++ b/internal/core/cwquota/demand.go
@@ -14,8 +14,8 @@
 	// set aside for up to one window, for which the rate of a much shorter time says
 	// little; over a whole window, a burst of high priority would be noticed late.
 	demandTimePart = 2
-	// promiseSlots is the number of slots for which promises are kept, more than
-	// maxPromiseWindows.
+	// promiseSlots is the number of slots for which promises are kept, more than those
+	// of maxPromiseWindows.
 	promiseSlots      = 128
 	maxPromiseWindows = 2
 )
@@ -23,6 +23,58 @@
 // PriorityIndex returns the index of a priority among those that are told apart.
 func PriorityIndex(p int) int { return min(max(p, 0), Priorities-1) }
 
+// schedule counts operations by priority and by the slot in which they come back.
+type schedule struct {
+	// counts is at the slot's number modulo promiseSlots. It is 0 for slots that are over.
+	counts [Priorities][promiseSlots]uint16
+	// totals are the sums of counts.
+	totals [Priorities]int
+}
+
+// add counts an operation, and returns false if there are too many in the slot.
+func (s *schedule) add(priority int, slot int64) bool {
+	n := &s.counts[priority][slot%promiseSlots]
+	if *n == math.MaxUint16 {
+		return false
+	}
+	*n++
+	s.totals[priority]++
+	return true
+}
+
+// remove takes an operation out of the count if there is one.
+func (s *schedule) remove(priority int, slot int64) {
+	if n := &s.counts[priority][slot%promiseSlots]; *n > 0 {
+		*n--
+		s.totals[priority]--
+	}
+}
+
+// drop removes all operations of a slot.
+func (s *schedule) drop(slot int64) {
+	for p := range Priorities {
+		n := &s.counts[p][slot%promiseSlots]
+		s.totals[p] -= int(*n)
+		*n = 0
+	}
+}
+
+// total returns the number of operations of the priority and higher ones.
+func (s *schedule) total(priority int) (sum int) {
+	for _, n := range s.totals[:priority+1] {
+		sum += n
+	}
+	return sum
+}
+
+// in returns the number of operations of the priority and higher ones in a slot.
+func (s *schedule) in(slot int64, priority int) (sum int) {
+	for p := range priority + 1 {
+		sum += int(s.counts[p][slot%promiseSlots])
+	}
+	return sum
+}
+
 // demand measures the rate of requests by priority, and the retry times that were
 // stated to refused operations.
 type demand struct {
@@ -31,10 +83,9 @@
 	// rates are in requests per second, at updatedAt.
 	rates     [Priorities]float64
 	updatedAt time.Time
-	// promised is the number of operations that were told to retry in the current slot
-	// or a later one, at the slot's number modulo promiseSlots. outstanding is its sum.
-	promised    [Priorities][promiseSlots]uint16
-	outstanding [Priorities]int
+	// promised are the operations that were told to retry in the current slot or a later
+	// one. kept are those of them that wait and for which a token is kept.
+	promised, kept schedule
 	// current is the number of the current slot.
 	current int64
 }
@@ -62,42 +113,33 @@
 // advance drops the promises for slots before the given one.
 func (d *demand) advance(current int64) {
 	if current-d.current >= promiseSlots {
-		d.promised, d.outstanding, d.current = [Priorities][promiseSlots]uint16{}, [Priorities]int{}, current
+		d.promised, d.kept, d.current = schedule{}, schedule{}, current
 		return
 	}
 	for ; d.current < current; d.current++ {
-		i := d.current % promiseSlots
-		for p := range Priorities {
-			d.outstanding[p] -= int(d.promised[p][i])
-			d.promised[p][i] = 0
-		}
+		d.promised.drop(d.current)
+		d.kept.drop(d.current)
 	}
 }
 
-// promisedIn returns the number of operations of higher priority that were told to retry
-// in the slot k slots after the current one.
-func (d *demand) promisedIn(k, priority int) (sum int) {
-	i := (d.current + int64(k)) % promiseSlots
-	for p := range priority {
-		sum += int(d.promised[p][i])
+// promise records that an operation was told to retry in a slot, and keeps a token for it
+// if it waits. It returns false if the slot is too far away or has too many promises.
+func (d *demand) promise(priority int, slot int64, waits bool) bool {
+	if slot < d.current || slot >= d.current+promiseSlots || !d.promised.add(priority, slot) {
+		return false
 	}
-	return sum
-}
-
-// ahead returns the number of promised tokens that come before one for the priority.
-func (d *demand) ahead(priority int) (sum int) {
-	for _, n := range d.outstanding[:priority+1] {
-		sum += n
+	if waits {
+		d.kept.add(priority, slot)
 	}
-	return sum
+	return true
 }
 
-// promise records that an operation was told to retry in a slot.
-func (d *demand) promise(priority int, slot int64) {
-	n := &d.promised[priority][slot%promiseSlots]
-	if slot < d.current || slot >= d.current+promiseSlots || *n == math.MaxUint16 {
+// use removes the promise for an operation that has waited for it. One whose slot is over
+// was dropped before.
+func (d *demand) use(priority int, slot int64) {
+	if slot < d.current || slot >= d.current+promiseSlots {
 		return
 	}
-	*n++
-	d.outstanding[priority]++
+	d.promised.remove(priority, slot)
+	d.kept.remove(priority, slot)
 }
--- a/internal/core/cwquota/slots.go
+++ b/internal/core/cwquota/slots.go
@@ -10,18 +10,11 @@
 	// slotsPerWindow is the number of slots of one window. A token counts for up to one
 	// slot longer than the window, which costs one fiftieth of the limit.
 	slotsPerWindow = 50
-	// delaySlots is the longest delay of an operation, in slots. A successor waits for
-	// the end of the delays that its predecessor granted, so they are a small part of
-	// the window.
-	delaySlots = 5
-	// ringSize is the number of slots that are kept: those that end in the window, the
-	// current one, and those into which operations are delayed.
-	ringSize = slotsPerWindow + 1 + delaySlots
+	// ringSize is the number of slots that are kept: those that end in the window, and the
+	// current one.
+	ringSize = slotsPerWindow + 1
 )
 
-// MaxDelay returns the longest delay with which an operation is allowed.
-func MaxDelay(window time.Duration) time.Duration { return delaySlots * slotLength(window) }
-
 // slotLength returns the length of a slot, rounded up so that slotsPerWindow of them
 // last at least one window.
 func slotLength(window time.Duration) time.Duration {
@@ -45,7 +38,7 @@
 func (g Grant) slot() int64   { return int64(g >> grantIndexBits) }
 func (g Grant) index() uint32 { return uint32(g & (1<<grantIndexBits - 1)) }
 
-// slot counts the tokens that were issued for one slot.
+// slot counts the tokens that were issued in one slot.
 type slot struct {
 	issued int
 	// returned are the indices of the tokens that were returned; nil if there are none.
@@ -66,10 +59,10 @@
 	length time.Duration
 	// current is the number of the current slot since the Unix epoch.
 	current int64
-	// slots has slots current-slotsPerWindow to current+delaySlots, each at its number
+	// slots has slots current-slotsPerWindow to current, each at its number
 	// modulo ringSize.
 	slots [ringSize]slot
-	// inWindow is the sum of slots current-slotsPerWindow to current.
+	// inWindow is the sum of all slots.
 	inWindow int
 }
 
@@ -88,9 +81,9 @@
 
 func (r *slotRing) number(t time.Time) int64 { return t.UnixNano() / int64(r.length) }
 
-// start returns the beginning of the slot that is k slots after the current one.
-func (r *slotRing) start(k int) time.Time {
-	return time.Unix(0, (r.current+int64(k))*int64(r.length))
+// start returns the beginning of a slot.
+func (r *slotRing) start(number int64) time.Time {
+	return time.Unix(0, number*int64(r.length))
 }
 
 func (r *slotRing) at(number int64) *slot { return &r.slots[number%ringSize] }
@@ -105,21 +98,18 @@
 	}
 	for r.current < n {
 		r.current++
-		oldest := r.at(r.current + delaySlots)
-		r.inWindow += r.at(r.current).count() - oldest.count()
+		oldest := r.at(r.current)
+		r.inWindow -= oldest.count()
 		*oldest = emptySlot()
 	}
 }
 
-// issue counts a token for the slot k slots after the current one.
-func (r *slotRing) issue(k int) Grant {
-	number := r.current + int64(k)
-	s := r.at(number)
-	g := newGrant(number, uint32(s.issued))
+// issue counts a token.
+func (r *slotRing) issue() Grant {
+	s := r.at(r.current)
+	g := newGrant(r.current, uint32(s.issued))
 	s.issued++
-	if k == 0 {
-		r.inWindow++
-	}
+	r.inWindow++
 	return g
 }
 
@@ -127,7 +117,7 @@
 // than the window, or was returned before.
 func (r *slotRing) giveBack(g Grant) bool {
 	number := g.slot()
-	if number < r.current-slotsPerWindow || number > r.current+delaySlots {
+	if number < r.current-slotsPerWindow || number > r.current {
 		return false
 	}
 	s := r.at(number)
@@ -138,24 +128,19 @@
 		s.returned = make(map[uint32]struct{}, 1)
 	}
 	s.returned[g.index()] = struct{}{}
-	if number <= r.current {
-		r.inWindow--
-	}
+	r.inWindow--
 	return true
 }
 
-// observe records the headroom of the bucket in the slot k slots after the current one.
-func (r *slotRing) observe(k int, headroom float64) {
-	s := r.at(r.current + int64(k))
+// observe records the headroom of the bucket in the current slot.
+func (r *slotRing) observe(headroom float64) {
+	s := r.at(r.current)
 	s.headroom = min(s.headroom, headroom)
 }
 
 // credit returns how much of a returned token the bucket gets back. The bucket would have
 // been full, and the token or a part of it lost, if it had not been taken.
 func (r *slotRing) credit(g Grant) float64 {
-	if g.slot() > r.current {
-		return 0
-	}
 	c := 1.0
 	for n := g.slot(); n <= r.current; n++ {
 		c = min(c, r.at(n).headroom)
@@ -165,50 +150,3 @@
 	}
 	return c
 }
-
-// forecast has, for slot k after the current one, the number of tokens that can still
-// be issued for it: the smallest number that is left in it or in a later slot.
-type forecast [slotsPerWindow + 1]float64
-
-// forecast returns the forecast for a limit, if nothing is set aside.
-func (r *slotRing) forecast(limit float64) (f forecast) {
-	sum := r.inWindow
-	for k := range f {
-		f[k] = limit - float64(sum)
-		sum -= r.at(r.current + int64(k) - slotsPerWindow).count()
-		if k < delaySlots {
-			sum += r.at(r.current + int64(k) + 1).count()
-		}
-	}
-	f.useLater()
-	return f
-}
-
-// useLater lowers each number to the smallest one of the later slots.
-func (f *forecast) useLater() {
-	for k := len(f) - 2; k >= 0; k-- {
-		f[k] = min(f[k], f[k+1])
-	}
-}
-
-// setAside takes out what is set aside by the end of each slot, in whole tokens: if many
-// shards kept one for a fraction, much of a small quota would stay unused.
-func (f *forecast) setAside(aside func(k int) float64) {
-	sum := 0.0
-	for k := range f {
-		sum += aside(k)
-		f[k] -= math.Round(sum)
-	}
-	f.useLater()
-}
-
-// first returns the first slot at or after from for which n tokens can be issued; false
-// if there is none.
-func (f *forecast) first(from int, n float64) (int, bool) {
-	for k := from; k < len(f); k++ {
-		if f[k] >= n {
-			return k, true
-		}
-	}
-	return 0, false
-}
--- a/internal/core/cwquota/tenure.go
+++ b/internal/core/cwquota/tenure.go
@@ -13,40 +13,19 @@
 	refillFrom time.Time
 	// capUntil is until when only the initial tokens are issued.
 	capUntil time.Time
-	// settledAt is the time after which no token of a predecessor is in the window, so
-	// that window mode may be used.
-	settledAt time.Time
 }
 
 // FirstTenure is for a shard that had no issuer before.
 func FirstTenure(since time.Time) Tenure { return Tenure{since: since, full: true, refillFrom: since} }
 
-// WithSettling returns the tenure of an issuer that uses window mode only after a time,
-// because the list of instances changed until then and another instance may have kept
-// the shard.
-func (t Tenure) WithSettling(after time.Time) Tenure {
-	t.settledAt = after
-	return t
-}
-
-// RestartTenure is for an issuer whose predecessor ended before it began. active is
-// true if the predecessor may have used window mode: its window, and the delays that it
-// granted, are then waited for.
-func RestartTenure(since time.Time, window time.Duration, active bool) Tenure {
-	over := since.Add(window + MaxDelay(window))
-	t := Tenure{since: since, refillFrom: since, settledAt: over}
-	if active {
-		t.capUntil = over
-	}
-	return t
-}
+// RestartTenure is for an issuer whose predecessor ended before it began.
+func RestartTenure(since time.Time) Tenure { return Tenure{since: since, refillFrom: since} }
 
 // GainedTenure is for an issuer that keeps a shard since a change of the list of
-// instances. Its predecessor may not know of the change for up to one window, and issue
-// in either mode during this time.
+// instances. Its predecessor may not know of the change for up to one window, and its
+// tokens count for one more.
 func GainedTenure(since time.Time, window time.Duration) Tenure {
-	over := since.Add(2*window + MaxDelay(window))
-	return Tenure{since: since, refillFrom: since.Add(window), capUntil: over, settledAt: over}
+	return Tenure{since: since, refillFrom: since.Add(window), capUntil: since.Add(2 * window)}
 }
 
 // Listing is what an instance's list of instances says about a shard.
@@ -54,14 +33,8 @@
 	// Known is false until a list was read. An instance that receives a request before
 	// counts as the issuer: requests come only from instances whose list says so.
 	Known bool
-	// Issuer is true if the instance keeps the shard according to the list. Rank is its
-	// index among the issuers of the workspace.
+	// Issuer is true if the instance keeps the shard according to the list.
 	Issuer bool
-	Rank   int
-	// Complete is true if the instances of all data centres are known, and ChangedAt is
-	// the last change of the list; Rank depends on all of them.
-	Complete  bool
-	ChangedAt time.Time
 	// GainedAt is the last change by which the instance may have gained shards: the
 	// removal of another instance, or its own addition. AddedAt is the last addition of
 	// another instance, by which it may have lost some. They are zero if there was none
@@ -78,20 +51,15 @@
 
 // FirstTenureOf returns the tenure of an issuer that started at started and has not
 // issued for the shard yet. first is true if the whole system started for the first
-// time, active if the predecessor may have used window mode.
-func (l Listing) FirstTenureOf(started time.Time, window time.Duration, first, active bool) Tenure {
-	gained := l.GainedAt.After(started)
+// time.
+func (l Listing) FirstTenureOf(started time.Time, window time.Duration, first bool) Tenure {
 	switch {
 	case first && !l.GainedAt.After(started.Add(window)):
-		t := FirstTenure(started)
-		if last := later(l.AddedAt, l.GainedAt); last.After(started) {
-			return t.WithSettling(last.Add(window))
-		}
-		return t
-	case gained:
+		return FirstTenure(started)
+	case l.GainedAt.After(started):
 		return GainedTenure(l.GainedAt, window)
 	}
-	return RestartTenure(started, window, active)
+	return RestartTenure(started)
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -39,10 +39,10 @@
 	// sessions with an unknown key.
 	QuotaRefused, QuotaUnknown, Unauthorised *metrics.Counter
 	// QuotaContendedIssued and QuotaContendedAllowed sum up, over the times at which an
-	// operation was refused or delayed by this instance as an issuer, the operations
+	// operation was refused by this instance as an issuer, the operations
 	// issued in the last window and the limit of the window. QuotaReturned counts
-	// grants that were returned to it, QuotaDelayed operations that it delayed, and
-	// QuotaIssuerRefused those that it refused, by priority.
+	// grants that were returned to it, QuotaIssuerRefused operations that it refused, by
+	// priority, and QuotaDelayed operations of this instance that waited for quota.
 	QuotaContendedIssued, QuotaContendedAllowed, QuotaReturned, QuotaDelayed *metrics.Counter
 	QuotaIssuerRefused                                                       [cwquota.Priorities]*metrics.Counter
 	// TargetConnections counts the connections opened to targets.
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -10,7 +10,6 @@
 	"hash/fnv"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -137,7 +136,7 @@
 	if cfg.QuotaTolerance.Window > 0 {
 		in.meter = &cwquotameter.Meter{
 			Tolerance: cfg.QuotaTolerance, Issuers: in.peers, Clock: cfg.Clock, Log: cfg.Log, QuotaOf: in.quota,
-			DataCentres: cfg.DataCentres, FirstStart: cfg.FirstStart, Table: cfg.Table, Era: cfg.Era, Name: cfg.Name, RunID: cfg.RunID,
+			DataCentres: cfg.DataCentres, FirstStart: cfg.FirstStart, RunID: cfg.RunID,
 			Counts: cwquotameter.Counts{
 				ContendedIssued: in.metrics.QuotaContendedIssued, ContendedAllowed: in.metrics.QuotaContendedAllowed,
 				Returned: in.metrics.QuotaReturned, Delayed: in.metrics.QuotaDelayed, Refused: in.metrics.QuotaIssuerRefused,
@@ -246,7 +245,6 @@
 	in.engine.Start(run, eg)
 	if in.meter != nil {
 		in.meter.Start()
-		eg.Go(func() error { return in.meter.Run(run) })
 	}
 	httpServers := []*http.Server{in.newHTTPServer(in.cfg.ReadyListen, in.cfg.ReadyPath, in.serveReady)}
 	if in.cfg.MetricsListen != "" {
@@ -315,10 +313,6 @@
 // SetCatalogue implements cwdirectory.Sink.
 func (in *Instance) SetCatalogue(c cwcatalogue.Catalogue) {
 	in.engine.SetCatalogue(c)
-	limited := slices.ContainsFunc(c.Workspaces, func(w cwcatalogue.Workspace) bool { return w.Quota.Limited() })
-	if in.meter != nil && limited {
-		in.meter.Prepare()
-	}
 }
 
 // SetTargets implements cwdirectory.Sink.
@@ -332,18 +326,12 @@
 // SetEra implements cwdirectory.Sink.
 func (in *Instance) SetEra(era uint64) {
 	in.engine.SetEra(era)
-	if in.meter != nil {
-		in.meter.SetEra(era)
-	}
 }
 
 // ApplyRows implements cwdirectory.Sink.
 func (in *Instance) ApplyRows(rows []cwport.Row, complete bool) {
 	in.peers.ApplyRows(rows, complete)
 	in.members.ObserveRows(rows, complete)
-	if in.meter != nil {
-		in.meter.ObserveRows(rows)
-	}
 	for _, r := range rows {
 		service, ok := cwclaim.GroupOfKey(r.Key)
 		if !ok || r.Removed {
--- a/internal/proxy/cwpeers/peers.go
+++ b/internal/proxy/cwpeers/peers.go
@@ -132,8 +132,6 @@
 	// one was last removed from it or this instance was added, each after the first list
 	// was read. See cwquota.Listing.
 	addedAt, gainedAt time.Time
-	// listChangedAt is when an instance of any data centre was last added or removed.
-	listChangedAt time.Time
 	// centreListed is true once all instances of this data centre are in placement.
 	// newcomer is true if the table had no row of this instance when it started.
 	centreListed, newcomer bool
--- a/internal/proxy/cwpeers/quota.go
+++ b/internal/proxy/cwpeers/quota.go
@@ -52,9 +52,8 @@
 type issuerList struct {
 	// order is the order in which this instance asks them.
 	order []cwholder.Instance
-	// rank is the index of this instance in the order that is the same for all
-	// instances; -1 if it is no issuer.
-	rank int
+	// issuer is true if this instance is one of them.
+	issuer bool
 }
 
 // quotaIssuers returns the issuers of a workspace's quota. The caller holds mu.
@@ -68,8 +67,8 @@
 	key := quotaHashPrefix + workspace
 	holders := p.placement.PlainHolders(key, cwholder.TargetCapacity{})
 	list := issuerList{
-		order: cwholder.ForwardingOrder(p.Self, key, holders),
-		rank:  slices.IndexFunc(holders, func(i cwholder.Instance) bool { return i.ID == p.Self.ID }),
+		order:  cwholder.ForwardingOrder(p.Self, key, holders),
+		issuer: slices.ContainsFunc(holders, func(i cwholder.Instance) bool { return i.ID == p.Self.ID }),
 	}
 	if p.issuers == nil {
 		p.issuers = make(map[string]issuerList)
@@ -85,17 +84,14 @@
 	if !p.centreListed {
 		return cwquota.Listing{}
 	}
-	rank := p.quotaIssuers(workspace).rank
 	return cwquota.Listing{
-		Known: true, Issuer: rank >= 0, Rank: rank, Complete: p.allRowsRead, ChangedAt: p.listChangedAt,
-		GainedAt: p.gainedAt, AddedAt: p.addedAt,
+		Known: true, Issuer: p.quotaIssuers(workspace).issuer, GainedAt: p.gainedAt, AddedAt: p.addedAt,
 	}
 }
 
 // recordAddition records that an instance was added. The issuers in a data centre depend
 // only on the instances there. The caller holds mu.
 func (p *Peers) recordAddition(i cwholder.Instance) {
-	p.listChangedAt = p.Clock.Now()
 	switch {
 	case i.DataCentre != p.Self.DataCentre || !p.centreListed:
 	case i.ID == p.Self.ID:
@@ -107,7 +103,6 @@
 
 // recordRemoval records that an instance was removed. The caller holds mu.
 func (p *Peers) recordRemoval(i cwholder.Instance) {
-	p.listChangedAt = p.Clock.Now()
 	if i.DataCentre == p.Self.DataCentre {
 		p.gainedAt = p.Clock.Now()
 	}
--- a/internal/proxy/cwport/quota.go
+++ b/internal/proxy/cwport/quota.go
@@ -9,8 +9,7 @@
 
 // QuotaMeter enforces the quotas of workspaces across all instances.
 type QuotaMeter interface {
-	// Take requests quota for one operation. If it is allowed after a delay, Take
-	// returns once the delay has passed.
+	// Take requests quota for one operation. It waits for quota up to MaxWait.
 	Take(r QuotaRequest) QuotaDecision
 	// Return gives back the quota of an operation that was allowed and is known to have
 	// run nowhere. It returns at once.
@@ -27,6 +26,9 @@
 	MaxWait time.Duration
 	// Repeated is true if another issuer was asked for the operation before.
 	Repeated bool
+	// Place is the QuotaDecision.Place of an operation that has waited for it; 0
+	// otherwise.
+	Place int64
 }
 
 // QuotaGrant identifies the quota that an issuer allowed; zero if it cannot be returned.
@@ -40,10 +42,11 @@
 type QuotaDecision struct {
 	// Allowed is true if the operation is within the workspace's quota.
 	Allowed bool
-	// Delay is the time after which an allowed operation may begin.
-	Delay time.Duration
 	// RetryAfter is the time until quota is available again, if Allowed is false.
 	RetryAfter time.Duration
+	// Place is the operation's place in the order of retries at the issuer, for which a
+	// token is kept, if RetryAfter is within its MaxWait; 0 otherwise.
+	Place int64
 	// Unknown is true if no issuer of the quota could answer.
 	Unknown bool
 	// Grant is set if Allowed is true, unless the issuer is of an older build. Issuer is
--- a/internal/proxy/cwquotameter/meter.go
+++ b/internal/proxy/cwquotameter/meter.go
@@ -3,9 +3,8 @@
 //
 // For each operation, a Meter asks the issuers of the workspace's quota until one
 // allows it. It also answers the requests of other instances for the shards that
-// this instance keeps, and records in the platform's store that an issuer may use
-// window mode. How a quota is split, how much an issuer allows, and what the record
-// permits is decided by cwquota.
+// this instance keeps. How a quota is split and how much an issuer allows is decided by
+// cwquota.
 package cwquotameter
 
 import (
@@ -21,7 +20,6 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwquota"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
-	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
 // Timeouts of requests to issuers.
@@ -55,11 +53,11 @@
 // Counts holds the metrics of a Meter. Nil counters are skipped.
 type Counts struct {
 	// ContendedIssued and ContendedAllowed sum up, over the times at which an operation
-	// was refused or delayed by this issuer, the tokens issued in the last window and
+	// was refused by this issuer, the tokens issued in the last window and
 	// the limit of the window.
 	ContendedIssued, ContendedAllowed *metrics.Counter
-	// Returned counts grants that were returned, Delayed operations that were allowed
-	// after a delay.
+	// Returned counts grants that were returned to this issuer, Delayed operations of
+	// this instance that waited for their place in the order of retries.
 	Returned, Delayed *metrics.Counter
 	// Refused counts refused operations by priority.
 	Refused [cwquota.Priorities]*metrics.Counter
@@ -79,13 +77,8 @@
 	Tolerance cwcatalogue.QuotaTolerance
 	// Issuers selects the issuers to ask.
 	Issuers cwport.QuotaIssuers
-	// Table holds the records of window mode. If it is nil, window mode isn't used.
-	Table cwplatform.Table
-	// Era returns the newest era of the store in any of its answers; nil if it is never
-	// restored.
-	Era   func() uint64
-	Clock clockwork.Clock
-	Log   *log.Logger
+	Clock   clockwork.Clock
+	Log     *log.Logger
 	// QuotaOf returns a workspace's quota according to the catalogue in force; false if
 	// it is not known.
 	QuotaOf func(workspace string) (cwcatalogue.Quota, bool)
@@ -94,25 +87,18 @@
 	// FirstStart is true if no instance ran before, so that the shards have had no
 	// earlier issuer and start full.
 	FirstStart bool
-	// Name is the name of this instance, and RunID that of this run of it.
-	Name, RunID string
-	Counts      Counts
+	// RunID identifies this run of this instance.
+	RunID  string
+	Counts Counts
 
 	startOnce sync.Once
 	started   time.Time
-	// needed is closed once a workspace has a quota.
-	neededOnce sync.Once
-	needed     chan struct{}
 
 	mu sync.Mutex
 	// shards are the shards that this instance keeps, by workspace.
 	shards map[string]*issuedShard
-	// records is what is known of the rows in the store.
-	records recordTable
 	// pauses are the issuers that aren't asked for now.
 	pauses map[issuerKey]issuerPause
-	// era is the newest known era of the store.
-	era storeEra
 }
 
 // issuerKey identifies an issuer of a workspace's quota for operations of a priority.
@@ -132,7 +118,7 @@
 // Start records the time from which this instance issues quota. Only the first
 // call has an effect.
 func (m *Meter) Start() {
-	m.startOnce.Do(func() { m.started, m.needed = m.Clock.Now(), make(chan struct{}) })
+	m.startOnce.Do(func() { m.started = m.Clock.Now() })
 }
 
 // offer is the best decision so far, and the issuer that gave it.
@@ -143,8 +129,8 @@
 
 // Take implements cwport.QuotaMeter. It asks the issuers of this data centre, then
 // those of the others, and waits up to connectWait while none can be asked. If all have
-// refused, it asks the one with the shortest retry time again, which may allow the
-// operation after a delay.
+// refused, it asks the one with the shortest retry time again, and waits for that time
+// if the operation may wait so long.
 func (m *Meter) Take(r cwport.QuotaRequest) cwport.QuotaDecision {
 	m.Start()
 	now := m.Clock.Now()
@@ -188,15 +174,21 @@
 	return out
 }
 
-// askAgain asks the issuer that stated the shortest retry time, and waits for the delay
-// after which it allows the operation. An issuer of an older build grants no delays.
+// askAgain asks the issuer that stated the shortest retry time for a place in the order of
+// retries. If the operation may wait for it, it does, and the issuer is asked once more.
 func (m *Meter) askAgain(r cwport.QuotaRequest, best offer) cwport.QuotaDecision {
 	v := m.ask(r, best.issuer)
 	switch {
-	case v.Unknown || v.Delay > r.MaxWait:
+	case v.Unknown:
 		return best.QuotaDecision
-	case v.Allowed && v.Delay > 0:
-		m.Clock.Sleep(v.Delay)
+	case v.Allowed || v.RetryAfter > r.MaxWait:
+		return v
+	}
+	add(m.Counts.Delayed, 1)
+	m.Clock.Sleep(v.RetryAfter)
+	r.Place, r.Repeated, r.MaxWait = v.Place, true, minWait
+	if again := m.ask(r, best.issuer); !again.Unknown {
+		return again
 	}
 	return v
 }
@@ -246,7 +238,7 @@
 		v.Issuer = issuer.Name
 		return v
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout+min(r.MaxWait, recordWait))
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	v, err := issuer.Remote.AskQuota(ctx, r)
 	v.Issuer = issuer.Name
--- a/internal/tool/cwcommand/explain.go
+++ b/internal/tool/cwcommand/explain.go
@@ -35,13 +35,12 @@
 // request.
 var instanceEvents = []string{
 	"storeLost", "storeRegained", "pathSuspected", "pathAnswers", "isolated", "reconnected", "draining", "drained", "started", "stopped",
-	"historyLost", "linesLeftOut", "newsSource", "feederLost", "quotaRowsNotRead",
+	"historyLost", "linesLeftOut", "newsSource", "feederLost",
 }
 
 // workspaceEvents are the log messages about a workspace that can explain why a request
-// was refused as over the quota, or was served. They may be logged by other instances,
-// which issue the quota.
-var workspaceEvents = []string{"quotaChanged", "quotaWindowMode", "quotaBucketMode", "quotaNotRecorded"}
+// was refused as over the quota, or was served. They may be logged by other instances.
+var workspaceEvents = []string{"quotaChanged"}
 
 // logLine is one parsed line of a log file.
 type logLine struct {
--- a/internal/wire/cwforward/quota.go
+++ b/internal/wire/cwforward/quota.go
@@ -23,13 +23,14 @@
 	Priority  int    `json:"priority,omitempty"`
 	MaxWaitUS int64  `json:"maxWaitUs,omitempty"`
 	Repeated  bool   `json:"repeated,omitempty"`
+	Place     int64  `json:"place,omitempty"`
 }
 
 type quotaResultBody struct {
 	Allowed      bool       `json:"allowed,omitempty"`
 	Unknown      bool       `json:"unknown,omitempty"`
 	RetryAfterUS int64      `json:"retryAfterUs,omitempty"`
-	DelayUS      int64      `json:"delayUs,omitempty"`
+	Place        int64      `json:"place,omitempty"`
 	Grant        *grantBody `json:"grant,omitempty"`
 }
 
@@ -56,13 +57,16 @@
 	if err == nil && b.Priority < 0 {
 		err = &MalformedMessageError{Reason: "quota: negative priority"}
 	}
-	return cwport.QuotaRequest{Workspace: b.Workspace, Priority: b.Priority, MaxWait: wait, Repeated: b.Repeated}, err
+	if err == nil && b.Place < 0 {
+		err = &MalformedMessageError{Reason: "quota: negative place"}
+	}
+	return cwport.QuotaRequest{Workspace: b.Workspace, Priority: b.Priority, MaxWait: wait, Repeated: b.Repeated, Place: b.Place}, err
 }
 
 func encodeQuotaResult(d cwport.QuotaDecision) quotaResultBody {
 	b := quotaResultBody{
 		Allowed: d.Allowed, Unknown: d.Unknown,
-		RetryAfterUS: min(d.RetryAfter, maxQuotaTime).Microseconds(), DelayUS: d.Delay.Microseconds(),
+		RetryAfterUS: min(d.RetryAfter, maxQuotaTime).Microseconds(), Place: d.Place,
 	}
 	if d.Grant != (cwport.QuotaGrant{}) {
 		b.Grant = &grantBody{Run: d.Grant.Run, Number: uint64(d.Grant.Grant)}
@@ -75,11 +79,10 @@
 	if err != nil {
 		return cwport.QuotaDecision{}, err
 	}
-	delay, err := quotaTime("delayUs", b.DelayUS)
-	if err != nil {
-		return cwport.QuotaDecision{}, err
+	if b.Place < 0 {
+		return cwport.QuotaDecision{}, &MalformedMessageError{Reason: "quota: negative place"}
 	}
-	d := cwport.QuotaDecision{Allowed: b.Allowed, Unknown: b.Unknown, RetryAfter: retry, Delay: delay}
+	d := cwport.QuotaDecision{Allowed: b.Allowed, Unknown: b.Unknown, RetryAfter: retry, Place: b.Place}
 	if b.Grant != nil {
 		d.Grant = b.Grant.decode()
 	}
@@ -126,7 +129,7 @@
 // RPC call if that failed.
 func (c *Conn) TakeQuota(ctx context.Context, r cwport.QuotaRequest) (cwport.QuotaDecision, error) {
 	var b quotaResultBody
-	body := quotaRequestBody{Workspace: r.Workspace, Priority: r.Priority, MaxWaitUS: r.MaxWait.Microseconds(), Repeated: r.Repeated}
+	body := quotaRequestBody{Workspace: r.Workspace, Priority: r.Priority, MaxWaitUS: r.MaxWait.Microseconds(), Repeated: r.Repeated, Place: r.Place}
 	if err := c.rpc.Call(ctx, methodQuota, body, &b); err != nil {
 		return cwport.QuotaDecision{}, asUnsupported(methodQuota, err)
 	}
