cwlimit: flows of expired and canceled statements are dropped

A flow without tickets was removed only when a statement was admitted, so while a target did not answer, one flow was kept for each workspace whose statement had expired or was canceled. Removing a ticket now drops its flow if that has no state left.

--- a/internal/core/cwlimit/fairqueue.go
+++ b/internal/core/cwlimit/fairqueue.go
@@ -165,10 +165,16 @@
 	t.charged = chargeable(service)
 	first.virtualTime += t.charged
 	q.remove(t)
-	c.flows = slices.DeleteFunc(c.flows, func(f *flow) bool { return !f.waiting() && f.virtualTime <= c.virtualTime })
+	c.flows = slices.DeleteFunc(c.flows, c.droppable)
 	return t
 }
 
+// droppable reports whether a flow has no ticket and is not ahead of the virtual time, so
+// that a new flow of its workspace would be equal to it.
+func (c *priorityClass) droppable(f *flow) bool {
+	return !f.waiting() && f.virtualTime <= c.virtualTime
+}
+
 // firstFlow returns the flow whose head is admitted next.
 func (c *priorityClass) firstFlow() *flow {
 	var first *flow
@@ -180,10 +186,14 @@
 	return first
 }
 
-// remove removes a waiting ticket.
+// remove removes a waiting ticket, and its flow if that has no state left: while a target
+// does not answer, tickets expire and pop does not drop their flows.
 func (q *fairQueue) remove(t *Ticket) {
 	t.flow.tickets.Remove(t.elem)
 	t.elem = nil
+	if t.class.droppable(t.flow) {
+		t.class.flows = slices.DeleteFunc(t.class.flows, func(f *flow) bool { return f == t.flow })
+	}
 	t.class.waiting--
 	q.length--
 	if t.class.waiting == 0 {
@@ -203,7 +213,7 @@
 func (q *fairQueue) all() iter.Seq[*Ticket] {
 	return func(yield func(*Ticket) bool) {
 		for _, c := range slices.Clone(q.classes) {
-			for _, f := range c.flows {
+			for _, f := range slices.Clone(c.flows) {
 				for e := f.tickets.Front(); e != nil; {
 					next := e.Next()
 					if !yield(e.Value.(*Ticket)) {
--- a/internal/core/cwlimit/fairqueue_test.go
+++ b/internal/core/cwlimit/fairqueue_test.go
@@ -220,3 +220,24 @@
 		}
 	})
 }
+
+// Guards against memory that grows with the number of workspaces while a target does not
+// answer: waiting statements expire or are canceled, and none is admitted.
+func TestFlowsOfRemovedTicketsAreDropped(t *testing.T) {
+	g, now := AdmissionQueue{Limit: 1, QueueLimit: 10}, time.Unix(0, 0)
+	submit := func(workspace string, deadline time.Time) *Ticket {
+		ticket := &Ticket{Workspace: workspace, Deadline: deadline, OnDecision: func(*cwrefusal.Refusal) {}}
+		g.Submit(ticket, now)
+		return ticket
+	}
+	submit("running", now)
+	submit("waiting", now.Add(time.Hour))
+	for i := range 50 {
+		submit(fmt.Sprint("expires-", i), now.Add(time.Second))
+		g.Cancel(submit(fmt.Sprint("canceled-", i), now.Add(time.Minute)))
+		now = now.Add(2 * time.Second)
+		g.Expire(now)
+	}
+	qt.Assert(t, g.Queued(), qt.Equals, 1)
+	qt.Assert(t, g.queue.classes[0].flows, qt.HasLen, 1)
+}
