cwtargetpool: waiting statements start when a division of slots expires

The end of a division was noticed only when a statement began or ended or a report came. With the other holders dead, a statement could wait until its deadline behind one long statement although slots were free. Reading the demand, which the exchange does every 200 ms, now applies the current limit.

--- a/internal/proxy/cwtargetpool/demand.go
+++ b/internal/proxy/cwtargetpool/demand.go
@@ -6,10 +6,15 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
 )
 
-// Demand returns the statements that wait for admission or are in progress.
+// Demand returns the statements that wait for admission or are in progress. If the slots
+// are no longer divided, it first admits the statements that this allows: otherwise they
+// would wait until a statement begins or ends.
 func (p *Pool) Demand() cwlimit.Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.divided {
+		p.updateLimit(p.clock.Now())
+	}
 	return p.admission.Demand()
 }
 
--- a/internal/proxy/cwtargetpool/demand_test.go
+++ b/internal/proxy/cwtargetpool/demand_test.go
@@ -50,3 +50,27 @@
 	qt.Assert(t, p.Load().InFlight, qt.Equals, 0)
 	admit().Done()
 }
+
+// Guards against a statement that waits although slots are free: when the reports of the
+// other holders expire and no statement begins or ends here, the regular reading of the
+// demand must end the division.
+func TestExpiredShareAdmitsWaitingStatements(t *testing.T) {
+	p, _, _, clock := newPool(t)
+	urgency := Urgency{Deadline: clock.Now().Add(time.Minute)}
+	first, err := p.Admit(urgency)
+	qt.Assert(t, err, qt.IsNil)
+	p.RecordDemand("a", "b", cwlimit.Demand{Running: 5, Waiting: map[int]int{0: 100}}, clock.Now())
+	admitted := make(chan Admission, 1)
+	go func() {
+		a, _ := p.Admit(urgency)
+		admitted <- a
+	}()
+	for p.Load().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Advance(cwlimit.DemandMaxAge + time.Millisecond)
+	qt.Assert(t, p.Demand(), qt.DeepEquals, cwlimit.Demand{Running: 2})
+	second := <-admitted
+	second.Done()
+	first.Done()
+}
