cwforward: a report of demand without parameters is malformed

It was answered as an unknown method and not counted, so that the sender would take this instance for an older build. Decoding is a function of its own.

--- a/internal/wire/cwforward/demand.go
+++ b/internal/wire/cwforward/demand.go
@@ -93,18 +93,10 @@
 
 // answerDemand handles a report of demand.
 func (s *Server) answerDemand(req *jsonrpc2.Request) (any, error) {
-	if s.Demands == nil || req.Params == nil {
+	if s.Demands == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 	}
-	var b demandBody
-	err := json.Unmarshal(*req.Params, &b)
-	var members []cwport.MemberDemand
-	if err == nil {
-		members, err = b.decode()
-	}
-	if err == nil && b.Instance == "" {
-		err = &MalformedMessageError{Reason: "demand: no instance"}
-	}
+	b, members, err := decodeDemandRequest(req.Params)
 	if err != nil {
 		if s.OnMalformed != nil {
 			s.OnMalformed(req.Method)
@@ -114,6 +106,21 @@
 	return encodeDemand(b.Group, "", s.Demands.ExchangeDemand(b.Group, b.Instance, members)), nil
 }
 
+// decodeDemandRequest decodes and validates a report that another instance sent.
+func decodeDemandRequest(params *json.RawMessage) (b demandBody, members []cwport.MemberDemand, err error) {
+	if params == nil {
+		return b, nil, &MalformedMessageError{Reason: "demand: no parameters"}
+	}
+	if err := json.Unmarshal(*params, &b); err != nil {
+		return b, nil, err
+	}
+	if b.Instance == "" {
+		return b, nil, &MalformedMessageError{Reason: "demand: no instance"}
+	}
+	members, err = b.decode()
+	return b, members, err
+}
+
 // ExchangeDemand reports the demand of instance self at the members of a group and
 // returns that of the other instance. The error is a *cwport.MethodUnknownError if the
 // other instance does not have the method, a *cwport.MalformedAnswerError if the answer is
--- a/internal/wire/cwforward/demand_test.go
+++ b/internal/wire/cwforward/demand_test.go
@@ -78,6 +78,15 @@
 		c.Assert(err, qt.IsNotNil)
 		c.Assert(conn.Ping(context.Background()), qt.IsNil)
 	})
+	t.Run("a report without parameters is malformed, not of an unknown method", func(t *testing.T) {
+		malformed := 0
+		s := Server{Demands: &demandEcho{}, OnMalformed: func(string) { malformed++ }}
+		_, err := s.answerDemand(&jsonrpc2.Request{Method: methodDemand})
+		var refused *jsonrpc2.Error
+		qt.Assert(t, err, qt.ErrorAs, &refused)
+		qt.Check(t, refused.Code, qt.Equals, int64(jsonrpc2.CodeInvalidParams))
+		qt.Check(t, malformed, qt.Equals, 1)
+	})
 	t.Run("a report that is too long ends the connection", func(t *testing.T) {
 		c := qt.New(t)
 		conn, _ := dialDemandServer(c, &demandEcho{})
