cwpeers: state of former contention is removed, and logged once

The times of contention and the loads by workspace were kept for every group for which demand was ever reported. They are removed once they no longer count.

--- a/internal/core/cwholder/affinity.go
+++ b/internal/core/cwholder/affinity.go
@@ -59,6 +59,13 @@
 	a.load[holder]++
 }
 
+// Idle reports whether no statement counts any more, so that the WorkspaceAffinity is
+// equal to a new one.
+func (a *WorkspaceAffinity) Idle(now time.Time) bool {
+	a.decay(now)
+	return len(a.load) == 0
+}
+
 // bound returns the load that no holder may exceed. It includes the standard deviation of
 // a count around its mean: a single instance sees few statements, and holders that were
 // avoided because of chance would cost as many connections as no preference at all.
--- a/internal/proxy/cwpeers/demand.go
+++ b/internal/proxy/cwpeers/demand.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwholder"
 	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -28,18 +29,17 @@
 // loopDemand exchanges this instance's demand with that of the other holders, for the
 // groups for which statements wait here.
 func (p *Peers) loopDemand(ctx context.Context) {
-	contended := make(map[string]bool)
+	lastContended := make(map[string]time.Time)
 	for p.sleep(ctx, demandInterval); ctx.Err() == nil; p.sleep(ctx, demandInterval) {
 		now := p.Clock.Now()
 		p.forgetDemand(now)
-		current := make(map[string]bool)
+		var current []string
 		for _, g := range p.Demand.ContendedGroups() {
-			current[g.Name] = true
+			current = append(current, g.Name)
 			p.recordContended(g.Name)
 			p.startExchanges(ctx, g, now)
 		}
-		p.logContended(contended, current)
-		contended = current
+		p.logContended(lastContended, current, now)
 	}
 }
 
@@ -109,11 +109,14 @@
 	p.Demand.RecordDemand(group, holder, members, at)
 }
 
-// forgetDemand removes the times of reports that no longer count.
+// forgetDemand removes the times of reports and of contention, and the loads by workspace,
+// that no longer count.
 func (p *Peers) forgetDemand(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.demandHeardAt, func(_ demandKey, at time.Time) bool { return now.Sub(at) > cwlimit.DemandMaxAge })
+	maps.DeleteFunc(p.contendedUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(p.affinities, func(_ string, a *cwholder.WorkspaceAffinity) bool { return a.Idle(now) })
 }
 
 // ExchangeDemand implements cwport.DemandServer. A report counts also if this instance
@@ -136,16 +139,20 @@
 	}
 }
 
-// logContended logs the groups for which statements began or ceased to wait.
-func (p *Peers) logContended(before, current map[string]bool) {
-	for group := range current {
-		if !before[group] {
+// logContended logs the groups for which statements begin to wait, and those for which
+// none has waited for contentionPeriod. last has the time at which each logged group was
+// last contended.
+func (p *Peers) logContended(last map[string]time.Time, current []string, now time.Time) {
+	for _, group := range current {
+		if _, logged := last[group]; !logged {
 			p.Log.Info("demandExchangeBegan", "group", group)
 		}
+		last[group] = now
 	}
-	for group := range before {
-		if !current[group] {
+	for group, at := range last {
+		if now.Sub(at) >= contentionPeriod {
 			p.Log.Info("demandExchangeEnded", "group", group)
+			delete(last, group)
 		}
 	}
 }
--- a/internal/proxy/cwpeers/demand_test.go
+++ b/internal/proxy/cwpeers/demand_test.go
@@ -1,10 +1,12 @@
 package cwpeers
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -279,3 +281,40 @@
 		w.Assert(elsewhere(), qt.Equals, 0)
 	})
 }
+
+// Guards against memory that grows with the groups for which demand was ever reported, or
+// whose statements were ever distributed by workspace.
+func TestContentionOfFormerGroupsIsForgotten(t *testing.T) {
+	runDemand(t, func(w *demandTest) {
+		for i := range 20 {
+			group := fmt.Sprint("former-", i)
+			w.ExchangeDemand(group, "b", nil)
+			w.WorkspaceHolder("north", group, groupCapacity, nil)
+		}
+		time.Sleep(2 * time.Minute)
+		w.Peers.mu.Lock()
+		defer w.Peers.mu.Unlock()
+		w.Check(w.affinities, qt.HasLen, 0)
+		w.Check(w.contendedUntil, qt.HasLen, 1) // "g", for which statements wait
+	})
+}
+
+// Guards against a log line every 200 ms while statements wait now and then.
+func TestContentionIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	p, now, last := &Peers{Log: log.New(&out)}, time.Unix(0, 0), map[string]time.Time{}
+	lines := func(current ...string) int {
+		out.Reset()
+		p.logContended(last, current, now)
+		now = now.Add(demandInterval)
+		return strings.Count(out.String(), "\n")
+	}
+	qt.Assert(t, lines("g"), qt.Equals, 1)
+	for range 50 {
+		qt.Assert(t, lines(), qt.Equals, 0)
+		qt.Assert(t, lines("g"), qt.Equals, 0)
+	}
+	now = now.Add(contentionPeriod)
+	qt.Assert(t, lines(), qt.Equals, 1)
+	qt.Assert(t, lines(), qt.Equals, 0)
+}
