cwengine: gauges of admission do not disappear while they are read

Each update set the gauges of waiting statements to 0 first and removed all gauges of slot shares, so a reader at the same time saw 0 or no share. Only outdated ones are removed.

--- a/internal/proxy/cwengine/admission_metrics.go
+++ b/internal/proxy/cwengine/admission_metrics.go
@@ -24,22 +24,24 @@
 func (m *Metrics) setAdmission(waiting map[int]int, shares map[memberLabel]int) {
 	m.admissionMu.Lock()
 	defer m.admissionMu.Unlock()
-	for p := range m.waitingPriorities {
-		m.set.GetOrCreateGauge(waitingGauge(p), nil).Set(0)
-	}
-	for p, n := range waiting {
+	for p := range waiting {
 		m.waitingPriorities[p] = true
-		m.set.GetOrCreateGauge(waitingGauge(p), nil).Set(float64(n))
 	}
-	for name := range m.shareGauges {
-		m.set.UnregisterMetric(name)
+	for p := range m.waitingPriorities {
+		m.set.GetOrCreateGauge(waitingGauge(p), nil).Set(float64(waiting[p]))
 	}
-	clear(m.shareGauges)
+	current := make(map[string]bool, len(shares))
 	for l, n := range shares {
 		name := fmt.Sprintf("cicadawalk_admission_slot_share{group=%q,member=%q}", l.group, l.member)
-		m.shareGauges[name] = true
+		current[name] = true
 		m.set.GetOrCreateGauge(name, nil).Set(float64(n))
 	}
+	for name := range m.shareGauges {
+		if !current[name] {
+			m.set.UnregisterMetric(name)
+		}
+	}
+	m.shareGauges = current
 }
 
 func waitingGauge(priority int) string {
