cwlimit: the time of a long statement is charged after its flow was dropped

A flow was dropped when its workspace had nothing waiting and the others had caught up with the average charge, and the correction at the end of the statement was lost with it. A workspace with one statement of 200 ms at a time got 9 s of 20 s of service beside four workspaces with 2.7 s each. The correction now applies to the workspace's present flow, or adds the flow again.

--- a/internal/core/cwlimit/fairqueue.go
+++ b/internal/core/cwlimit/fairqueue.go
@@ -201,10 +201,20 @@
 	}
 }
 
-// settle corrects the charge of a ticket that pop returned to the service it received.
+// settle corrects the charge of a ticket that pop returned to the service it received. If
+// the flow was dropped while the statement ran, it applies to the workspace's new flow, or
+// the flow is added again if it is now ahead of the virtual time.
 func (t *Ticket) settle(service time.Duration) {
-	if t.flow != nil {
-		t.flow.virtualTime += service - t.charged
+	if t.flow == nil {
+		return
+	}
+	f := t.class.flow(t.Workspace)
+	if f == nil {
+		f = t.flow
+	}
+	f.virtualTime += service - t.charged
+	if f == t.flow && f.virtualTime > t.class.virtualTime && !slices.Contains(t.class.flows, f) {
+		t.class.flows = append(t.class.flows, f)
 	}
 }
 
--- a/internal/core/cwlimit/fairqueue_test.go
+++ b/internal/core/cwlimit/fairqueue_test.go
@@ -241,3 +241,50 @@
 	qt.Assert(t, g.Queued(), qt.Equals, 1)
 	qt.Assert(t, g.queue.classes[0].flows, qt.HasLen, 1)
 }
+
+// Guards against a workspace with one long statement at a time whose time is not charged
+// because none of its statements waits while it runs.
+func TestLongStatementIsChargedAfterOthers(t *testing.T) {
+	g, now := AdmissionQueue{Limit: 2, QueueLimit: 10_000}, time.Unix(0, 0)
+	type running struct {
+		*Ticket
+		end time.Time
+	}
+	var inProgress []running
+	service := map[string]time.Duration{"long": 200 * time.Millisecond}
+	received := map[string]time.Duration{}
+	submit := func(workspace string) {
+		ticket := &Ticket{Workspace: workspace, Deadline: now.Add(time.Hour)}
+		ticket.OnDecision = func(*cwrefusal.Refusal) {
+			inProgress = append(inProgress, running{ticket, now.Add(max(service[workspace], 10*time.Millisecond))})
+		}
+		g.Submit(ticket, now)
+	}
+	for range 1000 {
+		for _, workspace := range []string{"a", "b", "c", "d"} {
+			submit(workspace)
+		}
+	}
+	submit("long")
+	for now.Before(time.Unix(10, 0)) {
+		i := 0
+		for j := range inProgress {
+			if inProgress[j].end.Before(inProgress[i].end) {
+				i = j
+			}
+		}
+		ended := inProgress[i]
+		inProgress = slices.Delete(inProgress, i, i+1)
+		now = ended.end
+		took := max(service[ended.Workspace], 10*time.Millisecond)
+		received[ended.Workspace] += took
+		g.Complete(ended.Ticket, took, now)
+		if ended.Workspace == "long" {
+			submit("long")
+		}
+	}
+	// Each of the five workspaces has a fifth of 20 s of service, give or take a few long
+	// statements.
+	qt.Assert(t, received["long"] < 5*time.Second, qt.IsTrue, qt.Commentf("%v", received))
+	qt.Assert(t, received["a"] > 3*time.Second, qt.IsTrue, qt.Commentf("%v", received))
+}
