--- a/internal/proxy/cwleadership/restore_test.go
+++ b/internal/proxy/cwleadership/restore_test.go
@@ -123,6 +123,14 @@
 	qt.Assert(t, b.executeRowCommand(context.Background(), readBack), qt.Equals, cwfailover.RowConflict)
 }
 
+// restartOf returns the state of a member's restart. The group's own check of the row may
+// change it at the same time.
+func (b *testGroup) restartOf(id cwgroup.MemberID) restart {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.restarts[id]
+}
+
 // Guards against stale reads from a member that forgot its fence, when the row that
 // would show the fence was lost in a restore.
 func TestRestartCheckWaitsAfterRestore(t *testing.T) {
@@ -130,8 +138,9 @@
 	table.restore(nil)
 	b.listMembers(time.UnixMilli(900))
 	unchecked := func() bool {
-		qt.Assert(t, b.checkFenceInRow("c", b.restarts["c"].detectedAt), qt.Equals, !b.restarts["c"].fenceUnchecked)
-		return b.restarts["c"].fenceUnchecked
+		checked := b.checkFenceInRow("c", b.restartOf("c").detectedAt)
+		qt.Assert(t, checked, qt.Equals, !b.restartOf("c").fenceUnchecked)
+		return b.restartOf("c").fenceUnchecked
 	}
 	qt.Assert(t, unchecked(), qt.IsTrue, qt.Commentf("an answer of the table has shown the restore"))
 	b.observeRestore(table)
--- a/internal/tool/cwcommand/explain.go
+++ b/internal/tool/cwcommand/explain.go
@@ -29,6 +29,7 @@
 var groupEvents = []string{
 	"claimSeen", "primaryKnown", "primaryChanged", "primaryNotChanged", "targetLost", "membersCounted",
 	"promotionUnknown", "order", "orderTooLate", "targetRestarted", "restartChecked", "emptyMemberCounts",
+	"memberEjected", "memberReadmitted", "primaryIsOutlier", "observerNotUsable", "observerUsable", "demandExchangeBegan", "demandExchangeEnded",
 }
 
 // instanceEvents are the log messages about an instance that can explain a failed
