cwoutlier: a trial without a result ends without a verdict

A trial whose statement was not sent, or was refused, counted as failed after 2 s. That confirmed the ejection, so that a primary could be replaced after one ejection. At a member whose health checks fail, such a trial never ended, because only candidates were looked at, and the member got no reads until its health checks succeeded again.

Trials without a result end for all members, and the next one is due after the time of the last ejection. Ejected was used by tests only.

--- a/internal/core/cwoutlier/evaluate.go
+++ b/internal/core/cwoutlier/evaluate.go
@@ -1,7 +1,6 @@
 package cwoutlier
 
 import (
-	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -11,21 +10,18 @@
 func (d *Detector) Due(now time.Time) bool { return !now.Before(d.nextEvaluated) }
 
 // Evaluate ejects the members among the candidates that are outliers, within the limits
-// of the group, and those whose trial got no result. The candidates are the members that
+// of the group, and ends trials without a result. The candidates are the members that
 // could serve reads, ejected or not. It does nothing unless Due returns true.
 func (d *Detector) Evaluate(all []Candidate, now time.Time) []Event {
 	if !d.Due(now) {
 		return nil
 	}
 	d.nextEvaluated = now.Add(evaluationInterval)
+	d.endOverdueTrials(now)
 	var events []Event
 	ejected := 0
 	for _, c := range all {
-		s := d.state(c.Member)
-		if !s.trialAt.IsZero() && now.Sub(s.trialAt) > trialTimeout {
-			events = append(events, d.eject(c.Member, s.reason, now))
-		}
-		if s.reason != "" {
+		if d.state(c.Member).reason != "" {
 			ejected++
 		}
 	}
@@ -40,6 +36,20 @@
 	return events
 }
 
+// endOverdueTrials ends the trials that have had no result for trialTimeout, also those of
+// members that are no candidates because their health checks fail. The next trial of the
+// member is due after the time of its last ejection.
+//
+// A trial without a result shows nothing: it was not sent, or was refused without being
+// run. If it counted as failed, it could confirm the ejection of a primary.
+func (d *Detector) endOverdueTrials(now time.Time) {
+	for _, s := range d.members {
+		if !s.trialAt.IsZero() && now.Sub(s.trialAt) > trialTimeout {
+			s.trialAt, s.until = time.Time{}, now.Add(s.ejection)
+		}
+	}
+}
+
 // worst returns the admitted member that serves callers worst compared with the others.
 // The last result is false if none is an outlier.
 func (d *Detector) worst(all []Candidate, now time.Time) (worst cwgroup.MemberID, why Reason, found bool) {
@@ -68,15 +78,3 @@
 	}
 	return worst, why, found
 }
-
-// Ejected returns the members that are ejected, in order of their ids.
-func (d *Detector) Ejected() []cwgroup.MemberID {
-	var out []cwgroup.MemberID
-	for id, s := range d.members {
-		if s.reason != "" {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/core/cwoutlier/outlier.go
+++ b/internal/core/cwoutlier/outlier.go
@@ -32,7 +32,8 @@
 	// trialsNeeded is the number of successful trials in a row that readmit a member.
 	// If half of its statements fail, seven in eight attempts to return fail.
 	trialsNeeded = 3
-	// trialTimeout is the time without a result after which a trial has failed.
+	// trialTimeout is the time without a result after which a trial ends. A statement that
+	// was sent has had a result by then, if only that its answer is overdue.
 	trialTimeout = 2 * time.Second
 	// evaluationInterval is the minimum time between two searches for outliers: a
 	// fraction of the time that callers notice.
--- a/internal/core/cwoutlier/outlier_test.go
+++ b/internal/core/cwoutlier/outlier_test.go
@@ -255,7 +255,7 @@
 					t.Fatalf("ejected for %v", e.For)
 				}
 			}
-			if got := len(d.Ejected()); got > max(1, n/maxEjectedDivisor) || got >= n {
+			if got := ejected(&d); got > max(1, n/maxEjectedDivisor) || got >= n {
 				t.Fatalf("%d of %d members ejected", got, n)
 			}
 		}
@@ -277,3 +277,48 @@
 	d.readmit("c", now)
 	qt.Assert(t, d.eject("c", Errors, now.Add(MaxEjection)).For, qt.Equals, MinEjection)
 }
+
+// Guards against a member that gets no reads for good because a trial got no result while
+// its health checks failed.
+func TestTrialWithoutResultAtUnhealthyMember(t *testing.T) {
+	var d Detector
+	now := start
+	healthy := []Candidate{{Member: "a", Slots: 3}, {Member: "b", Slots: 3}}
+	d.Record("c", Result{Outcome: Served, SentAt: now}, now)
+	d.SetHealth("c", false, now)
+	now = now.Add(MinEjection)
+	qt.Assert(t, d.Standing("c", now), qt.Equals, TrialDue)
+	d.BeginTrial("c", now)
+	now = now.Add(trialTimeout + time.Millisecond)
+	d.Evaluate(healthy, now)
+	qt.Assert(t, d.Standing("c", now.Add(MaxEjection)), qt.Equals, TrialDue)
+}
+
+// Guards against a healthy primary that is replaced because the statement of a trial was not
+// sent.
+func TestTrialWithoutResultConfirmsNothing(t *testing.T) {
+	var d Detector
+	all := []Candidate{{Member: "a", Slots: 3}, {Member: "b", Slots: 3}, {Member: "c", Slots: 3}}
+	d.eject("c", Errors, start)
+	now := start.Add(MinEjection)
+	d.BeginTrial("c", now)
+	now = now.Add(trialTimeout + time.Millisecond)
+	d.Evaluate(all, now)
+	qt.Assert(t, d.Confirmed("c"), qt.IsFalse)
+	qt.Assert(t, d.Standing("c", now), qt.Equals, Ejected)
+	qt.Assert(t, d.Standing("c", now.Add(MinEjection)), qt.Equals, TrialDue)
+	d.BeginTrial("c", now.Add(MinEjection))
+	d.Record("c", Result{Outcome: Failed, SentAt: now.Add(MinEjection)}, now.Add(MinEjection))
+	qt.Assert(t, d.Confirmed("c"), qt.IsTrue)
+}
+
+// ejected returns the number of members that are ejected.
+func ejected(d *Detector) int {
+	n := 0
+	for _, s := range d.members {
+		if s.reason != "" {
+			n++
+		}
+	}
+	return n
+}
