cwevidence: instances that have ended are forgotten

Each instance that gave no answer and was then removed from the list stayed in the Source of each group for good. An entry is removed a minute after its backoff if the instance was not asked again.

--- a/internal/core/cwevidence/source.go
+++ b/internal/core/cwevidence/source.go
@@ -18,6 +18,9 @@
 	// and UnsupportedBackoff the same for an instance whose build lacks the method.
 	SilenceBackoff     = 500 * time.Millisecond
 	UnsupportedBackoff = 30 * time.Second
+	// unusableMemory is how long after its backoff an instance that was not asked again is
+	// remembered. Instances that have ended would otherwise be remembered for good.
+	unusableMemory = time.Minute
 	// MaxReportAge is the age beyond which a report is not passed on. No read accepts
 	// data that old on the word of another instance.
 	MaxReportAge = 10 * time.Second
@@ -104,6 +107,7 @@
 	if o == Unsupported {
 		pause = UnsupportedBackoff
 	}
+	maps.DeleteFunc(next, func(_ string, u unusableObserver) bool { return now.Sub(u.until) > unusableMemory })
 	next[name] = unusableObserver{outcome: o, until: now.Add(pause)}
 	return Source{unusable: next}, before.outcome != o
 }
--- a/internal/core/cwevidence/source_test.go
+++ b/internal/core/cwevidence/source_test.go
@@ -1,6 +1,7 @@
 package cwevidence
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,3 +79,14 @@
 		})
 	}
 }
+
+// Guards against memory that grows with every instance that has ended.
+func TestSourceForgetsInstancesThatEnded(t *testing.T) {
+	var s Source
+	now := time.Unix(1000, 0)
+	for i := range 100 {
+		s, _ = s.WithOutcome(fmt.Sprint(i), NoAnswer, now)
+		now = now.Add(time.Minute)
+	}
+	qt.Assert(t, len(s.unusable) <= 3, qt.IsTrue, qt.Commentf("%d instances", len(s.unusable)))
+}
