--- a/internal/core/cwroute/route_test.go
+++ b/internal/core/cwroute/route_test.go
@@ -178,8 +178,8 @@
 		l.ObservePrimary(m, now.Add(time.Duration(i)*10*time.Millisecond))
 		l.ObserveReplica("b", m, now.Add(time.Duration(i)*10*time.Millisecond+40*time.Millisecond))
 	}
-	qt.Assert(t, l.Lag("b"), qt.Equals, 40*time.Millisecond)
 	last := now.Add(190 * time.Millisecond)
+	qt.Assert(t, l.CatchUp("b", cwgroup.LogPosition{Term: 1, Index: 20}, last), qt.Equals, 40*time.Millisecond)
 	qt.Assert(t, l.CatchUp("b", cwgroup.LogPosition{Term: 1, Index: 20}, last.Add(10*time.Millisecond)), qt.Equals, 30*time.Millisecond)
 	qt.Assert(t, l.CatchUp("b", cwgroup.LogPosition{Term: 1, Index: 20}, last.Add(time.Second)), qt.Equals, time.Duration(0))
 }
--- a/internal/core/cwroute/staleness.go
+++ b/internal/core/cwroute/staleness.go
@@ -216,12 +216,6 @@
 	l.averageLag[id] = old + (now.Sub(at)-old)/lagSmoothingDivisor
 }
 
-// Forget discards the position that a member has applied. Its average lag is kept.
-func (l *LagTracker) Forget(id cwgroup.MemberID) { delete(l.lastApplied, id) }
-
-// Lag returns the member's average lag, or zero if none was measured.
-func (l *LagTracker) Lag(id cwgroup.MemberID) time.Duration { return l.averageLag[id] }
-
 // CatchUp returns the expected time until the member has applied m: its average
 // lag, less the time since the primary was first observed at or past m.
 func (l *LagTracker) CatchUp(id cwgroup.MemberID, m cwgroup.LogPosition, now time.Time) time.Duration {
