cwleadership: the passed-on log counts at an instance that has just started

The first report of a primary begins the history of its log, at the time of its last answer. The earlier position that an observer passes on, which is not later than the last confirmation, was then ignored, and reads with a maximum age were refused until the next confirmation. If the answer makes the term known, the history begins with the positions that it passes on.

--- a/internal/proxy/cwleadership/passed_on.go
+++ b/internal/proxy/cwleadership/passed_on.go
@@ -5,6 +5,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwroute"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -29,36 +30,51 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	known := g.term
 	for i, m := range r.Reports {
 		if _, listed := g.members[m.Member]; listed {
 			g.recordHealth(m.Member, m.Health, at[i], false)
 		}
 	}
 	if _, listed := g.members[r.Primary.Member]; listed {
-		g.recordPrimaryReport(r.Primary, p, logAt)
+		g.recordPrimaryReport(r.Primary, p)
+		g.recordPrimaryLog(r.Primary, logAt, g.term > known)
 	}
 	return nil
 }
 
 // recordPrimaryReport records what an observer knows of the primary: its answer to a
-// request sent at the given time, and positions of its log with their times. The positions
-// count only if the member is the primary of that term here as well. The caller holds mu.
-func (g *Group) recordPrimaryReport(p cwport.PrimaryReport, at time.Time, logAt []time.Time) {
+// request sent at the given time. The caller holds mu.
+func (g *Group) recordPrimaryReport(p cwport.PrimaryReport, at time.Time) {
 	g.observeTerm(p.Term, g.cfg.Clock.Now())
-	if rep, _ := g.sup.View().Report(p.Member); at.After(rep.At) {
-		end := p.Position
-		if rep.Durable.AtLeast(end) && rep.AdoptedTerm == p.Term {
-			end = rep.Durable
-		}
-		g.updateView(cwgroup.Report{
-			Status: cwgroup.Status{Member: p.Member, Role: cwgroup.RolePrimary, AdoptedTerm: p.Term, Durable: end, Applied: end},
-			At:     at, Reachable: !g.unreachable[p.Member],
-		})
+	rep, _ := g.sup.View().Report(p.Member)
+	if !at.After(rep.At) {
+		return
+	}
+	end := p.Position
+	if rep.Durable.AtLeast(end) && rep.AdoptedTerm == p.Term {
+		end = rep.Durable
 	}
-	if known, ok := g.sup.View().Primary(); !ok || known.Member != p.Member || known.AdoptedTerm != p.Term || g.term != p.Term {
+	g.updateView(cwgroup.Report{
+		Status: cwgroup.Status{Member: p.Member, Role: cwgroup.RolePrimary, AdoptedTerm: p.Term, Durable: end, Applied: end},
+		At:     at, Reachable: !g.unreachable[p.Member],
+	})
+}
+
+// recordPrimaryLog records positions of the primary's log with their times. They count only
+// if the member is the primary of that term here as well. newTerm is true if the term has
+// become known by the same answer. The caller holds mu.
+func (g *Group) recordPrimaryLog(p cwport.PrimaryReport, at []time.Time, newTerm bool) {
+	known, ok := g.sup.View().Primary()
+	if !ok || known.Member != p.Member || known.AdoptedTerm != p.Term || g.term != p.Term {
 		return
 	}
+	if newTerm && len(p.Log) > 0 {
+		// The history has only samples of this answer. They can be later than the first
+		// of these positions, which would then be ignored.
+		g.history = cwroute.PositionHistory{Spacing: historySpacing}
+	}
 	for i, l := range p.Log {
-		g.history.Observe(l.Position, logAt[i])
+		g.history.Observe(l.Position, at[i])
 	}
 }
--- a/internal/proxy/cwleadership/passed_on_test.go
+++ b/internal/proxy/cwleadership/passed_on_test.go
@@ -145,3 +145,31 @@
 	defer b.mu.Unlock()
 	qt.Assert(t, b.restarts, qt.HasLen, 0)
 }
+
+// Guards against a read that is refused although the data are recent enough: the instance
+// has just learnt of the primary, whose last answer is later than the last confirmation.
+func TestPassedOnLogServesReadsAfterFirstReport(t *testing.T) {
+	for name, health := range map[string][]cwport.MemberReport{
+		"without a health answer of the primary": nil,
+		"with a health answer of the primary": {{
+			Member: "a", Age: 50 * time.Millisecond, Health: cwstatement.Health{Role: cwgroup.RolePrimary, Term: 1, LogEnd: cwgroup.LogPosition{Term: 1, Index: 108}},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestGroup(t)
+			position := func(i cwgroup.LogIndex) cwgroup.LogPosition { return cwgroup.LogPosition{Term: 1, Index: i} }
+			answer := cwport.MembersResponse{
+				Observes: true,
+				Reports: append(health, cwport.MemberReport{
+					Member: "c", Age: 200 * time.Millisecond, Health: cwstatement.Health{Role: cwgroup.RoleReplica, Term: 1, LogEnd: position(100)},
+				}),
+				Primary: cwport.PrimaryReport{Member: "a", Term: 1, Position: position(110), Age: 10 * time.Millisecond, Log: []cwport.LogSample{
+					{Position: position(100), Age: 210 * time.Millisecond}, {Position: position(110), Age: 10 * time.Millisecond},
+				}},
+			}
+			x := cwevidence.Exchange{RequestedAt: b.clock.Now(), AnsweredAt: b.clock.Now()}
+			qt.Assert(t, b.recordReports(answer, x), qt.IsNil)
+			qt.Assert(t, b.placeRead(cwgroup.LogPosition{}).Floor, qt.Equals, position(100))
+		})
+	}
+}
