cwleadership: an answer shows reachability even if a later report is known

A report that was passed on while the answer to an own request was on its way can have a later time than that request. The answer was then ignored, and the member stayed unreachable in the view until the next one. It now makes the later report count as that of a reachable member.

--- a/internal/proxy/cwleadership/observe.go
+++ b/internal/proxy/cwleadership/observe.go
@@ -215,9 +215,14 @@
 }
 
 // applyReport applies a report to the view that follows from a member's answer to this
-// instance. The caller holds mu.
+// instance. If a later report was passed on in the meantime, the answer only shows that
+// the member can be reached. The caller holds mu.
 func (g *Group) applyReport(r cwgroup.Report) {
 	g.markReached(r.Member, g.cfg.Clock.Now())
+	if last, ok := g.sup.View().Report(r.Member); ok && last.At.After(r.At) && !last.Reachable {
+		r = last
+		r.Reachable = true
+	}
 	g.updateView(r)
 }
 
--- a/internal/proxy/cwleadership/passed_on_test.go
+++ b/internal/proxy/cwleadership/passed_on_test.go
@@ -146,6 +146,22 @@
 	qt.Assert(t, b.restarts, qt.HasLen, 0)
 }
 
+// Guards against a member that stays unreachable although it has answered this instance,
+// because a report with a later time was passed on in the meantime.
+func TestAnswerShowsReachabilityAfterLaterPassedOnReport(t *testing.T) {
+	b := newTestGroup(t)
+	b.reportHealth("a", cwgroup.RolePrimary, 1, 100)
+	b.DialFailed(cwport.Endpoint{ID: "a"}, errUnavailable)
+	b.clock.Advance(50 * time.Millisecond)
+	sentAt := b.clock.Now()
+	b.clock.Advance(10 * time.Millisecond)
+	b.passOn("a", cwgroup.RolePrimary, 1, 101, 5*time.Millisecond)
+	b.observeHealth("a", cwstatement.Health{Role: cwgroup.RolePrimary, Term: 1, LogEnd: cwgroup.LogPosition{Term: 1, Index: 101}}, sentAt)
+	rep, _ := b.report("a")
+	qt.Assert(t, rep.Reachable, qt.IsTrue)
+	qt.Assert(t, rep.At.After(sentAt), qt.IsTrue)
+}
+
 // Guards against a read that is refused although the data are recent enough: the instance
 // has just learnt of the primary, whose last answer is later than the last confirmation.
 func TestPassedOnLogServesReadsAfterFirstReport(t *testing.T) {
