cwleadership: a report from before the primary's silence shows no loss

The time for which a replica has lacked its primary was counted up to the arrival of a passed-on report instead of up to its check.

--- a/internal/proxy/cwleadership/observe.go
+++ b/internal/proxy/cwleadership/observe.go
@@ -143,25 +143,18 @@
 	g.observeTerm(max(h.Term, h.LogEnd.Term), now)
 	g.keepHealth(id, h, sentAt)
 	rep, _ := g.sup.View().Report(id)
-	applied := rep.Applied
 	if !own {
 		if !sentAt.After(rep.At) {
 			return
 		}
 		g.observeReturn(rep, sentAt)
 	}
-	role := h.Role
-	if h.FencedTerm > h.Term {
-		role = cwgroup.RoleFenced
-	}
-	if role == cwgroup.RolePrimary {
-		applied = h.LogEnd
-		if h.Term == g.term {
-			if own {
-				g.applied.ObservePrimary(applied, now)
-			}
-			g.history.Observe(applied, sentAt)
+	r := healthReport(id, h, sentAt, rep.Applied)
+	if r.Role == cwgroup.RolePrimary && h.Term == g.term {
+		if own {
+			g.applied.ObservePrimary(h.LogEnd, now)
 		}
+		g.history.Observe(h.LogEnd, sentAt)
 	}
 	if m, ok := g.members[id]; ok {
 		m.Pool.ObserveConnections(h.Connections)
@@ -169,17 +162,28 @@
 			g.ackDelays[id] = g.ackDelays[id].WithAnswer(now.Sub(sentAt))
 		}
 	}
-	r := cwgroup.Report{
-		Status: cwgroup.Status{
-			Member: id, Role: role, AdoptedTerm: max(h.Term, h.FencedTerm), Durable: h.LogEnd, Applied: applied,
-			UpstreamAge: g.upstreamAge(id, h.LogEnd, now),
-		},
-		At: sentAt, Reachable: own || !g.unreachable[id],
-	}
 	if own {
+		r.UpstreamAge = g.upstreamAge(id, h.LogEnd, now)
 		g.applyReport(r)
-	} else {
-		g.updateView(r)
+		return
+	}
+	r.UpstreamAge, r.Reachable = g.upstreamAge(id, h.LogEnd, sentAt), !g.unreachable[id]
+	g.updateView(r)
+}
+
+// healthReport returns the report of a member that answered a health request sent at
+// sentAt and that can be reached. applied is the last known position that it has applied.
+func healthReport(id cwgroup.MemberID, h cwstatement.Health, sentAt time.Time, applied cwgroup.LogPosition) cwgroup.Report {
+	role := h.Role
+	if h.FencedTerm > h.Term {
+		role = cwgroup.RoleFenced
+	}
+	if role == cwgroup.RolePrimary {
+		applied = h.LogEnd
+	}
+	return cwgroup.Report{
+		Status: cwgroup.Status{Member: id, Role: role, AdoptedTerm: max(h.Term, h.FencedTerm), Durable: h.LogEnd, Applied: applied},
+		At:     sentAt, Reachable: true,
 	}
 }
 
@@ -275,9 +279,11 @@
 	}
 }
 
-// upstreamAge returns how long a replica has lacked records that its primary is known
-// to have, or to have had when it stopped answering. The caller holds mu.
-func (g *Group) upstreamAge(id cwgroup.MemberID, received cwgroup.LogPosition, now time.Time) time.Duration {
+// upstreamAge returns how long a replica had lacked records by the time of a check that
+// its primary is known to have, or to have had when it stopped answering. The caller holds
+// mu.
+func (g *Group) upstreamAge(id cwgroup.MemberID, received cwgroup.LogPosition, checkedBy time.Time) time.Duration {
+	now := g.cfg.Clock.Now()
 	s := g.logProgress[id]
 	if s == nil {
 		return 0
@@ -297,8 +303,9 @@
 			s.behindSince = g.primarySilentSince
 		}
 	}
-	if s.advancedAt.After(s.behindSince) {
-		return now.Sub(s.advancedAt)
+	since := s.behindSince
+	if s.advancedAt.After(since) {
+		since = s.advancedAt
 	}
-	return now.Sub(s.behindSince)
+	return max(0, checkedBy.Sub(since))
 }
--- a/internal/proxy/cwleadership/passed_on_test.go
+++ b/internal/proxy/cwleadership/passed_on_test.go
@@ -189,3 +189,28 @@
 		})
 	}
 }
+
+// Guards against a primary that is replaced too early: a replica that was checked before the
+// primary fell silent has not shown that it lost its primary.
+func TestPassedOnReportFromBeforeSilenceShowsNoLoss(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		lost bool
+	}{
+		{"checked before", cwfailover.UpstreamTimeout + 100*time.Millisecond, false},
+		{"checked at once", cwfailover.UpstreamTimeout, false},
+		{"checked later", 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newTestGroup(t)
+			b.reportHealth("a", cwgroup.RolePrimary, 1, 100)
+			b.reportHealth("c", cwgroup.RoleReplica, 1, 100)
+			b.clock.Advance(time.Second)
+			b.suspectPrimary("a", b.clock.Now())
+			b.clock.Advance(cwfailover.UpstreamTimeout + time.Millisecond)
+			b.passOn("c", cwgroup.RoleReplica, 1, 100, tc.age)
+			qt.Assert(t, b.hasLostUpstream("c"), qt.Equals, tc.lost)
+		})
+	}
+}
