cwleadership: reads ask again if their request for reports was dropped

A request for a confirmation is dropped within 30 ms of the last one and while an inquiry is in progress. If the earlier request was for older reports, the read was held until its deadline unless something else changed the view. If it was without a read that waits, nothing checked the members before a silent observer timed out after 100 ms.

Reads that wait ask again after confirmInterval, and a waiting read hedges an inquiry in progress.

--- a/internal/proxy/cwleadership/confirm.go
+++ b/internal/proxy/cwleadership/confirm.go
@@ -1,6 +1,7 @@
 package cwleadership
 
 import (
+	"context"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwevidence"
@@ -40,6 +41,18 @@
 	}
 }
 
+// awaitConfirmation waits until changed is closed or a confirmation may be requested again.
+// It returns false if the deadline has passed or ctx has ended.
+//
+// The request of a read can be dropped in favour of one before it that needs less recent
+// reports, whose answer need not change the view.
+func (g *Group) awaitConfirmation(ctx context.Context, changed <-chan struct{}, deadline time.Time) bool {
+	if g.awaitChange(ctx, changed, min(deadline.Sub(g.cfg.Clock.Now()), confirmInterval)) {
+		return true
+	}
+	return ctx.Err() == nil && g.cfg.Clock.Now().Before(deadline)
+}
+
 // membersToConfirm returns the members whose health checks confirm the primary. The caller
 // holds mu.
 func (g *Group) membersToConfirm(now time.Time) []Member {
--- a/internal/proxy/cwleadership/inquiry.go
+++ b/internal/proxy/cwleadership/inquiry.go
@@ -30,8 +30,8 @@
 }
 
 // obtain starts to obtain reports: from an observer of this data centre, or by own checks
-// if there is no other observer. It does nothing while an inquiry for the same cause is in
-// progress.
+// if there is no other observer. While an inquiry for the same cause is in progress, it
+// begins no other one.
 func (g *Group) obtain(q inquiry) {
 	o, ok := g.chooseObserver()
 	if !ok {
@@ -42,11 +42,28 @@
 	busy := g.inquiring[q.cause]
 	g.inquiring[q.cause] = true
 	g.mu.Unlock()
-	if !busy {
+	switch {
+	case !busy:
 		go g.runInquiry(q, o)
+	case q.hedge:
+		g.hedgeInquiryInProgress(q)
 	}
 }
 
+// hedgeInquiryInProgress checks the members after hedgeDelay unless the need is met by
+// then. The inquiry in progress may have begun without a caller that waits.
+func (g *Group) hedgeInquiryInProgress(q inquiry) {
+	now := g.cfg.Clock.Now()
+	g.cfg.Clock.AfterFunc(hedgeDelay, func() {
+		g.mu.Lock()
+		met := q.sufficient(now)
+		g.mu.Unlock()
+		if !met {
+			g.checkOwn(q)
+		}
+	})
+}
+
 // checkOrAsk checks the given members, or asks an observer for their reports if the group
 // is unsettled and another instance observes it.
 func (g *Group) checkOrAsk(list []Member, cause CheckCause) {
--- a/internal/proxy/cwleadership/observer_fault_test.go
+++ b/internal/proxy/cwleadership/observer_fault_test.go
@@ -148,16 +148,7 @@
 	runPlay(t, true, func(p *play) {
 		p.table.setUnavailable(true)
 		in := p.instances[len(p.instances)-1]
-		late := &playInstance{name: "late", centre: in.centre}
-		late.Group = New(in.cfg)
-		late.cfg.Dialer = p.members.DialerFrom("late")
-		late.cfg.Observers = func() []cwport.Observer { return p.observersOf(late) }
-		var list []cwport.ListedTarget
-		for i := range playDataCentres {
-			list = append(list, cwport.ListedTarget{ID: memberOf(i), Service: "ledger", Address: string(memberOf(i)), DataCentre: centreName(i), Slots: 3})
-		}
-		late.SetMembers(list, playDataCentres, 100, false)
-		late.SetHeld(-1, false)
+		late := p.newUser(in)
 		defer late.Close()
 		p.cutMember("m0", -1, true)
 		p.members.Cut("late", "m0", true)
--- a/internal/proxy/cwleadership/observer_play_test.go
+++ b/internal/proxy/cwleadership/observer_play_test.go
@@ -142,11 +142,7 @@
 		time.Sleep(time.Millisecond)
 		return in.ServeMembers(ctx, q), nil
 	})
-	var list []cwport.ListedTarget
-	for i := range playDataCentres {
-		list = append(list, cwport.ListedTarget{ID: memberOf(i), Service: "ledger", Address: string(memberOf(i)), DataCentre: centreName(i), Slots: 3})
-	}
-	in.SetMembers(list, playDataCentres, 100, false)
+	in.SetMembers(playMembers(), playDataCentres, 100, false)
 	if n < playDataCentres*playHolders {
 		in.SetHeld(n, true)
 	} else {
@@ -155,6 +151,27 @@
 	p.instances = append(p.instances, in)
 }
 
+// newUser returns another user of the group in the data centre of in, without a loop and
+// without reads of its own. It is not one of the instances of the play.
+func (p *play) newUser(in *playInstance) *playInstance {
+	user := &playInstance{name: "late", centre: in.centre}
+	user.Group = New(in.cfg)
+	user.cfg.Dialer = p.members.DialerFrom("late")
+	user.cfg.Observers = func() []cwport.Observer { return p.observersOf(user) }
+	user.SetMembers(playMembers(), playDataCentres, 100, false)
+	user.SetHeld(-1, false)
+	return user
+}
+
+// playMembers returns the list of the members of a play.
+func playMembers() []cwport.ListedTarget {
+	var list []cwport.ListedTarget
+	for i := range playDataCentres {
+		list = append(list, cwport.ListedTarget{ID: memberOf(i), Service: "ledger", Address: string(memberOf(i)), DataCentre: centreName(i), Slots: 3})
+	}
+	return list
+}
+
 func centreName(i int) string              { return fmt.Sprintf("dc%d", i) }
 func memberOf(i int) cwgroup.MemberID      { return cwgroup.MemberID(fmt.Sprintf("m%d", i)) }
 func (p *play) holder(n int) *playInstance { return p.instances[n] }
--- a/internal/proxy/cwleadership/place.go
+++ b/internal/proxy/cwleadership/place.go
@@ -150,7 +150,7 @@
 		if down {
 			return Placement{}, g.pathDownError(now, false)
 		}
-		if !g.awaitChange(ctx, changed, deadline.Sub(now)) {
+		if !g.awaitConfirmation(ctx, changed, deadline) {
 			return Placement{}, &NoPrimaryError{Group: g.cfg.Service, Reason: "no second member confirms it", RetryAfter: typicalDetectionTime}
 		}
 	}
--- a/internal/proxy/cwleadership/place_read.go
+++ b/internal/proxy/cwleadership/place_read.go
@@ -73,7 +73,7 @@
 		if leaderErr != nil && g.awaitQuorum(ctx, changed, rd, deadline) {
 			continue
 		}
-		if leaderErr != nil || down || !g.awaitChange(ctx, changed, deadline.Sub(now)) {
+		if leaderErr != nil || down || !g.awaitConfirmation(ctx, changed, deadline) {
 			return Placement{}, &NoPrimaryError{
 				Group: g.cfg.Service, Reason: "the age of the data is not known", RetryAfter: typicalDetectionTime, MayServeElsewhere: leaderErr != nil || down,
 			}
