cwleadership: a removed member leaves no state

A check that began just after its member was removed recorded the time of the check for good, and the last log lines of its reads stayed. Members that are not listed are no longer checked, and the log entries are removed with them.

--- a/internal/proxy/cwleadership/health.go
+++ b/internal/proxy/cwleadership/health.go
@@ -89,11 +89,11 @@
 }
 
 // beginHealthCheck marks a health check or probe of the member as in progress. It
-// returns false if one already is.
+// returns false if one already is, or if the member is no longer listed.
 func (g *Group) beginHealthCheck(id cwgroup.MemberID, cause CheckCause) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.checking[id] {
+	if _, listed := g.members[id]; !listed || g.checking[id] {
 		return false
 	}
 	g.checking[id] = true
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -1,6 +1,7 @@
 package cwleadership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -42,6 +43,7 @@
 			delete(g.lastCheckAt, id)
 			delete(g.ackDelays, id)
 			delete(g.restarts, id)
+			maps.DeleteFunc(g.readLog, func(k readLogKey, _ readLogEntry) bool { return k.member == id })
 			g.applied.Remove(id)
 			g.outliers.Remove(id)
 		}
