cwleadership: no trials of ejected members behind a suspected path

A trial was chosen before targets in other data centres are left out while the path to them is suspected. The read then waited for its timeout at a member that could not answer.

PlaceRead and chooseMember are split.

--- a/internal/proxy/cwleadership/pathdown_test.go
+++ b/internal/proxy/cwleadership/pathdown_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwoutlier"
 	"cicadawalk.example/cicadawalk/internal/core/cwpath"
 )
 
@@ -87,3 +88,20 @@
 		qt.Assert(t, err, qt.IsNil)
 	})
 }
+
+// Guards against a read that waits for its timeout because it tries an ejected member in
+// another data centre, although the path there is suspected.
+func TestNoTrialsBehindSuspectedPath(t *testing.T) {
+	b := newCutGroup(t, false)
+	for range 20 {
+		b.RecordResult("a", cwoutlier.Result{Outcome: cwoutlier.Failed, SentAt: b.clock.Now()})
+		b.RecordResult("b", cwoutlier.Result{Outcome: cwoutlier.Served, SentAt: b.clock.Now()})
+	}
+	_, err := b.read()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.EjectionReason("a"), qt.Equals, cwoutlier.Errors)
+	b.clock.Advance(cwoutlier.MinEjection)
+	p, err := b.read()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.DataCentre, qt.Equals, b.cfg.DataCentre)
+}
--- a/internal/proxy/cwleadership/place_read.go
+++ b/internal/proxy/cwleadership/place_read.go
@@ -29,6 +29,25 @@
 	return rd.ArrivedAt.Add(deadline.Sub(rd.ArrivedAt) / 2)
 }
 
+// readAttempt is the result of an attempt to place a read.
+type readAttempt struct {
+	// place is valid if found is true. If hold is positive, the read is to wait for that
+	// time and be placed anew.
+	place Placement
+	found bool
+	hold  time.Duration
+	// floorKnown is true if the position is known that a member's log must reach.
+	floorKnown bool
+	// stale is true if a confirmation is to be requested.
+	stale bool
+	// leaderErr is why there is no primary; nil if there is one. down is true if a
+	// majority can't be reached because other data centres do not answer.
+	leaderErr error
+	down      bool
+	// changed is closed when the view changes.
+	changed <-chan struct{}
+}
+
 // PlaceRead returns the member at which a read with a maximum age runs; it may be the
 // primary. The target itself enforces the age, since it refuses a read whose floor it
 // has not applied. If the best member is expected to apply the floor soon, PlaceRead
@@ -36,51 +55,56 @@
 func (g *Group) PlaceRead(ctx context.Context, rd Read, deadline time.Time) (Placement, error) {
 	held := time.Duration(0)
 	for {
-		g.mu.Lock()
-		now := g.cfg.Clock.Now()
-		g.markUsed(now)
-		floor, evidence, ok := g.readFloor(rd)
-		if !ok {
-			floor, ok = g.quorumFloor(rd)
-			evidence = g.newEvidence(BasisMembers, rd.freshAsOf())
-		}
-		stale := rd.ArrivedAt.Sub(g.confirmedAt) > min(confirmRefreshAge, rd.MaxAge/2)
-		changed := g.changed
-		_, _, leaderErr := g.leader(now)
-		down := g.majorityBehindPath(now)
-		var place Placement
-		var hold time.Duration
-		var found bool
-		if ok {
-			place, hold, found = g.chooseMember(rd, floor, now, rd.holdUntil(deadline).Sub(now))
-			place.Evidence, place.Held = evidence, held
-		}
-		g.mu.Unlock()
-		if stale {
-			g.requestConfirmation(rd.MaxAge, !found)
+		a := g.tryPlaceRead(rd, deadline)
+		if a.stale {
+			g.requestConfirmation(rd.MaxAge, !a.found)
 		}
-		if hold > 0 && ctx.Err() == nil {
-			g.sleep(ctx, hold)
-			held += hold
+		if a.hold > 0 && ctx.Err() == nil {
+			g.sleep(ctx, a.hold)
+			held += a.hold
 			continue
 		}
-		if found {
-			return place, nil
+		if a.found {
+			a.place.Held = held
+			return a.place, nil
 		}
-		if ok {
-			return Placement{}, &NoPrimaryError{Group: g.cfg.Service, Reason: "no member can serve the read", RetryAfter: typicalDetectionTime, MayServeElsewhere: down}
+		if a.floorKnown {
+			return Placement{}, &NoPrimaryError{Group: g.cfg.Service, Reason: "no member can serve the read", RetryAfter: typicalDetectionTime, MayServeElsewhere: a.down}
 		}
-		if leaderErr != nil && g.awaitQuorum(ctx, changed, rd, deadline) {
+		if a.leaderErr != nil && g.awaitQuorum(ctx, a.changed, rd, deadline) {
 			continue
 		}
-		if leaderErr != nil || down || !g.awaitConfirmation(ctx, changed, deadline) {
+		if a.leaderErr != nil || a.down || !g.awaitConfirmation(ctx, a.changed, deadline) {
 			return Placement{}, &NoPrimaryError{
-				Group: g.cfg.Service, Reason: "the age of the data is not known", RetryAfter: typicalDetectionTime, MayServeElsewhere: leaderErr != nil || down,
+				Group: g.cfg.Service, Reason: "the age of the data is not known", RetryAfter: typicalDetectionTime, MayServeElsewhere: a.leaderErr != nil || a.down,
 			}
 		}
 	}
 }
 
+// tryPlaceRead places a read by what is known now.
+func (g *Group) tryPlaceRead(rd Read, deadline time.Time) readAttempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Clock.Now()
+	g.markUsed(now)
+	floor, evidence, ok := g.readFloor(rd)
+	if !ok {
+		floor, ok = g.quorumFloor(rd)
+		evidence = g.newEvidence(BasisMembers, rd.freshAsOf())
+	}
+	a := readAttempt{
+		floorKnown: ok, stale: rd.ArrivedAt.Sub(g.confirmedAt) > min(confirmRefreshAge, rd.MaxAge/2),
+		down: g.majorityBehindPath(now), changed: g.changed,
+	}
+	_, _, a.leaderErr = g.leader(now)
+	if ok {
+		a.place, a.hold, a.found = g.chooseMember(rd, floor, now, rd.holdUntil(deadline).Sub(now))
+		a.place.Evidence = evidence
+	}
+	return a
+}
+
 // sleep waits for d or until ctx ends.
 func (g *Group) sleep(ctx context.Context, d time.Duration) {
 	t := g.cfg.Clock.NewTimer(d)
@@ -137,24 +161,21 @@
 		g.applied.ObservePrimary(rd.LastWrite, now)
 	}
 	g.ejectOutliers(v, now)
+	suspected := g.cfg.RemotePath.Suspected()
 	var options, ejected []cwroute.ReadTarget
 	for id, m := range g.members {
 		rep, known := v.Report(id)
 		if m.Draining && id != primary.Member || slices.Contains(rd.RefusedBy, id) {
 			continue
 		}
-		load := m.Pool.Load()
-		o := cwroute.ReadTarget{
-			Member: id, Remote: m.DataCentre != g.cfg.DataCentre, Primary: id == primary.Member,
-			Wait: load.ExpectedWait, Latency: load.Latency, InFlight: load.InFlight + load.Waiting, Slots: m.Slots,
-		}
+		o := g.readTarget(m, id == primary.Member)
 		switch standing := g.outliers.Standing(id, now); {
 		case standing == cwoutlier.Admitted:
 			options = append(options, o)
 		case known && !rep.Reachable && (o.Primary || !g.outliers.HealthDoubted(id)):
 			// A primary that can't be reached is replaced; a trial there would only
 			// fail a read.
-		case standing == cwoutlier.TrialDue && (o.Primary || g.applied.Behind(id, floor, now) <= cwroute.MaxBehind):
+		case standing == cwoutlier.TrialDue && !(o.Remote && suspected) && (o.Primary || g.applied.Behind(id, floor, now) <= cwroute.MaxBehind):
 			g.outliers.BeginTrial(id, now)
 			return g.newReadPlacement(id, primary, floor), 0, true
 		case !known || rep.Reachable:
@@ -172,6 +193,15 @@
 	return g.newReadPlacement(o.Member, primary, floor), o.Hold, true
 }
 
+// readTarget describes a member as a target of reads.
+func (g *Group) readTarget(m *Member, primary bool) cwroute.ReadTarget {
+	load := m.Pool.Load()
+	return cwroute.ReadTarget{
+		Member: m.ID, Remote: g.isRemote(m), Primary: primary,
+		Wait: load.ExpectedWait, Latency: load.Latency, InFlight: load.InFlight + load.Waiting, Slots: m.Slots,
+	}
+}
+
 // likelyBehind is the probability that the best member lacks the floor from which a
 // member that is ejected may serve the read.
 const likelyBehind = 0.5
