cwpeers: an instance doesn't ask itself for reports

Until an instance has registered, its row can have another address or data centre than itself. It then counted as another holder and was asked over a connection to the old address. Instances are compared by their ids.

--- a/internal/proxy/cwpeers/members.go
+++ b/internal/proxy/cwpeers/members.go
@@ -19,7 +19,7 @@
 	var near, far []cwport.Observer
 	for _, i := range p.placement.CachedHolders(group, d) {
 		o := cwport.Observer{Name: i.ID, Remote: i.DataCentre != p.Self.DataCentre}
-		if i != p.Self {
+		if i.ID != p.Self.ID {
 			o.Ask = p.link(i).askMembers
 		}
 		if o.Remote {
--- a/internal/proxy/cwpeers/members_test.go
+++ b/internal/proxy/cwpeers/members_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -37,3 +40,16 @@
 		w.Assert(all, qt.HasLen, len(w.holders))
 	})
 }
+
+// Guards against an instance that asks itself, because its row has another address until it
+// has registered.
+func TestInstanceIsNotItsOwnObserver(t *testing.T) {
+	self := instance("a", "dc")
+	before := self
+	before.Address = "10.0.0.2:1"
+	p := &Peers{Self: self, Clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), Log: log.New(io.Discard)}
+	p.ApplyRows([]cwport.Row{row(before)}, true)
+	list := p.Observers("g", manyGroupsCapacity)
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Ask == nil, qt.IsTrue)
+}
