--- a/internal/proxy/cwleadership/passed_on_test.go
+++ b/internal/proxy/cwleadership/passed_on_test.go
@@ -145,3 +145,72 @@
 	defer b.mu.Unlock()
 	qt.Assert(t, b.restarts, qt.HasLen, 0)
 }
+
+// Guards against a member that stays unreachable although it has answered this instance,
+// because a report with a later time was passed on in the meantime.
+func TestAnswerShowsReachabilityAfterLaterPassedOnReport(t *testing.T) {
+	b := newTestGroup(t)
+	b.reportHealth("a", cwgroup.RolePrimary, 1, 100)
+	b.DialFailed(cwport.Endpoint{ID: "a"}, errUnavailable)
+	b.clock.Advance(50 * time.Millisecond)
+	sentAt := b.clock.Now()
+	b.clock.Advance(10 * time.Millisecond)
+	b.passOn("a", cwgroup.RolePrimary, 1, 101, 5*time.Millisecond)
+	b.observeHealth("a", cwstatement.Health{Role: cwgroup.RolePrimary, Term: 1, LogEnd: cwgroup.LogPosition{Term: 1, Index: 101}}, sentAt)
+	rep, _ := b.report("a")
+	qt.Assert(t, rep.Reachable, qt.IsTrue)
+	qt.Assert(t, rep.At.After(sentAt), qt.IsTrue)
+}
+
+// Guards against a read that is refused although the data are recent enough: the instance
+// has just learnt of the primary, whose last answer is later than the last confirmation.
+func TestPassedOnLogServesReadsAfterFirstReport(t *testing.T) {
+	for name, health := range map[string][]cwport.MemberReport{
+		"without a health answer of the primary": nil,
+		"with a health answer of the primary": {{
+			Member: "a", Age: 50 * time.Millisecond, Health: cwstatement.Health{Role: cwgroup.RolePrimary, Term: 1, LogEnd: cwgroup.LogPosition{Term: 1, Index: 108}},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestGroup(t)
+			position := func(i cwgroup.LogIndex) cwgroup.LogPosition { return cwgroup.LogPosition{Term: 1, Index: i} }
+			answer := cwport.MembersResponse{
+				Observes: true,
+				Reports: append(health, cwport.MemberReport{
+					Member: "c", Age: 200 * time.Millisecond, Health: cwstatement.Health{Role: cwgroup.RoleReplica, Term: 1, LogEnd: position(100)},
+				}),
+				Primary: cwport.PrimaryReport{Member: "a", Term: 1, Position: position(110), Age: 10 * time.Millisecond, Log: []cwport.LogSample{
+					{Position: position(100), Age: 210 * time.Millisecond}, {Position: position(110), Age: 10 * time.Millisecond},
+				}},
+			}
+			x := cwevidence.Exchange{RequestedAt: b.clock.Now(), AnsweredAt: b.clock.Now()}
+			qt.Assert(t, b.recordReports(answer, x), qt.IsNil)
+			qt.Assert(t, b.placeRead(cwgroup.LogPosition{}).Floor, qt.Equals, position(100))
+		})
+	}
+}
+
+// Guards against a primary that is replaced too early: a replica that was checked before the
+// primary fell silent has not shown that it lost its primary.
+func TestPassedOnReportFromBeforeSilenceShowsNoLoss(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		lost bool
+	}{
+		{"checked before", cwfailover.UpstreamTimeout + 100*time.Millisecond, false},
+		{"checked at once", cwfailover.UpstreamTimeout, false},
+		{"checked later", 0, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newTestGroup(t)
+			b.reportHealth("a", cwgroup.RolePrimary, 1, 100)
+			b.reportHealth("c", cwgroup.RoleReplica, 1, 100)
+			b.clock.Advance(time.Second)
+			b.suspectPrimary("a", b.clock.Now())
+			b.clock.Advance(cwfailover.UpstreamTimeout + time.Millisecond)
+			b.passOn("c", cwgroup.RoleReplica, 1, 100, tc.age)
+			qt.Assert(t, b.hasLostUpstream("c"), qt.Equals, tc.lost)
+		})
+	}
+}
