cwengine: an isolated instance probes the members that it reaches again

Cause: once a majority had become reachable, an isolated instance without callers checked only unreachable members and the primary. A majority that had not answered within the same lease could then never count as answering, and the instance stayed not ready. Suspicion of the path hid this as long as it lasted.

Change: while an instance is cut off from all groups, it probes the members that are not known to be unreachable of each group that it watches.

--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -204,14 +204,20 @@
 //
 // Otherwise an isolated instance could come to a group that it has not tried yet,
 // count it as reachable and report itself ready; the load balancer would then use the
-// whole data centre again. Only answers end the isolation. The caller holds mu.
+// whole data centre again. Only answers end the isolation. Members that became reachable
+// one after the other may have answered at different times, and without callers only the
+// primary is checked regularly, so they are probed together. The caller holds mu.
 func (e *Engine) reachesAny() bool {
 	reached := false
 	for _, g := range e.groups {
-		if g.MajorityUnreachable() || g.RecentlyUnserved() {
+		answering := g.MajorityAnswering()
+		switch {
+		case g.MajorityUnreachable() || g.RecentlyUnserved():
 			g.KeepWatching()
+		case !answering:
+			g.ProbeReachable()
 		}
-		reached = reached || g.MajorityAnswering()
+		reached = reached || answering
 	}
 	return reached
 }
--- a/internal/proxy/cwleadership/remotepath.go
+++ b/internal/proxy/cwleadership/remotepath.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwpath"
 )
 
@@ -148,17 +149,29 @@
 
 // ProbeRemote probes the members in other data centres if this proxy watches the group.
 // It reports whether there were any.
-func (g *Group) ProbeRemote() bool {
+func (g *Group) ProbeRemote() bool { return g.probeIfWatched(g.isRemote) }
+
+// ProbeReachable probes the members that are not known to be unreachable, if this proxy
+// watches the group.
+func (g *Group) ProbeReachable() {
+	g.probeIfWatched(func(m *Member) bool { return !g.unreachable[m.ID] })
+}
+
+// probeIfWatched probes the members that include selects, if this proxy watches the group.
+// It reports whether there were any. include is called with mu held.
+func (g *Group) probeIfWatched(include func(m *Member) bool) bool {
 	g.mu.Lock()
-	var ask []Member
-	for _, m := range g.members {
-		if g.isRemote(m) && g.watched(g.cfg.Clock.Now()) {
-			ask = append(ask, *m)
+	var ask []cwgroup.MemberID
+	if g.watched(g.cfg.Clock.Now()) {
+		for id, m := range g.members {
+			if include(m) {
+				ask = append(ask, id)
+			}
 		}
 	}
 	g.mu.Unlock()
-	for _, m := range ask {
-		g.probe(m.ID, CausePath)
+	for _, id := range ask {
+		g.probe(id, CausePath)
 	}
 	return len(ask) > 0
 }
