cwleadership: a health check that fails at once is not overdue

Cause: any failed check of a member in another data centre counted as overdue, also one that the pool refused at once because it waits before it connects again. After a cut all groups check their members at once, so each instance began suspicions with a silence of no length, which its neighbours adopted, many times a second. Refused connections and resets had the same effect.

Change: a failed request counts as overdue only if it had no answer for at least 100 ms. Waiting for a free connection does not count, since nothing was sent.

--- a/internal/core/cwpath/detector.go
+++ b/internal/core/cwpath/detector.go
@@ -23,11 +23,15 @@
 	"time"
 )
 
-// Times of reports.
+// Times of requests and reports.
 const (
 	// CallTimeout is how long an answer to a report is awaited. A busy instance answers
 	// within some tens of milliseconds, and may pause for most of a tenth of a second.
 	CallTimeout = 100 * time.Millisecond
+	// MinOverdue is the shortest time without an answer after which a request that failed
+	// counts as overdue. One that fails sooner was refused, reset or never sent, which says
+	// nothing about the path.
+	MinOverdue = 100 * time.Millisecond
 	// MaxReportAge is the longest silence that a report may state. An instance that was
 	// suspended passes on older ones.
 	MaxReportAge = 2 * time.Second
--- a/internal/proxy/cwengine/pathping.go
+++ b/internal/proxy/cwengine/pathping.go
@@ -102,8 +102,7 @@
 	err := cfg.PathNetwork.PingRemote(ctx, to)
 	if err != nil {
 		cfg.Log.Debug("pathPingLost", "to", to, "cause", err)
-		// An attempt that fails at once says nothing about the path.
-		if cfg.Clock.Since(sentAt) >= cwpath.ConfirmTimeout {
+		if cfg.Clock.Since(sentAt) >= cwpath.MinOverdue {
 			cfg.RemotePath.RecordOverdue(sentAt)
 		}
 		return
--- a/internal/proxy/cwleadership/health.go
+++ b/internal/proxy/cwleadership/health.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwpath"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwtargetpool"
@@ -144,8 +145,7 @@
 		g.endHealthCheck(m.ID)
 		return
 	}
-	var refused *cwport.RefusedError
-	if g.isRemote(&m) && !errors.As(err, &refused) {
+	if g.isRemote(&m) && isOverdue(err, g.cfg.Clock.Since(startedAt)) {
 		g.cfg.RemotePath.RecordOverdue(startedAt)
 	}
 	g.cfg.Log.Debug("noHealth", "group", g.cfg.Service, "target", m.ID, "cause", err)
@@ -158,6 +158,18 @@
 	g.endHealthCheck(m.ID)
 }
 
+// isOverdue reports whether a health check that failed after the given time suggests that
+// the network path is silent. A refusal is an answer, and without a free connection nothing
+// was sent.
+//
+// A check fails at once if the pool waits before it connects again, or the connection was
+// reset. After a cut this happens at many members, though the path works again.
+func isOverdue(err error, took time.Duration) bool {
+	var refused *cwport.RefusedError
+	var overloaded *cwtargetpool.OverloadedError
+	return took >= cwpath.MinOverdue && !errors.As(err, &refused) && !errors.As(err, &overloaded)
+}
+
 // withConn runs f, with the time at which it starts, on a pooled connection with timeout
 // d. If f fails for any reason other than a refusal by the target, the connection is
 // closed and the member is probed.
--- a/internal/proxy/cwleadership/remotepath_test.go
+++ b/internal/proxy/cwleadership/remotepath_test.go
@@ -1,10 +1,16 @@
 package cwleadership
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"cicadawalk.example/cicadawalk/internal/core/cwpath"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwtargetpool"
 )
 
 // Suspicion begins once, when no remote target has answered since an overdue statement
@@ -35,3 +41,26 @@
 	b.KeepWatching()
 	qt.Assert(t, b.ProbeRemote(), qt.IsTrue)
 }
+
+// Guards against a data centre that is not ready after a cut because health checks fail at
+// once: the pools wait before they connect again, or connections are reset.
+func TestHealthCheckThatFailsAtOnceIsNotOverdue(t *testing.T) {
+	b := newTestGroup(t)
+	b.cfg.RemotePath.Clock = b.clock
+	b.mu.Lock()
+	a := b.members["a"]
+	a.DataCentre = "far"
+	b.mu.Unlock()
+	b.cfg.RemotePath.RecordAnswer(b.clock.Now())
+	b.clock.Advance(time.Millisecond)
+	for range 2 {
+		b.runHealthCheck(*a)
+		qt.Assert(t, b.cfg.RemotePath.Suspected(), qt.IsFalse)
+	}
+	silent := &cwtargetpool.UnreachableError{Cause: context.DeadlineExceeded}
+	qt.Assert(t, isOverdue(silent, cwpath.MinOverdue), qt.IsTrue)
+	for _, err := range []error{&cwport.RefusedError{}, &cwtargetpool.OverloadedError{}} {
+		qt.Assert(t, isOverdue(err, healthTimeout), qt.IsFalse, qt.Commentf("%v", err))
+	}
+	qt.Assert(t, isOverdue(errors.New("connection reset"), cwpath.MinOverdue-1), qt.IsFalse)
+}
