cwpeers: a ping that fails at once is not overdue

Cause: a ping on a connection that the other instance had closed made this one suspect the path.

Change: only a ping without an answer for at least 100 ms does.

--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwholder"
+	"cicadawalk.example/cicadawalk/internal/core/cwpath"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -307,13 +308,16 @@
 }
 
 // probe pings the remote instance and closes the connection if no answer arrives
-// within answerTimeout.
+// within answerTimeout. A ping that fails sooner is not overdue: the connection was closed
+// or reset, for example by an instance that restarts.
 func (l *link) probe(conn Conn) {
 	sent := l.clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	if err := conn.Ping(ctx); err != nil {
-		l.recordOverdue(sent)
+		if l.clock.Since(sent) >= cwpath.MinOverdue {
+			l.recordOverdue(sent)
+		}
 		l.dropConn(conn, errors.Join(errNoAnswer, err))
 		return
 	}
--- a/internal/proxy/cwpeers/ondemand_test.go
+++ b/internal/proxy/cwpeers/ondemand_test.go
@@ -202,6 +202,18 @@
 	})
 }
 
+// Guards against instances that suspect the path because one of another data centre has
+// closed its connections: a probe that fails at once is not overdue.
+func TestProbeOfClosedConnectionIsNotOverdue(t *testing.T) {
+	path := &pathRecorder{}
+	n := &fakeNetwork{unresponsive: map[string]bool{"i": true}}
+	conn := &fakeConn{net: n, name: "i", done: make(chan struct{})}
+	l := &link{remote: instance("i", "z1"), clock: clockwork.NewRealClock(), log: log.New(io.Discard), path: path}
+	_ = conn.Close()
+	l.probe(conn)
+	qt.Assert(t, path.cut(), qt.IsFalse)
+}
+
 // Guards against an instance that ends up connected to all others.
 func TestIdleOnDemandConnectionIsClosed(t *testing.T) {
 	runManyGroups(t, func(w manyGroupsTest) {
