cwpath: pings go on when the wall clock is set back

Cause: the time of the next ping had no monotonic reading, so a sentinel did not ping until the wall clock had caught up.

Change: the time is computed from now, which has one.

--- a/internal/core/cwpath/detector_test.go
+++ b/internal/core/cwpath/detector_test.go
@@ -101,6 +101,13 @@
 	qt.Assert(t, p.Interval(), qt.Equals, 500*ms)
 }
 
+// Guards against a sentinel that stops pinging when the wall clock is set back. A time with
+// a monotonic reading differs from the same time without it.
+func TestNextPingIsMonotonic(t *testing.T) {
+	next := NextPing(1, time.Now())
+	qt.Assert(t, next == next.Round(0), qt.IsFalse)
+}
+
 // Guards against pings whose number grows with the instances, and sentinels that ping at
 // the same time.
 func TestPings(t *testing.T) {
--- a/internal/core/cwpath/ping.go
+++ b/internal/core/cwpath/ping.go
@@ -45,14 +45,15 @@
 }
 
 // NextPing returns the time of the next ping of the sentinel with the given rank, after
-// now. The sentinels take turns by the time of day.
+// now. The sentinels take turns by the time of day. The result has the monotonic reading
+// of now, so that pings go on if the wall clock is set back.
 func NextPing(rank int, now time.Time) time.Time {
 	const period = sentinels * pingSpacing
 	at := now.Truncate(period).Add(time.Duration(rank) * pingSpacing)
 	for !at.After(now) {
 		at = at.Add(period)
 	}
-	return at
+	return now.Add(at.Sub(now))
 }
 
 // PingCandidates returns the instances of each other data centre that an instance may
