cwpath: requests from before a neighbour's answer are not overdue

Cause: when a neighbour's answer ended adopted suspicion after a cut, probes that this instance had sent during the cut timed out afterwards and began direct suspicion, with a report of its own.

Change: such requests no longer count. Since the instance may be cut off alone, it sends a round of pings at once.

--- a/internal/core/cwpath/detector.go
+++ b/internal/core/cwpath/detector.go
@@ -86,6 +86,8 @@
 	// answeredAt is when an answer from another data centre last arrived here, and
 	// heardAt a time at or before the last one that is known to have reached a neighbour.
 	answeredAt, heardAt time.Time
+	// refutedAt is when the neighbour's answer arrived that last ended suspicion here.
+	refutedAt time.Time
 	// directSince and adoptedSince are the beginnings of the silence that direct and
 	// adopted suspicion are based on; zero if there is no such suspicion.
 	directSince, adoptedSince time.Time
@@ -107,6 +109,10 @@
 // BegunAt returns when the suspicion in effect began; zero if there is none.
 func (d *Detector) BegunAt() time.Time { return d.begunAt }
 
+// Unconfirmed reports whether a neighbour's answer ended the last suspicion and none has
+// arrived here since. The instance may be cut off alone.
+func (d *Detector) Unconfirmed() bool { return !d.Suspected() && d.refutedAt.After(d.answeredAt) }
+
 // Joined returns the number of instances known to suspect the path, including this one.
 func (d *Detector) Joined() int {
 	if !d.Suspected() {
@@ -129,9 +135,10 @@
 }
 
 // ObserveOverdue records that the answer to a request sent to another data centre at
-// sentAt is overdue. It reports whether suspicion began.
+// sentAt is overdue. It reports whether suspicion began. Requests from before the
+// neighbour's answer that ended the last suspicion do not count: a cut may have ended since.
 func (d *Detector) ObserveOverdue(sentAt, now time.Time) bool {
-	if !d.answeredAt.Before(sentAt) || !d.directSince.IsZero() {
+	if !d.answeredAt.Before(sentAt) || sentAt.Before(d.refutedAt) || !d.directSince.IsZero() {
 		return false
 	}
 	d.directSince = sentAt
@@ -231,6 +238,7 @@
 	}
 	d.adoptedSince = time.Time{}
 	if d.directSince.IsZero() {
+		d.refutedAt = answeredAt
 		d.end(answeredAt)
 		return
 	}
--- a/internal/core/cwpath/detector_test.go
+++ b/internal/core/cwpath/detector_test.go
@@ -80,6 +80,21 @@
 	qt.Assert(t, reply, qt.Equals, Reply{AnsweredAt: at(3210 * ms)})
 }
 
+// Guards against instances that suspect the path once more after a cut, because probes that
+// they sent before a neighbour had an answer time out.
+func TestRequestsFromBeforeNeighboursAnswerAreNotOverdue(t *testing.T) {
+	d := &Detector{Self: "x"}
+	d.ReceiveReport(Report{ID: "y/1", Instance: "y", SilentSince: at(0)}, at(250*ms))
+	d.ObserveProbe(at(250 * ms))
+	d.ReceiveReply("z", Reply{AnsweredAt: at(400 * ms)})
+	qt.Assert(t, d.Suspected(), qt.IsFalse)
+	qt.Assert(t, d.Unconfirmed(), qt.IsTrue)
+	qt.Assert(t, d.ObserveOverdue(at(250*ms), at(500*ms)), qt.IsFalse)
+	qt.Assert(t, d.ObserveOverdue(at(410*ms), at(580*ms)), qt.IsTrue)
+	d.ObserveAnswer(at(600 * ms))
+	qt.Assert(t, d.Unconfirmed(), qt.IsFalse)
+}
+
 func TestNeighboursOfOlderBuildsAreLeftOut(t *testing.T) {
 	d := newSuspecting()
 	d.MethodUnknown("y", at(300*ms))
--- a/internal/proxy/cwengine/path.go
+++ b/internal/proxy/cwengine/path.go
@@ -60,7 +60,7 @@
 func (w *pathWatch) loop(ctx context.Context) error {
 	for {
 		w.refresh()
-		w.observeSuspicion()
+		w.observeSuspicion(ctx)
 		w.sendReports(ctx)
 		w.ping(ctx)
 		select {
@@ -91,11 +91,14 @@
 	cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { d.SetNeighbours(neighbours) })
 }
 
-// observeSuspicion plans pings when suspicion begins or ends, and logs the end.
-func (w *pathWatch) observeSuspicion() {
+// observeSuspicion plans pings when suspicion begins or ends, and logs the end. If a
+// neighbour's answer ended it, a round of pings finds out whether this instance is cut off
+// alone.
+func (w *pathWatch) observeSuspicion(ctx context.Context) {
 	cfg, now := &w.engine.cfg, w.engine.cfg.Clock.Now()
 	var begunAt time.Time
-	cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { begunAt = d.BegunAt() })
+	unconfirmed := false
+	cfg.RemotePath.WithDetector(func(d *cwpath.Detector) { begunAt, unconfirmed = d.BegunAt(), d.Unconfirmed() })
 	if begunAt.Equal(w.suspectedSince) {
 		return
 	}
@@ -103,6 +106,9 @@
 		cfg.Log.Info("pathAnswers", "suspectedMs", now.Sub(w.suspectedSince).Milliseconds())
 	}
 	w.suspectedSince, w.nextPingAt = begunAt, time.Time{}
+	if unconfirmed && w.active {
+		go w.runPingRound(ctx, cwpath.PingTargets(w.candidates, 1+cwpath.ConfirmPings, w.rand))
+	}
 }
 
 // sendReports sends the reports that are due, each in a goroutine of its own. It drops
--- a/internal/proxy/cwengine/path_test.go
+++ b/internal/proxy/cwengine/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -137,6 +138,30 @@
 	c.c.Assert(notReady["y"] < 50 && notReady["z"] < 50, qt.IsTrue, qt.Commentf("%v", notReady))
 }
 
+// Guards against an instance cut off alone that becomes ready because a neighbour refutes
+// the report that it adopted. Sentinels would find out without a report.
+func TestRefutedInstanceFindsThatItIsCutOffAlone(t *testing.T) {
+	names := []string{"w", "x", "y", "z"}
+	c := newCentre(t, names...)
+	self := names[slices.IndexFunc(names, func(n string) bool {
+		_, sentinel := cwpath.SentinelRank(n, "dc-a", names)
+		return !sentinel
+	})]
+	other := names[slices.IndexFunc(names, func(n string) bool { return n != self })]
+	c.setCut(true, self)
+	path, now := c.engines[self].cfg.RemotePath, c.clock.Now()
+	path.ReceiveReport(cwpath.Report{ID: "1", Instance: other, SilentSince: now}, now)
+	c.clock.Sleep(120 * time.Millisecond)
+	now = c.clock.Now()
+	path.ReceiveReport(cwpath.Report{Instance: other, SilentSince: now, Ended: true}, now)
+	c.eventually("it suspects the path directly", func() bool {
+		direct := false
+		path.WithDetector(func(d *cwpath.Detector) { direct = d.SuspectedDirectly() })
+		return direct
+	})
+	c.c.Assert(c.clock.Since(now) < time.Second, qt.IsTrue, qt.Commentf("%v", c.clock.Since(now)))
+}
+
 // Guards against reports that are not about this data centre, or are old, and against a
 // data centre that leaves the rotation although it has the majority of a group.
 func TestPathReportsThatAreIgnored(t *testing.T) {
