--- a/internal/core/cwpath/detector_test.go
+++ b/internal/core/cwpath/detector_test.go
@@ -107,6 +107,14 @@
 	}
 }
 
+// Guards against a map that grows as instances of older builds come and go.
+func TestOldBuildsAreForgotten(t *testing.T) {
+	d := newSuspecting()
+	d.MethodUnknown("y", at(0))
+	d.MethodUnknown("z", at(OldBuildPause))
+	qt.Assert(t, d.spread.oldBuilds, qt.HasLen, 1)
+}
+
 func TestProbeInterval(t *testing.T) {
 	var p ProbeInterval
 	qt.Assert(t, p.Interval(), qt.Equals, defaultProbeInterval)
--- a/internal/core/cwpath/spread.go
+++ b/internal/core/cwpath/spread.go
@@ -83,6 +83,7 @@
 	if d.spread.oldBuilds == nil {
 		d.spread.oldBuilds = make(map[string]time.Time)
 	}
+	maps.DeleteFunc(d.spread.oldBuilds, func(_ string, until time.Time) bool { return !now.Before(until) })
 	d.spread.oldBuilds[to] = now.Add(OldBuildPause)
 	d.CallFailed(now)
 }
