cwpath: names say what they hold

Cause: PingPatience, heardAt, hear, told and tell are not terms of the field.

Change: FirstPingTimeout, neighbourAnsweredAt, observeNeighbourAnswer, notified and notify.

--- a/internal/core/cwpath/detector.go
+++ b/internal/core/cwpath/detector.go
@@ -83,9 +83,9 @@
 	// SetNeighbours.
 	Rand *rand.Rand
 
-	// answeredAt is when an answer from another data centre last arrived here, and
-	// heardAt a time at or before the last one that is known to have reached a neighbour.
-	answeredAt, heardAt time.Time
+	// answeredAt is when an answer from another data centre last arrived here.
+	// neighbourAnsweredAt is when one last arrived at a neighbour, as far as known.
+	answeredAt, neighbourAnsweredAt time.Time
 	// refutedAt is when the neighbour's answer arrived that last ended suspicion here.
 	refutedAt time.Time
 	// directSince and adoptedSince are the beginnings of the silence that direct and
@@ -165,7 +165,7 @@
 	switch {
 	case r.Ended:
 		delete(d.joined, r.Instance)
-		d.hear(r.SilentSince)
+		d.observeNeighbourAnswer(r.SilentSince)
 	case now.Sub(r.SilentSince) > MaxReportAge:
 	case refutes(d.newestAnswer(), r.SilentSince), !d.Suspected() && d.spread.seen(r.ID):
 		return Reply{AnsweredAt: d.newestAnswer(), NotReadySince: d.begunAt}, false
@@ -186,7 +186,7 @@
 	switch {
 	case !r.AnsweredAt.IsZero():
 		delete(d.joined, from)
-		d.hear(r.AnsweredAt)
+		d.observeNeighbourAnswer(r.AnsweredAt)
 	case !r.NotReadySince.IsZero() && d.Suspected():
 		d.join(from, r.NotReadySince)
 	}
@@ -202,8 +202,8 @@
 // newestAnswer returns when an answer from another data centre last arrived here or at
 // a neighbour, as far as known.
 func (d *Detector) newestAnswer() time.Time {
-	if d.heardAt.After(d.answeredAt) {
-		return d.heardAt
+	if d.neighbourAnsweredAt.After(d.answeredAt) {
+		return d.neighbourAnsweredAt
 	}
 	return d.answeredAt
 }
@@ -226,12 +226,12 @@
 	return true
 }
 
-// hear records that a neighbour had an answer from another data centre at the given
-// time. If that is newer than the reports received, adopted suspicion ends and the
+// observeNeighbourAnswer records that a neighbour had an answer from another data centre
+// at the given time. If that is newer than the reports received, adopted suspicion ends and the
 // answer is passed on.
-func (d *Detector) hear(answeredAt time.Time) {
-	if answeredAt.After(d.heardAt) {
-		d.heardAt = answeredAt
+func (d *Detector) observeNeighbourAnswer(answeredAt time.Time) {
+	if answeredAt.After(d.neighbourAnsweredAt) {
+		d.neighbourAnsweredAt = answeredAt
 	}
 	if d.adoptedSince.IsZero() || !refutes(answeredAt, d.adoptedSince) {
 		return
--- a/internal/core/cwpath/isolation.go
+++ b/internal/core/cwpath/isolation.go
@@ -12,7 +12,7 @@
 // data centres. Otherwise this data centre can still serve some, and callers must not be
 // sent away.
 func (d *Detector) Isolated(now time.Time) bool {
-	alone := !d.directSince.IsZero() && refutes(d.heardAt, d.directSince)
+	alone := !d.directSince.IsZero() && refutes(d.neighbourAnsweredAt, d.directSince)
 	return d.Joined() > 1 && !alone && !d.probedAt.IsZero() && d.UntilIsolated(now) <= 0
 }
 
--- a/internal/core/cwpath/ping.go
+++ b/internal/core/cwpath/ping.go
@@ -17,9 +17,9 @@
 	// pingSpacing is the time between two pings of a data centre, whichever sentinel
 	// sends them.
 	pingSpacing = 250 * time.Millisecond
-	// PingPatience is how long the first ping of a round is awaited before others are
+	// FirstPingTimeout is how long the first ping of a round is awaited before others are
 	// sent. The answers of instances that are not paused arrive sooner.
-	PingPatience = 60 * time.Millisecond
+	FirstPingTimeout = 60 * time.Millisecond
 	// ConfirmTimeout is how long the other pings of a round are awaited. It exceeds a
 	// pause of the pinged instances.
 	ConfirmTimeout = 100 * time.Millisecond
--- a/internal/core/cwpath/spread.go
+++ b/internal/core/cwpath/spread.go
@@ -26,10 +26,10 @@
 type spread struct {
 	// neighbours are the other instances of the data centre.
 	neighbours []string
-	// report is the report being passed on; told are the neighbours that got it since
+	// report is the report being passed on; notified are the neighbours that got it since
 	// suspicion began, and replacements is the number of those that replaced others.
 	report       Report
-	told         map[string]bool
+	notified     map[string]bool
 	replacements int
 	// oldBuilds has the neighbours that do not know reports, with the time until which
 	// they get none.
@@ -91,14 +91,14 @@
 // start sends a report to its recipients. from is the neighbour that it came from; empty
 // if it began here.
 func (s *spread) start(r Report, from string, now time.Time) {
-	s.report, s.told, s.replacements = r, make(map[string]bool), 0
+	s.report, s.notified, s.replacements = r, make(map[string]bool), 0
 	s.see(r.ID, now)
 	if from != "" {
 		// It has the report, but it must learn of its end.
-		s.told[from] = true
+		s.notified[from] = true
 	}
 	for _, to := range recipients(r.ID, r.Instance, s.usable(now)) {
-		s.tell(to)
+		s.notify(to)
 	}
 }
 
@@ -127,11 +127,11 @@
 	return slices.DeleteFunc(slices.Clone(s.neighbours), func(name string) bool { return now.Before(s.oldBuilds[name]) })
 }
 
-func (s *spread) tell(to string) {
-	if s.told[to] {
+func (s *spread) notify(to string) {
+	if s.notified[to] {
 		return
 	}
-	s.told[to] = true
+	s.notified[to] = true
 	s.outbox = append(s.outbox, Message{To: to, Report: s.report})
 }
 
@@ -140,18 +140,18 @@
 	if s.replacements >= maxReplacements {
 		return
 	}
-	left := slices.DeleteFunc(s.usable(now), func(name string) bool { return s.told[name] })
+	left := slices.DeleteFunc(s.usable(now), func(name string) bool { return s.notified[name] })
 	if len(left) == 0 {
 		return
 	}
 	s.replacements++
-	s.tell(left[rnd.IntN(len(left))])
+	s.notify(left[rnd.IntN(len(left))])
 }
 
-// finish tells the neighbours that got the report that the suspicion has ended.
+// finish notifies the neighbours that got the report that the suspicion has ended.
 func (s *spread) finish(r Report) {
-	for _, to := range slices.Sorted(maps.Keys(s.told)) {
+	for _, to := range slices.Sorted(maps.Keys(s.notified)) {
 		s.outbox = append(s.outbox, Message{To: to, Report: r})
 	}
-	clear(s.told)
+	clear(s.notified)
 }
--- a/internal/proxy/cwengine/pathping.go
+++ b/internal/proxy/cwengine/pathping.go
@@ -66,7 +66,7 @@
 	sentAt := w.engine.cfg.Clock.Now()
 	answered := make(chan struct{}, len(targets))
 	go w.runPing(ctx, targets[0], answered)
-	if w.awaitPing(ctx, answered, cwpath.PingPatience) {
+	if w.awaitPing(ctx, answered, cwpath.FirstPingTimeout) {
 		return
 	}
 	for _, to := range targets[1:] {
