--- a/internal/core/cwpath/detector.go
+++ b/internal/core/cwpath/detector.go
@@ -23,11 +23,15 @@
 	"time"
 )
 
-// Times of reports.
+// Times of requests and reports.
 const (
 	// CallTimeout is how long an answer to a report is awaited. A busy instance answers
 	// within some tens of milliseconds, and may pause for most of a tenth of a second.
 	CallTimeout = 100 * time.Millisecond
+	// MinOverdue is the shortest time without an answer after which a request that failed
+	// counts as overdue. One that fails sooner was refused, reset or never sent, which says
+	// nothing about the path.
+	MinOverdue = 100 * time.Millisecond
 	// MaxReportAge is the longest silence that a report may state. An instance that was
 	// suspended passes on older ones.
 	MaxReportAge = 2 * time.Second
@@ -79,9 +83,11 @@
 	// SetNeighbours.
 	Rand *rand.Rand
 
-	// answeredAt is when an answer from another data centre last arrived here, and
-	// heardAt a time at or before the last one that is known to have reached a neighbour.
-	answeredAt, heardAt time.Time
+	// answeredAt is when an answer from another data centre last arrived here.
+	// neighbourAnsweredAt is when one last arrived at a neighbour, as far as known.
+	answeredAt, neighbourAnsweredAt time.Time
+	// refutedAt is when the neighbour's answer arrived that last ended suspicion here.
+	refutedAt time.Time
 	// directSince and adoptedSince are the beginnings of the silence that direct and
 	// adopted suspicion are based on; zero if there is no such suspicion.
 	directSince, adoptedSince time.Time
@@ -103,6 +109,10 @@
 // BegunAt returns when the suspicion in effect began; zero if there is none.
 func (d *Detector) BegunAt() time.Time { return d.begunAt }
 
+// Unconfirmed reports whether a neighbour's answer ended the last suspicion and none has
+// arrived here since. The instance may be cut off alone.
+func (d *Detector) Unconfirmed() bool { return !d.Suspected() && d.refutedAt.After(d.answeredAt) }
+
 // Joined returns the number of instances known to suspect the path, including this one.
 func (d *Detector) Joined() int {
 	if !d.Suspected() {
@@ -125,9 +135,10 @@
 }
 
 // ObserveOverdue records that the answer to a request sent to another data centre at
-// sentAt is overdue. It reports whether suspicion began.
+// sentAt is overdue. It reports whether suspicion began. Requests from before the
+// neighbour's answer that ended the last suspicion do not count: a cut may have ended since.
 func (d *Detector) ObserveOverdue(sentAt, now time.Time) bool {
-	if !d.answeredAt.Before(sentAt) || !d.directSince.IsZero() {
+	if !d.answeredAt.Before(sentAt) || sentAt.Before(d.refutedAt) || !d.directSince.IsZero() {
 		return false
 	}
 	d.directSince = sentAt
@@ -154,7 +165,7 @@
 	switch {
 	case r.Ended:
 		delete(d.joined, r.Instance)
-		d.hear(r.SilentSince)
+		d.observeNeighbourAnswer(r.SilentSince)
 	case now.Sub(r.SilentSince) > MaxReportAge:
 	case refutes(d.newestAnswer(), r.SilentSince), !d.Suspected() && d.spread.seen(r.ID):
 		return Reply{AnsweredAt: d.newestAnswer(), NotReadySince: d.begunAt}, false
@@ -175,7 +186,7 @@
 	switch {
 	case !r.AnsweredAt.IsZero():
 		delete(d.joined, from)
-		d.hear(r.AnsweredAt)
+		d.observeNeighbourAnswer(r.AnsweredAt)
 	case !r.NotReadySince.IsZero() && d.Suspected():
 		d.join(from, r.NotReadySince)
 	}
@@ -191,8 +202,8 @@
 // newestAnswer returns when an answer from another data centre last arrived here or at
 // a neighbour, as far as known.
 func (d *Detector) newestAnswer() time.Time {
-	if d.heardAt.After(d.answeredAt) {
-		return d.heardAt
+	if d.neighbourAnsweredAt.After(d.answeredAt) {
+		return d.neighbourAnsweredAt
 	}
 	return d.answeredAt
 }
@@ -215,18 +226,19 @@
 	return true
 }
 
-// hear records that a neighbour had an answer from another data centre at the given
-// time. If that is newer than the reports received, adopted suspicion ends and the
+// observeNeighbourAnswer records that a neighbour had an answer from another data centre
+// at the given time. If that is newer than the reports received, adopted suspicion ends and the
 // answer is passed on.
-func (d *Detector) hear(answeredAt time.Time) {
-	if answeredAt.After(d.heardAt) {
-		d.heardAt = answeredAt
+func (d *Detector) observeNeighbourAnswer(answeredAt time.Time) {
+	if answeredAt.After(d.neighbourAnsweredAt) {
+		d.neighbourAnsweredAt = answeredAt
 	}
 	if d.adoptedSince.IsZero() || !refutes(answeredAt, d.adoptedSince) {
 		return
 	}
 	d.adoptedSince = time.Time{}
 	if d.directSince.IsZero() {
+		d.refutedAt = answeredAt
 		d.end(answeredAt)
 		return
 	}
--- a/internal/core/cwpath/ping.go
+++ b/internal/core/cwpath/ping.go
@@ -17,9 +17,9 @@
 	// pingSpacing is the time between two pings of a data centre, whichever sentinel
 	// sends them.
 	pingSpacing = 250 * time.Millisecond
-	// PingPatience is how long the first ping of a round is awaited before others are
+	// FirstPingTimeout is how long the first ping of a round is awaited before others are
 	// sent. The answers of instances that are not paused arrive sooner.
-	PingPatience = 60 * time.Millisecond
+	FirstPingTimeout = 60 * time.Millisecond
 	// ConfirmTimeout is how long the other pings of a round are awaited. It exceeds a
 	// pause of the pinged instances.
 	ConfirmTimeout = 100 * time.Millisecond
@@ -45,14 +45,15 @@
 }
 
 // NextPing returns the time of the next ping of the sentinel with the given rank, after
-// now. The sentinels take turns by the time of day.
+// now. The sentinels take turns by the time of day. The result has the monotonic reading
+// of now, so that pings go on if the wall clock is set back.
 func NextPing(rank int, now time.Time) time.Time {
 	const period = sentinels * pingSpacing
 	at := now.Truncate(period).Add(time.Duration(rank) * pingSpacing)
 	for !at.After(now) {
 		at = at.Add(period)
 	}
-	return at
+	return now.Add(at.Sub(now))
 }
 
 // PingCandidates returns the instances of each other data centre that an instance may
--- a/internal/proxy/cwengine/pathping.go
+++ b/internal/proxy/cwengine/pathping.go
@@ -66,7 +66,7 @@
 	sentAt := w.engine.cfg.Clock.Now()
 	answered := make(chan struct{}, len(targets))
 	go w.runPing(ctx, targets[0], answered)
-	if w.awaitPing(ctx, answered, cwpath.PingPatience) {
+	if w.awaitPing(ctx, answered, cwpath.FirstPingTimeout) {
 		return
 	}
 	for _, to := range targets[1:] {
@@ -102,8 +102,7 @@
 	err := cfg.PathNetwork.PingRemote(ctx, to)
 	if err != nil {
 		cfg.Log.Debug("pathPingLost", "to", to, "cause", err)
-		// An attempt that fails at once says nothing about the path.
-		if cfg.Clock.Since(sentAt) >= cwpath.ConfirmTimeout {
+		if cfg.Clock.Since(sentAt) >= cwpath.MinOverdue {
 			cfg.RemotePath.RecordOverdue(sentAt)
 		}
 		return
