cwengine: logs what is open at each step of a stop, and what has no answer at its end

Cause: neither a log line nor a metric told the hypotheses of the incident apart: drained has the count of sessions, not what they do, and nothing was written about what was cut.

Change: each statement that was read is tracked until its answer is written, with its id, its sender and where it was sent last. stopStep has the counts at each step of a stop, statementUnanswered one line for each statement without an answer when the process ends; gauges and a counter beside them. What a stop does is unchanged.

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -162,8 +162,10 @@
 	// forwardedInFlight counts the statements of other instances in progress here.
 	transactionSeq    atomic.Uint64
 	forwardedInFlight atomic.Int64
-	eg                *errgroup.Group
-	runCtx            context.Context
+	// open has the statements that were read and not yet answered.
+	open   openStatements
+	eg     *errgroup.Group
+	runCtx context.Context
 }
 
 // New returns an engine without a catalogue and without targets.
@@ -177,7 +179,7 @@
 	if cfg.RemotePath.Clock == nil {
 		cfg.RemotePath.Clock = cfg.Clock
 	}
-	return &Engine{
+	e := &Engine{
 		cfg:                   cfg,
 		memberships:           make(map[string]cwgroup.Membership),
 		absentListings:        make(map[cwgroup.MemberID]cwport.ListedTarget),
@@ -188,6 +190,8 @@
 		forwardedTransactions: make(map[string]*forwardedTransaction),
 		catalogueLoaded:       make(chan struct{}),
 	}
+	cfg.Metrics.addOpenGauges(e.open.count)
+	return e
 }
 
 // Ready reports whether this instance can serve new callers: it has a catalogue and
@@ -367,11 +371,14 @@
 	began := e.cfg.Clock.Now()
 	e.draining.Store(true)
 	e.cfg.Log.Info("draining", "sessions", e.SessionCount())
+	e.logStopStep("notReady", began)
 	e.cfg.Clock.Sleep(min(DrainDelay, e.cfg.GracePeriod/2))
+	e.logStopStep("closeIdle", began)
 	for e.SessionCount() > 0 && e.cfg.Clock.Since(began) < e.cfg.GracePeriod*5/6 {
 		e.closeIdleSessions(e.cfg.Clock.Since(began) >= e.cfg.GracePeriod*6/10)
 		e.cfg.Clock.Sleep(drainPollInterval)
 	}
+	e.logStopStep("drained", began)
 	e.cfg.Log.Info("drained", "sessions", e.SessionCount(), "tookMs", e.cfg.Clock.Since(began).Milliseconds())
 }
 
--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -46,6 +46,7 @@
 // waiting.
 func (s *session) exchange(t *task, l *connLease, w work) exchangeResult {
 	sent := s.engine.cfg.Clock.Now()
+	s.engine.open.recordTarget(s.open, l.place.ID)
 	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.recordOverdue(l, sent) })
 	r := s.send(l.conn, w, t.limits)
 	t.recordResult(l, w, r, !overdue.Stop())
--- a/internal/proxy/cwengine/forwarded.go
+++ b/internal/proxy/cwengine/forwarded.go
@@ -48,14 +48,16 @@
 	e.forwardedInFlight.Add(1)
 	defer e.forwardedInFlight.Add(-1)
 	began := e.cfg.Clock.Now().Add(-h.Elapsed)
+	open := e.open.begin(h.Statement, fromInstance, e.cfg.Clock.Now())
+	defer e.open.end(open)
 	if h.Transaction != "" && h.Begin == cwstatement.UnknownVerb {
-		return e.continueForwarded(h, began)
+		return e.continueForwarded(h, open, began)
 	}
 	group, ok := e.groupForStatement(h.Entry.Groups[0].Name)
 	if !ok || e.draining.Load() {
 		return runElsewhere("the instance does not serve the group")
 	}
-	s := &session{engine: e, database: h.Entry.Service, forwarded: &forwardedContext{entry: h.Entry, group: group}}
+	s := &session{engine: e, database: h.Entry.Service, open: open, forwarded: &forwardedContext{entry: h.Entry, group: group}}
 	s.applyForwardRequest(h)
 	if h.Transaction == "" {
 		return s.newForwardResponse(h, group, s.handle(h.Statement, began))
@@ -74,7 +76,7 @@
 }
 
 // continueForwarded runs a statement of a transaction after the first one.
-func (e *Engine) continueForwarded(h cwport.ForwardRequest, began time.Time) cwport.ForwardResponse {
+func (e *Engine) continueForwarded(h cwport.ForwardRequest, open *openStatement, began time.Time) cwport.ForwardResponse {
 	e.mu.RLock()
 	t, ok := e.forwardedTransactions[h.Transaction]
 	e.mu.RUnlock()
@@ -87,6 +89,7 @@
 		return rolledBackAnswer(h.Statement.Verb)
 	}
 	t.session.applyForwardRequest(h)
+	t.session.open = open
 	return e.runForwarded(t, h, began)
 }
 
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -187,6 +187,18 @@
 	m.set.GetOrCreateCounter(`cicadawalk_statements_total{verb="` + v.String() + `",outcome="` + c.String() + `"}`).Inc()
 }
 
+// countUnanswered counts a statement that had no answer when the process ended.
+func (m *Metrics) countUnanswered(from origin) {
+	m.set.GetOrCreateCounter(`cicadawalk_statements_unanswered_total{from="` + string(from) + `"}`).Inc()
+}
+
+// addOpenGauges adds gauges of the statements that were read and not yet answered, by
+// their sender. It must be called at most once.
+func (m *Metrics) addOpenGauges(count func() openCounts) {
+	m.set.NewGauge(`cicadawalk_statements_open{from="caller"}`, func() float64 { return float64(count().callers) })
+	m.set.NewGauge(`cicadawalk_statements_open{from="instance"}`, func() float64 { return float64(count().instances) })
+}
+
 // countRead counts a read, or the beginning of a transaction, by the role of the
 // member that ran it and by the evidence that its data was new enough.
 func (m *Metrics) countRead(primary bool, basis string, age time.Duration) {
--- a/internal/proxy/cwengine/remote.go
+++ b/internal/proxy/cwengine/remote.go
@@ -75,6 +75,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(e.cfg.Clock.Now()))
 	defer cancel()
 	e.cfg.Metrics.Forwarded.Inc()
+	e.open.recordForward(s.open, to.Name())
 	r, err := to.Forward(ctx, h)
 	if err == nil && !r.NotRun || err != nil && !isNotSent(err) {
 		s.operation.mayHaveRun = true
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -63,6 +63,8 @@
 	// lastWrites has the log position of the session's last write in each group.
 	lastWrites map[string]cwgroup.LogPosition
 	tx         *transaction
+	// open is the statement in progress; nil if there is none.
+	open *openStatement
 	// remote is the open transaction if it runs at a holder; tx is nil then.
 	remote *remoteTransaction
 
@@ -88,6 +90,7 @@
 			return
 		}
 		began := s.engine.cfg.Clock.Now()
+		s.open = s.engine.open.begin(st, fromCaller, began)
 		a := s.handle(st, began)
 		s.returnQuota()
 		took := s.engine.cfg.Clock.Since(began)
@@ -98,7 +101,9 @@
 				"group", s.engine.groupName(s.database), "workspace", s.workspace, "revision", s.engine.Revision(),
 				"code", a.Code, "why", a.Detail, "tookMs", took.Milliseconds())
 		}
-		if err := s.caller.Reply(a); err != nil {
+		err = s.caller.Reply(a)
+		s.engine.open.end(s.open)
+		if err != nil {
 			s.handleEnd(err)
 			return
 		}
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -273,6 +273,7 @@
 		_ = p.Close()
 	}
 	err = eg.Wait()
+	in.engine.LogUnanswered()
 	in.cfg.Log.Info("stopped", "instance", in.cfg.Name, "cause", err)
 	return Error.Wrap(err)
 }
