cwsoak: planned stops before callers that go on coming; the incident, reproduced

Cause: the soak could not see it. Its databases answered at once, so hardly anything was in progress at any moment; its check of interrupted statements held only after 3 s without any other fault, while two or three overlap at all times; it ended no process that outlasts the grace period; and nothing compared what databases ran with what callers were answered.

Callers come by a balancer with one probe a second and two misses, some to one instance until its process is gone, with one operation or many. Databases take 5 to 60 ms, at times up to 1.8 s. A statement without an answer counts if a database got it, or after 200 ms. SIGKILL follows after the grace period, and counts, as does an exit with an error.

--- a/cmd/cicadasoak/soak_test.go
+++ b/cmd/cicadasoak/soak_test.go
@@ -44,24 +44,46 @@
 	lapseArgs = []string{"--duration", "20s", "--keyless"}
 )
 
-// TestSoak builds the proxy and runs the soak for a few seconds with each seed.
+// TestSoak runs the soak for a few seconds with each seed.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "cicadawalk")
-	out, err := exec.Command("go", "build", "-o", program, "../cicadawalk").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	program := buildProgram(t)
 	for _, s := range seeds {
 		t.Run("seed "+s.seed, func(t *testing.T) {
-			root := cwcommand.SoakCommand()
-			var report bytes.Buffer
-			root.SetOut(&report)
-			root.SetErr(os.Stderr)
-			root.SetArgs(append([]string{"--program", program, "--first-seed", s.seed, "--seeds", "1", "--instances", "7", "--callers", "12"}, s.args...))
-			qt.Assert(t, root.Execute(), qt.IsNil, qt.Commentf("%s", report.String()))
-			t.Log(report.String())
+			assertNothingBroken(t, append([]string{"--program", program, "--first-seed", s.seed, "--instances", "7", "--callers", "12"}, s.args...))
+		})
+	}
+}
+
+// Guards against a planned stop that leaves a statement, which the instance has read or
+// forwarded, without an answer.
+func TestStopAnswersWhatWasRead(t *testing.T) {
+	program := buildProgram(t)
+	for _, seed := range []string{"1", "2"} {
+		t.Run("seed "+seed, func(t *testing.T) {
+			assertNothingBroken(t, []string{"--program", program, "--first-seed", seed, "--instances", "9", "--callers", "36", "--stops", "--duration", "12s"})
 		})
 	}
 }
 
+// buildProgram builds the proxy and returns its path.
+func buildProgram(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "cicadawalk")
+	out, err := exec.Command("go", "build", "-o", program, "../cicadawalk").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
+
+// assertNothingBroken runs the soak once and fails the test if a guarantee was violated.
+func assertNothingBroken(t *testing.T, args []string) {
+	root := cwcommand.SoakCommand()
+	var report bytes.Buffer
+	root.SetOut(&report)
+	root.SetErr(os.Stderr)
+	root.SetArgs(append(args, "--seeds", "1"))
+	qt.Assert(t, root.Execute(), qt.IsNil, qt.Commentf("%s", report.String()))
+	t.Log(report.String())
+}
+
 // Invalid flags must end the command with an exit code before anything is started.
 func TestInvalidFlags(t *testing.T) {
 	root := cwcommand.SoakCommand()
--- a/internal/standin/cwreplicaset/conn.go
+++ b/internal/standin/cwreplicaset/conn.go
@@ -61,6 +61,7 @@
 	cmd := c.queue[0]
 	c.queue = c.queue[1:]
 	a := c.run(cmd)
+	c.spendWorkTime(cmd)
 	if c.member.loseAnswers {
 		return cwstatement.Response{}, errLost
 	}
@@ -87,6 +88,15 @@
 	}
 }
 
+// spendWorkTime waits for as long as the member takes for a caller's command, which has
+// run. The caller holds the group's lock, which is released meanwhile.
+func (c *conn) spendWorkTime(cmd cwstatement.Command) {
+	if c.group.workTime == nil || cmd.ID == "" {
+		return
+	}
+	c.sleep(c.group.workTime(cmd.ID))
+}
+
 // sleep waits by the group's clock and releases the group's lock meanwhile.
 func (c *conn) sleep(d time.Duration) {
 	clock := c.group.clock
--- a/internal/standin/cwreplicaset/group.go
+++ b/internal/standin/cwreplicaset/group.go
@@ -106,6 +106,9 @@
 	// cutsHang is true if connections over a cut path wait until it is restored,
 	// and false if they fail at once.
 	cutsHang bool
+	// workTime returns how long members take for the caller's command with an id; nil means
+	// that they take no time.
+	workTime func(id string) time.Duration
 }
 
 // CallerCommand is the session state under which a member processed a caller's
@@ -221,6 +224,14 @@
 	g.members[id].connectionLimit = n
 }
 
+// SetWorkTime sets how long members take for each command of a caller, by its id. The
+// command takes effect at once, and its answer comes when the time is over.
+func (g *Group) SetWorkTime(f func(id string) time.Duration, clock clockwork.Clock) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.workTime, g.clock = f, clock
+}
+
 // SetPromotionDelay sets the time by the clock between an order to promote and the
 // promotion.
 func (g *Group) SetPromotionDelay(d time.Duration, clock clockwork.Clock) {
--- a/internal/tool/cwcommand/soak.go
+++ b/internal/tool/cwcommand/soak.go
@@ -25,7 +25,7 @@
 	seeds                      int
 	duration                   time.Duration
 	instances, groups, callers int
-	keyless, verbose           bool
+	keyless, stops, verbose    bool
 }
 
 // SoakCommand returns the root command of the program cicadasoak.
@@ -56,6 +56,7 @@
 	fs.IntVar(&f.groups, "groups", 2, "number of groups of three databases")
 	fs.IntVar(&f.callers, "callers", 24, "number of concurrent callers")
 	fs.BoolVar(&f.keyless, "keyless", false, "run without keys and quotas, and also cut paths between single proxies and databases")
+	fs.BoolVar(&f.stops, "stops", false, "inject planned stops only, before callers that go on coming and databases that take their time")
 	fs.BoolVar(&f.verbose, "verbose", false, "log each fault")
 	return cmd
 }
@@ -102,13 +103,13 @@
 	}
 	r, err := cwsoak.Run(cmd.Context(), cwsoak.Config{
 		Seed: seed, Duration: f.duration, Instances: f.instances, Groups: f.groups, Callers: f.callers,
-		Keyless: f.keyless, Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
+		Keyless: f.keyless, Stops: f.stops, Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
 	})
 	if err != nil {
 		return 0, err
 	}
-	fmt.Fprintf(cmd.OutOrStdout(), "seed=%d faults=%d acknowledged=%d refused=%d unresolved=%d reads=%d broken=%d dir=%s\n",
-		r.Seed, r.Faults, r.Acknowledged, r.WithoutEffect, r.Unresolved, r.Reads, len(r.Violations), dir)
+	fmt.Fprintf(cmd.OutOrStdout(), "seed=%d faults=%d acknowledged=%d refused=%d unresolved=%d reads=%d stopped=%d crossed=%d broken=%d dir=%s\n",
+		r.Seed, r.Faults, r.Acknowledged, r.WithoutEffect, r.Unresolved, r.Reads, r.Stopped, r.Crossed, len(r.Violations), dir)
 	for _, v := range r.Violations {
 		fmt.Fprintf(cmd.OutOrStdout(), "broken seed=%d promise=%s what=%q\n", r.Seed, v.Guarantee, v.Detail)
 	}
@@ -138,6 +139,7 @@
 		Settings: func(a cwsoak.Addresses) []byte {
 			return platform.StandinSettings(a.Instance, a.DataCentre, a.Callers, a.Ready, a.Peers, a.Store, soakBounds())
 		},
+		GracePeriod: platform.StandinGracePeriod, ReadyPath: platform.ReadyPath,
 		Command: func(settings string) []string { return []string{"serve", "--settings", settings} },
 	}
 }
--- a/internal/tool/cwsoak/caller.go
+++ b/internal/tool/cwsoak/caller.go
@@ -62,18 +62,34 @@
 // runSession opens a session at a random instance, with a random read rule, and runs 3
 // to 22 operations on it, fewer if the session becomes unusable.
 func (c *caller) runSession(ctx context.Context) {
-	p := c.env.instances[c.rand.IntN(len(c.env.instances))]
+	c.visit(ctx, visit{
+		process:    c.env.instances[c.rand.IntN(len(c.env.instances))],
+		operations: func() int { return 3 + c.rand.IntN(20) }, think: meanThinkTime,
+	})
+}
+
+// visit is one session of a caller: its instance, its number of operations, and the mean
+// time between two of them.
+type visit struct {
+	process    *process
+	operations func() int
+	think      time.Duration
+}
+
+// visit opens a session with a random read rule and runs operations on it, fewer if the
+// session becomes unusable.
+func (c *caller) visit(ctx context.Context, v visit) {
 	readRule := readRules[c.rand.IntN(len(readRules))]
 	key := c.env.access.currentKey(workspaceOf(c.id))
-	t, err := c.env.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: readRule.prefix + c.group.Service, Address: p.callerAddress}, key)
+	t, err := c.env.cfg.Platform.Caller.Dial(ctx, cwport.Endpoint{Service: readRule.prefix + c.group.Service, Address: v.process.callerAddress}, key)
 	if err != nil {
 		return
 	}
 	defer func() { _ = t.Close() }()
-	s := &session{caller: c, target: t, process: p, rule: readRule.rule, key: key}
-	s.startCount, _ = p.state()
-	for range 3 + c.rand.IntN(20) {
-		if !sleep(ctx, time.Duration(c.rand.Int64N(int64(2*meanThinkTime)))) || !s.runOperation() {
+	s := &session{caller: c, target: t, process: v.process, rule: readRule.rule, key: key}
+	s.startCount, _ = v.process.state()
+	for range v.operations() {
+		if !sleep(ctx, time.Duration(c.rand.Int64N(int64(2*v.think)))) || !t.NoUnreadInput() || !s.runOperation() {
 			return
 		}
 	}
@@ -129,7 +145,7 @@
 	}
 	a, err := roundTrip(s.target, cwstatement.Command{ID: id, Verb: verb, Text: text})
 	if err != nil {
-		s.checkInterruption(began, err)
+		s.checkInterruption(id, began, err)
 		return a, id, false
 	}
 	if a.Code == cwstatement.OK && verb != cwstatement.Begin && verb != cwstatement.Rollback {
@@ -156,11 +172,16 @@
 
 // checkInterruption reports a violation if a planned stop of the instance interrupted a
 // statement, unless the cause can be an unplanned fault, the timeout, or a statement
-// that crossed the end of its session.
-func (s *session) checkInterruption(began time.Time, err error) {
+// that crossed the end of its session. If there are planned stops only, it records the
+// statement for checkUnanswered.
+func (s *session) checkInterruption(id string, began time.Time, err error) {
 	took := time.Since(began)
 	startCount, stopping := s.process.state()
 	planned := stopping || startCount != s.startCount
+	if s.caller.env.cfg.Stops {
+		s.caller.env.ledger.recordUnanswered(unanswered{id: id, instance: s.process.name, took: took, stopping: planned, cause: err})
+		return
+	}
 	if planned && took > crossingWindow && took < answerTimeout && s.caller.env.undisturbedFor(minUndisturbed+took) {
 		s.caller.env.ledger.addViolation(StatementInterrupted, "statement interrupted by %s after %v: %v", s.process.name, took, err)
 	}
--- a/internal/tool/cwsoak/environment.go
+++ b/internal/tool/cwsoak/environment.go
@@ -162,6 +162,9 @@
 	g.SetPromotionDelay(promotionDuration, clock)
 	g.SetStepDownDelay(replacedPrimaryLingers, clock)
 	g.HangOnCuts(clock)
+	if env.cfg.Stops {
+		g.SetWorkTime(env.workTime, clock)
+	}
 	for i, id := range g.ids {
 		g.LimitConnections(id, connectionsPerTarget)
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -221,8 +224,8 @@
 		return err
 	}
 	p := &process{
-		name: a.Instance, program: env.cfg.Program, args: env.cfg.Platform.Command(settings),
-		logFile: filepath.Join(env.cfg.Dir, a.Instance+".log"), callerAddress: a.Callers,
+		name: a.Instance, dataCentre: a.DataCentre, program: env.cfg.Program, args: env.cfg.Platform.Command(settings),
+		logFile: filepath.Join(env.cfg.Dir, a.Instance+".log"), callerAddress: a.Callers, readyAddress: a.Ready,
 	}
 	if err := p.start(); err != nil {
 		return err
--- a/internal/tool/cwsoak/ledger.go
+++ b/internal/tool/cwsoak/ledger.go
@@ -44,6 +44,9 @@
 	// DesiredStateOutdated is an instance that does not have a desired state in force
 	// within the time limit after the state was acknowledged.
 	DesiredStateOutdated Guarantee = "outdated"
+	// StopFailed is an instance that does not end within the grace period after SIGTERM,
+	// or ends with an error.
+	StopFailed Guarantee = "stopFailed"
 	// NotRecovered is a group that is not served after all faults were removed.
 	NotRecovered Guarantee = "notRecovered"
 )
@@ -92,6 +95,9 @@
 	reads      int
 	// sentReads are the reads that were sent, by the id of the statement.
 	sentReads map[string]sentRead
+	// unanswered are the statements that got no answer.
+	unanswered []unanswered
+	crossed    int
 }
 
 func newLedger() *ledger {
@@ -229,7 +235,7 @@
 func (l *ledger) report() Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := Report{WithoutEffect: l.refused, Unresolved: l.unresolved, Reads: l.reads, Violations: l.violations}
+	r := Report{WithoutEffect: l.refused, Unresolved: l.unresolved, Reads: l.reads, Crossed: l.crossed, Violations: l.violations}
 	for _, i := range l.items {
 		r.Acknowledged += len(i.acked)
 	}
--- a/internal/tool/cwsoak/process.go
+++ b/internal/tool/cwsoak/process.go
@@ -15,10 +15,12 @@
 // process is one instance: a proxy process that is restarted whenever it ends.
 type process struct {
 	name          string
+	dataCentre    string
 	program       string
 	args          []string
 	logFile       string
 	callerAddress string
+	readyAddress  string
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -28,6 +30,8 @@
 	stopping bool
 	// closed is true once stop was called; the process is not restarted then.
 	closed bool
+	// lastExit is how the previous process ended; nil if it ended with code 0.
+	lastExit error
 	// done is closed when the current process has ended.
 	done chan struct{}
 }
@@ -57,8 +61,11 @@
 // waitAndRestart waits for the end of the process and restarts it.
 func (p *process) waitAndRestart(cmd *exec.Cmd, out *os.File, done chan struct{}) {
 	// The cause of the exit is in the process's log.
-	_ = cmd.Wait()
+	err := cmd.Wait()
 	_ = out.Close()
+	p.mu.Lock()
+	p.lastExit = err
+	p.mu.Unlock()
 	close(done)
 	time.Sleep(restartDelay)
 	p.mu.Lock()
@@ -87,6 +94,20 @@
 	return p.startCount, p.stopping
 }
 
+// exit returns how the process ended before the one that runs now.
+func (p *process) exit() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastExit
+}
+
+// current returns a channel that is closed when the process that runs now has ended.
+func (p *process) current() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
 // stop kills the process for good and waits for its end.
 func (p *process) stop() {
 	p.mu.Lock()
--- a/internal/tool/cwsoak/soak.go
+++ b/internal/tool/cwsoak/soak.go
@@ -74,6 +74,10 @@
 	// Command returns the arguments of the program that start an instance with the
 	// settings file at a path.
 	Command func(settings string) []string
+	// GracePeriod is the time between SIGTERM and SIGKILL, and ReadyPath the path of the
+	// load balancer's probe.
+	GracePeriod time.Duration
+	ReadyPath   string
 }
 
 // Config is the configuration of one run.
@@ -90,8 +94,11 @@
 	Keyless bool
 	// Program is the path of the proxy program, Dir the folder for settings and logs.
 	Program, Dir string
-	Platform     Platform
-	Log          *log.Logger
+	// Stops runs planned stops only, one after the other and at the same time, before
+	// callers that go on coming, and statements that take their time.
+	Stops    bool
+	Platform Platform
+	Log      *log.Logger
 }
 
 // Report is the result of a run.
@@ -106,8 +113,11 @@
 	WithoutEffect int
 	Unresolved    int
 	// Reads is the number of reads outside of transactions.
-	Reads      int
-	Violations []Violation
+	Reads int
+	// Stopped is the number of planned stops of an instance, and Crossed the number of
+	// statements that crossed the end of their session: the instance had not read them.
+	Stopped, Crossed int
+	Violations       []Violation
 }
 
 // recoveryTimeout is the time within which the system has to serve everything again
@@ -140,9 +150,15 @@
 	defer cancel()
 	eg, faultCtx := errgroup.WithContext(faultCtx)
 	for i := range cfg.Callers {
+		if cfg.Stops {
+			break
+		}
 		c := &caller{env: env, id: i, rand: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1))}
 		eg.Go(func() error { return c.run(faultCtx) })
 	}
+	if cfg.Stops {
+		return env.runStops(ctx, faultCtx, eg)
+	}
 	f := &faultInjector{env: env, rand: rand.New(rand.NewPCG(cfg.Seed, 0)), restoreRand: rand.New(rand.NewPCG(cfg.Seed, restoreStream)), memberRand: rand.New(rand.NewPCG(cfg.Seed, memberStream)), active: make(map[string]func())}
 	eg.Go(func() error { return f.run(faultCtx) })
 	eg.Go(func() error { return f.runRestores(faultCtx) })
--- a/internal/tool/cwsoak/versions.go
+++ b/internal/tool/cwsoak/versions.go
@@ -33,6 +33,9 @@
 		Connections: connectionsPerTarget, StatementTimeout: time.Second, Aim: 500 * time.Millisecond,
 		MaxAge: maxAge, IdleTransaction: 5 * time.Second,
 	}
+	if env.cfg.Stops {
+		contract.StatementTimeout = stopsStatementTimeout
+	}
 	for _, g := range env.groups {
 		for _, r := range readRules {
 			contract.Reads = r.rule
