cwengine, cwshutdown, cwinstance: a stop in one order, in which all that was read is answered

What callers saw: statements that an instance had read, and forwarded or sent to a database, ended with a closed connection around its SIGTERM.

Cause: after 5/6 of the grace period the drain ended whatever was in progress, one context stopped all parts at once, and the process exited under the statements. Callers go on coming until then: the balancer uses all instances of a data centre while fewer than half are in rotation.

Change: cwshutdown decides the order of a stop: say so; end what is idle; refuse what begins, with the guarantee that nothing is kept; answer what is open; only then do the parts end. The listener is emptied before it is closed, and what comes last is refused with an answer. A statement that is given up is claimed under one lock by whoever answers it, and nothing is sent for it after that, so what the answer promises holds. The same for statements of other instances, whose server answers what it has read before it closes. A part that fails goes through the same order; all listeners are opened before anything starts.

A session that is idle gets an error as its end and is read on for 0.3 s, so that a statement that crosses the end has an answer; before, its caller could not tell whether a write had run. Sessions count as idle only after 150 ms, so that operations of several statements aren't broken.

Why it holds: each statement is tracked from its read to its written answer, the last step claims whatever has none, and the parts that statements need run until then.

--- a/internal/proxy/cwengine/access.go
+++ b/internal/proxy/cwengine/access.go
@@ -180,6 +180,6 @@
 	e := s.engine
 	entry, ok := e.entries.Entry(database)
 	if _, known := e.access.workspaceByKey[key]; ok && e.access.keysRequired && !entry.Public && !known {
-		s.closeIfIdle(true)
+		s.closeIfIdle(true, cwstatement.Failure(cwstatement.Unauthorised, "the key was revoked"))
 	}
 }
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -43,16 +43,9 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
-// Timing of the shutdown and of accepting connections.
-const (
-	// DrainDelay is the time between the start of a shutdown and the closing of
-	// idle sessions: the load balancer needs two probes, one second apart, to
-	// notice that this instance accepts no new callers.
-	DrainDelay = 2500 * time.Millisecond
-	// acceptRetryDelay is the wait after a failed accept. It prevents a busy loop
-	// when the process runs out of file descriptors.
-	acceptRetryDelay = 20 * time.Millisecond
-)
+// acceptRetryDelay is the wait after a failed accept. It prevents a busy loop
+// when the process runs out of file descriptors.
+const acceptRetryDelay = 20 * time.Millisecond
 
 // Config holds the settings and dependencies of an engine.
 type Config struct {
@@ -143,7 +136,12 @@
 	// listingsLoaded is set with the first list of targets.
 	catalogueLoaded chan struct{}
 	listingsLoaded  atomic.Bool
-	draining        atomic.Bool
+	// draining is true from the begin of a shutdown, and refusing once it refuses what
+	// begins.
+	draining, refusing atomic.Bool
+	// listener is that of Serve, and serving is closed when Serve has ended; nil before.
+	listener net.Listener
+	serving  chan struct{}
 	// isolated is true while this instance or its data centre is cut off. groupsCutOff
 	// is true while this instance by itself reaches a majority of no group.
 	isolated, groupsCutOff atomic.Bool
@@ -158,10 +156,8 @@
 	// failedProbes counts the consecutive probes of the load balancer that were
 	// answered with "not ready".
 	failedProbes atomic.Int64
-	// transactionSeq numbers the transactions that this instance forwards, and
-	// forwardedInFlight counts the statements of other instances in progress here.
-	transactionSeq    atomic.Uint64
-	forwardedInFlight atomic.Int64
+	// transactionSeq numbers the transactions that this instance forwards.
+	transactionSeq atomic.Uint64
 	// open has the statements that were read and not yet answered.
 	open   openStatements
 	eg     *errgroup.Group
@@ -326,13 +322,17 @@
 }
 
 // Serve accepts connections from a listener and runs a session on each. It returns
-// nil when accepting fails after the context of Start has ended; other failures are
-// logged and retried.
+// nil when Drain closes the listener, or when accepting fails after the context of Start
+// has ended; other failures are logged and retried.
 func (e *Engine) Serve(ln net.Listener, codec func(net.Conn) cwport.CallerConn) error {
+	e.mu.Lock()
+	e.listener, e.serving = ln, make(chan struct{})
+	e.mu.Unlock()
+	defer close(e.serving)
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
-			if e.runCtx.Err() != nil {
+			if e.runCtx.Err() != nil || e.isAcceptingOver(err) {
 				return nil
 			}
 			e.cfg.Log.Warn("acceptFailed", "cause", err)
@@ -359,41 +359,5 @@
 func (e *Engine) SessionCount() int {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	return len(e.sessions) + len(e.forwardedTransactions) + int(e.forwardedInFlight.Load())
-}
-
-// Drain ends the sessions of an instance that shuts down. It reports the instance as
-// not ready, closes idle sessions once the load balancer has had time to notice
-// (DrainDelay, or half of the grace period if that is shorter), and sessions that are
-// idle inside a transaction after 6/10 of the grace period. It returns once all
-// sessions have ended, or after 5/6 of the grace period.
-func (e *Engine) Drain() {
-	began := e.cfg.Clock.Now()
-	e.draining.Store(true)
-	e.cfg.Log.Info("draining", "sessions", e.SessionCount())
-	e.logStopStep("notReady", began)
-	e.cfg.Clock.Sleep(min(DrainDelay, e.cfg.GracePeriod/2))
-	e.logStopStep("closeIdle", began)
-	for e.SessionCount() > 0 && e.cfg.Clock.Since(began) < e.cfg.GracePeriod*5/6 {
-		e.closeIdleSessions(e.cfg.Clock.Since(began) >= e.cfg.GracePeriod*6/10)
-		e.cfg.Clock.Sleep(drainPollInterval)
-	}
-	e.logStopStep("drained", began)
-	e.cfg.Log.Info("drained", "sessions", e.SessionCount(), "tookMs", e.cfg.Clock.Since(began).Milliseconds())
-}
-
-// drainPollInterval is the time between two checks of the remaining sessions.
-const drainPollInterval = 50 * time.Millisecond
-
-// closeIdleSessions ends the sessions that wait for their caller. Sessions with an
-// open transaction are ended only if transactions is true.
-func (e *Engine) closeIdleSessions(transactions bool) {
-	e.mu.RLock()
-	for s := range e.sessions {
-		s.closeIfIdle(transactions)
-	}
-	e.mu.RUnlock()
-	if transactions {
-		e.rollbackForwarded("the instance ends", func(*forwardedTransaction) bool { return true })
-	}
+	return len(e.sessions) + len(e.forwardedTransactions) + e.open.countOfInstances()
 }
--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"slices"
 	"time"
 
@@ -37,6 +38,10 @@
 	sentAt  time.Time
 }
 
+// errInterrupted is the cause for which a statement is not sent that a shutdown has
+// answered.
+var errInterrupted = errors.New("the statement was given up")
+
 // exchange sends a command on a leased connection and reads its answer.
 //
 // When a target or the network path to it stops answering, nothing is refused, and
@@ -46,7 +51,9 @@
 // waiting.
 func (s *session) exchange(t *task, l *connLease, w work) exchangeResult {
 	sent := s.engine.cfg.Clock.Now()
-	s.engine.open.recordTarget(s.open, l.place.ID)
+	if !s.engine.open.recordTarget(s.open, l.place.ID) {
+		return exchangeResult{err: errInterrupted, notSent: true, sentAt: sent}
+	}
 	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.recordOverdue(l, sent) })
 	r := s.send(l.conn, w, t.limits)
 	t.recordResult(l, w, r, !overdue.Stop())
--- a/internal/proxy/cwengine/forward_test.go
+++ b/internal/proxy/cwengine/forward_test.go
@@ -45,7 +45,7 @@
 func (h *testHolder) Name() string { return h.name }
 
 func (h *testHolder) Forward(_ context.Context, req cwport.ForwardRequest) (cwport.ForwardResponse, error) {
-	r := h.engine.ServeForwarded(h, req)
+	r := h.serve(req)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.dropAnswers {
@@ -54,6 +54,13 @@
 	return r, nil
 }
 
+// serve runs a statement on the engine as if it had arrived on this connection.
+func (h *testHolder) serve(req cwport.ForwardRequest) cwport.ForwardResponse {
+	answer := make(chan cwport.ForwardResponse, 1)
+	h.engine.ServeForwarded(h, req, func(r cwport.ForwardResponse) { answer <- r })
+	return <-answer
+}
+
 func (h *testHolder) startDroppingAnswers() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/proxy/cwengine/forwarded.go
+++ b/internal/proxy/cwengine/forwarded.go
@@ -40,21 +40,63 @@
 	connClosed atomic.Bool
 }
 
-// ServeForwarded runs a statement that another instance has forwarded, and returns its
-// answer. The answer has TryOtherHolder set if nothing ran and another holder may run
-// the statement. from identifies the connection on which it arrived; see
-// ConnectionClosed.
-func (e *Engine) ServeForwarded(from any, h cwport.ForwardRequest) cwport.ForwardResponse {
-	e.forwardedInFlight.Add(1)
-	defer e.forwardedInFlight.Add(-1)
-	began := e.cfg.Clock.Now().Add(-h.Elapsed)
-	open := e.open.begin(h.Statement, fromInstance, e.cfg.Clock.Now())
-	defer e.open.end(open)
+// ServeForwarded runs a statement that another instance has forwarded, and calls reply once
+// with its answer, at the latest when a shutdown gives the statement up. The answer has
+// TryOtherHolder set if nothing ran and another holder may run the statement. from
+// identifies the connection on which it arrived; see ConnectionClosed.
+func (e *Engine) ServeForwarded(from any, h cwport.ForwardRequest, reply func(cwport.ForwardResponse)) {
+	open := newForwardedStatement(h, reply, e.cfg.Clock.Now())
+	e.open.begin(open)
+	r := e.runForwardedRequest(from, h, open)
+	if !e.open.claim(open) {
+		return
+	}
+	reply(r)
+	e.open.end(open)
+}
+
+// forwardRequester gets the answers to a statement of another instance. It implements
+// requester.
+type forwardRequester struct {
+	reply func(cwport.ForwardResponse)
+	// first is true if the statement may run at another holder.
+	first bool
+}
+
+func newForwardedStatement(h cwport.ForwardRequest, reply func(cwport.ForwardResponse), now time.Time) *openStatement {
+	v := h.Statement.Verb
+	single := h.Transaction == ""
+	mayWrite := v == cwstatement.Write || v == cwstatement.Execute && h.Prepared != nil && h.Prepared.Writes
+	return &openStatement{
+		id: h.Statement.ID, verb: v, from: fromInstance, readAt: now,
+		requester: &forwardRequester{reply: reply, first: isFirst(h)},
+		mayCommit: single && mayWrite || v == cwstatement.Commit, inTransaction: !single && v != cwstatement.Commit,
+	}
+}
+
+// writeAnswer implements requester.
+func (r *forwardRequester) writeAnswer(s *openStatement, a cwstatement.Response) {
+	r.reply(cwport.ForwardResponse{Answer: a, TryOtherHolder: r.first && a.Code.NoEffect(), NotRun: s.target == "", Leaving: true})
+}
+
+// isFirst reports whether a statement is single or the first of its transaction.
+func isFirst(h cwport.ForwardRequest) bool {
+	return h.Transaction == "" || h.Begin != cwstatement.UnknownVerb
+}
+
+// runForwardedRequest runs a statement of another instance and returns its answer.
+func (e *Engine) runForwardedRequest(from any, h cwport.ForwardRequest, open *openStatement) cwport.ForwardResponse {
+	began := open.readAt.Add(-h.Elapsed)
 	if h.Transaction != "" && h.Begin == cwstatement.UnknownVerb {
 		return e.continueForwarded(h, open, began)
 	}
+	if e.draining.Load() {
+		r := runElsewhere("the instance is shutting down")
+		r.Leaving = true
+		return r
+	}
 	group, ok := e.groupForStatement(h.Entry.Groups[0].Name)
-	if !ok || e.draining.Load() {
+	if !ok {
 		return runElsewhere("the instance does not serve the group")
 	}
 	s := &session{engine: e, database: h.Entry.Service, open: open, forwarded: &forwardedContext{entry: h.Entry, group: group}}
@@ -160,9 +202,8 @@
 	r := cwport.ForwardResponse{
 		Answer: a, Contended: s.workspace != "" && group.Contended(), NotRun: !s.operation.mayHaveRun && a.Code != cwstatement.OK,
 	}
-	first := h.Transaction == "" || h.Begin != cwstatement.UnknownVerb
 	if a.Code != cwstatement.OK {
-		r.TryOtherHolder = first && group.MajorityUnreachable() && a.Code.NoEffect()
+		r.TryOtherHolder = isFirst(h) && group.MajorityUnreachable() && a.Code.NoEffect()
 		return r
 	}
 	if m := s.lastWrites[h.Entry.Groups[0].Name]; m != h.LastWrite {
--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"os"
 	"sync"
 	"testing"
@@ -130,12 +131,19 @@
 
 // sessionFor opens the session of a caller with a key.
 func (env *testEnv) sessionFor(e *Engine, key string) *testCaller {
-	tc := &testCaller{c: env.c, key: cwcatalogue.DigestOf(key), in: make(chan cwstatement.Statement), out: make(chan cwstatement.Response, 1), gone: make(chan struct{})}
+	tc := env.newCaller(key)
 	s := &session{engine: e, caller: tc}
+	tc.engine = e
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
 	go s.serve()
+	return tc
+}
+
+// newCaller returns the caller's side of a session that is not open yet.
+func (env *testEnv) newCaller(key string) *testCaller {
+	tc := &testCaller{c: env.c, key: cwcatalogue.DigestOf(key), in: make(chan cwstatement.Statement), out: make(chan cwstatement.Response, 1), gone: make(chan struct{})}
 	env.c.Cleanup(func() { _ = tc.Close() })
 	return tc
 }
@@ -172,6 +180,14 @@
 
 	// key is the digest of the caller's key.
 	key cwcatalogue.KeyDigest
+	// engine is the engine of the session, and conn its connection; nil if there is none.
+	engine *Engine
+	conn   net.Conn
+	// crossing is a statement that the caller sends at the moment at which its session
+	// ends; nil if there is none.
+	crossing *cwstatement.Statement
+	// refusal is what Refuse was called with; guarded by mu.
+	refusal *cwstatement.Response
 
 	mu   sync.Mutex
 	wake chan struct{}
@@ -180,13 +196,31 @@
 func (tc *testCaller) Startup() (cwport.Startup, error) {
 	return cwport.Startup{Database: testDatabase, KeyDigest: tc.key}, nil
 }
-func (tc *testCaller) Accept() error                     { return nil }
-func (tc *testCaller) Refuse(cwstatement.Response) error { return nil }
+func (tc *testCaller) Accept() error { return nil }
+
+// Refuse ends the session, as a caller does that gets an error while it waits for nothing,
+// unless a statement is on its way.
+func (tc *testCaller) Refuse(a cwstatement.Response) error {
+	tc.mu.Lock()
+	tc.refusal = &a
+	tc.mu.Unlock()
+	if tc.crossing != nil {
+		return nil
+	}
+	return tc.Close()
+}
+
+func (tc *testCaller) EndRefused(state cwstatement.TransactionState) error {
+	return tc.Reply(tc.refusal.WithState(state))
+}
 
 func (tc *testCaller) Next() (cwstatement.Statement, error) {
 	tc.mu.Lock()
-	wake := tc.wake
+	wake, refused := tc.wake, tc.refusal != nil
 	tc.mu.Unlock()
+	if refused && tc.crossing != nil {
+		return *tc.crossing, nil
+	}
 	select {
 	case st := <-tc.in:
 		return st, nil
@@ -213,10 +247,26 @@
 }
 
 func (tc *testCaller) Close() error {
-	tc.once.Do(func() { close(tc.gone) })
+	tc.once.Do(func() {
+		close(tc.gone)
+		if tc.conn != nil {
+			_ = tc.conn.Close()
+		}
+	})
 	return nil
 }
 
+// visit runs one read on a session that may be refused, and returns the code of the answer.
+func (tc *testCaller) visit() cwstatement.Code {
+	a := tc.tryAsk(cwstatement.Read, "READ i")
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	if tc.refusal != nil {
+		return tc.refusal.Code
+	}
+	return a.Code
+}
+
 // ask sends a statement and returns its answer.
 func (tc *testCaller) ask(v cwstatement.Verb, text string) cwstatement.Response {
 	tc.c.Helper()
--- a/internal/proxy/cwengine/isolation.go
+++ b/internal/proxy/cwengine/isolation.go
@@ -6,6 +6,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwpath"
+	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 )
 
 // Timing and limits of the detection of isolation.
@@ -94,7 +95,7 @@
 	closeIdle := e.isolated.Load() && e.mayCloseIdle(now, c.since)
 	if closeIdle && (!elsewhere || now.Sub(c.closedAt) >= closeIdleAfter) {
 		c.closedAt = now
-		e.closeIdleSessions(false)
+		e.closeIdleSessions(false, cwstatement.RetryLater(cwstatement.Aborted, "the instance is cut off", unreachableRetryAfter))
 	}
 }
 
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -192,6 +192,12 @@
 	m.set.GetOrCreateCounter(`cicadawalk_statements_unanswered_total{from="` + string(from) + `"}`).Inc()
 }
 
+// countInterrupted counts a statement that a shutdown gave up: its answer does not come
+// from a target.
+func (m *Metrics) countInterrupted(from origin) {
+	m.set.GetOrCreateCounter(`cicadawalk_statements_interrupted_total{from="` + string(from) + `"}`).Inc()
+}
+
 // addOpenGauges adds gauges of the statements that were read and not yet answered, by
 // their sender. It must be called at most once.
 func (m *Metrics) addOpenGauges(count func() openCounts) {
--- a/internal/proxy/cwengine/open_statements.go
+++ b/internal/proxy/cwengine/open_statements.go
@@ -28,6 +28,32 @@
 	// was last sent to; empty if there is none.
 	holder string
 	target cwgroup.MemberID
+	// mayCommit is true if it can commit a write, and inTransaction if it runs inside a
+	// transaction that it does not end.
+	mayCommit, inTransaction bool
+	// requester gets the answer, from whoever has claimed the statement.
+	requester requester
+	claimed   bool
+}
+
+// requester is the sender of an open statement.
+type requester interface {
+	// writeAnswer writes the answer to a statement that is given up, and ends the session
+	// if the sender is a caller.
+	writeAnswer(s *openStatement, a cwstatement.Response)
+}
+
+// interruptedAnswer returns the answer to a statement that is given up. What may have been
+// sent may commit later; all else has no effect, since nothing is sent any more, and the
+// transaction that it belongs to is rolled back.
+func (s *openStatement) interruptedAnswer() cwstatement.Response {
+	switch {
+	case s.mayCommit && (s.holder != "" || s.target != ""):
+		return cwstatement.Failure(cwstatement.Unresolved, "the instance is shutting down, and the database has not answered")
+	case s.inTransaction:
+		return shutdownAnswer().WithState(cwstatement.InFailedTransaction)
+	}
+	return shutdownAnswer()
 }
 
 // openStatements has the statements that this instance has read and not yet answered.
@@ -35,46 +61,102 @@
 type openStatements struct {
 	mu  sync.Mutex
 	all map[*openStatement]struct{}
+	// ofInstances is the number of those that came from other instances.
+	ofInstances int
 }
 
 // begin adds a statement that was read.
-func (o *openStatements) begin(st cwstatement.Statement, from origin, now time.Time) *openStatement {
-	s := &openStatement{id: st.ID, verb: st.Verb, from: from, readAt: now}
+func (o *openStatements) begin(s *openStatement) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.all == nil {
 		o.all = make(map[*openStatement]struct{})
 	}
 	o.all[s] = struct{}{}
-	return s
+	if s.from == fromInstance {
+		o.ofInstances++
+	}
 }
 
-// end removes a statement that was answered. It has no effect on nil.
-func (o *openStatements) end(s *openStatement) {
+// run gives up a statement that the caller of run has claimed: it answers and removes it.
+func (o *openStatements) run(s *openStatement) {
+	s.requester.writeAnswer(s, s.interruptedAnswer())
+	o.end(s)
+}
+
+// countOfInstances returns the number of statements of other instances.
+func (o *openStatements) countOfInstances() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.all, s)
+	return o.ofInstances
 }
 
-// recordForward records that a statement is sent to another instance. It has no effect
-// on nil.
-func (o *openStatements) recordForward(s *openStatement, holder string) {
-	if s == nil {
-		return
+// empty reports whether there is no statement.
+func (o *openStatements) empty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.all) == 0
+}
+
+// claim reports whether the caller is to answer a statement; false if its answer was given
+// already.
+func (o *openStatements) claim(s *openStatement) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	first := !s.claimed
+	s.claimed = true
+	return first
+}
+
+// interrupt claims all statements that nobody has claimed, and returns them, the oldest
+// first.
+func (o *openStatements) interrupt() []*openStatement {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []*openStatement
+	for s := range o.all {
+		if !s.claimed {
+			s.claimed = true
+			out = append(out, s)
+		}
 	}
+	slices.SortFunc(out, func(a, b *openStatement) int { return a.readAt.Compare(b.readAt) })
+	return out
+}
+
+// end removes a statement that was answered.
+func (o *openStatements) end(s *openStatement) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s.holder = holder
+	delete(o.all, s)
+	if s.from == fromInstance {
+		o.ofInstances--
+	}
 }
 
-// recordTarget records that a statement is sent to a member. It has no effect on nil.
-func (o *openStatements) recordTarget(s *openStatement, target cwgroup.MemberID) {
+// recordForward records that a statement is sent to another instance. It returns false if
+// the statement must not be sent, because it was given up. For nil it returns true.
+func (o *openStatements) recordForward(s *openStatement, holder string) bool {
+	return o.recordSent(s, func() { s.holder = holder })
+}
+
+// recordTarget records that a statement is sent to a member. It returns false if the
+// statement must not be sent, because it was given up. For nil it returns true.
+func (o *openStatements) recordTarget(s *openStatement, target cwgroup.MemberID) bool {
+	return o.recordSent(s, func() { s.target = target })
+}
+
+func (o *openStatements) recordSent(s *openStatement, record func()) bool {
 	if s == nil {
-		return
+		return true
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s.target = target
+	if s.claimed {
+		return false
+	}
+	record()
+	return true
 }
 
 // list returns copies of the statements, the oldest first.
@@ -110,16 +192,6 @@
 	return n
 }
 
-// logStopStep logs what is open at a step of a shutdown that began at a time.
-func (e *Engine) logStopStep(step string, began time.Time) {
-	n := e.open.count()
-	e.mu.RLock()
-	sessions, transactions := len(e.sessions), len(e.forwardedTransactions)
-	e.mu.RUnlock()
-	e.cfg.Log.Info("stopStep", "step", step, "sessions", sessions, "statements", n.callers, "forwarded", n.forwarded,
-		"statementsOfInstances", n.instances, "transactionsOfInstances", transactions, "tookMs", e.cfg.Clock.Since(began).Milliseconds())
-}
-
 // LogUnanswered logs each statement that has no answer. It is called right before the
 // process ends, when none should be left.
 func (e *Engine) LogUnanswered() {
--- a/internal/proxy/cwengine/quota_test.go
+++ b/internal/proxy/cwengine/quota_test.go
@@ -115,12 +115,12 @@
 func TestHolderReportsWhatDidNotRun(t *testing.T) {
 	env, _, h := newForwardingSession(t, cwcatalogue.ReadLatest)
 	r := cwport.ForwardRequest{Entry: env.entry, Statement: cwstatement.Statement{Verb: cwstatement.Read, Text: "READ a"}}
-	env.c.Assert(h.engine.ServeForwarded(h, r).NotRun, qt.IsFalse)
+	env.c.Assert(h.serve(r).NotRun, qt.IsFalse)
 	for _, id := range []cwgroup.MemberID{"a", "b", "c"} {
 		env.group.LoseAnswers(id, true)
 	}
-	v := h.engine.ServeForwarded(h, r)
+	v := h.serve(r)
 	env.c.Assert(v.Answer.Code.NoEffect() && !v.NotRun, qt.IsTrue, qt.Commentf("%+v", v))
 	h.engine.draining.Store(true)
-	env.c.Assert(h.engine.ServeForwarded(h, r).NotRun, qt.IsTrue)
+	env.c.Assert(h.serve(r).NotRun, qt.IsTrue)
 }
--- a/internal/proxy/cwengine/remote.go
+++ b/internal/proxy/cwengine/remote.go
@@ -74,8 +74,10 @@
 	end := newLimits(h.Entry.Contract, began).deadline.Add(forwardTimeoutSlack)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(e.cfg.Clock.Now()))
 	defer cancel()
+	if !e.open.recordForward(s.open, to.Name()) {
+		return cwport.ForwardResponse{}, &cwport.NoResponseError{Instance: to.Name(), NotSent: true, Cause: errInterrupted}
+	}
 	e.cfg.Metrics.Forwarded.Inc()
-	e.open.recordForward(s.open, to.Name())
 	r, err := to.Forward(ctx, h)
 	if err == nil && !r.NotRun || err != nil && !isNotSent(err) {
 		s.operation.mayHaveRun = true
--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -73,7 +73,10 @@
 	mu                sync.Mutex
 	idle              bool
 	idleInTransaction bool
-	closing           bool
+	// idleSince is when the session began to wait for its caller.
+	idleSince time.Time
+	// closing is what the caller is told when the session ends; nil if it goes on.
+	closing *cwstatement.Response
 }
 
 // serve handles the session until it ends.
@@ -90,9 +93,12 @@
 			return
 		}
 		began := s.engine.cfg.Clock.Now()
-		s.open = s.engine.open.begin(st, fromCaller, began)
+		s.beginStatement(st, began)
 		a := s.handle(st, began)
 		s.returnQuota()
+		if !s.engine.open.claim(s.open) {
+			return
+		}
 		took := s.engine.cfg.Clock.Since(began)
 		s.engine.cfg.Metrics.countStatement(st.Verb, a.Code)
 		s.engine.cfg.Metrics.Statement.Update(took.Seconds())
@@ -113,18 +119,29 @@
 // start reads the caller's startup message and accepts or refuses the session. It
 // returns false if the session has ended.
 func (s *session) start() bool {
-	if err := s.caller.SetReadTimeout(startupTimeout); err != nil {
+	if !s.beginIdle(startupTimeout) {
 		return false
 	}
 	st, err := s.caller.Startup()
+	s.mu.Lock()
+	s.idle = false
+	closing := s.closing
+	if err == nil {
+		s.database, s.key = st.Database, st.KeyDigest
+	}
+	s.mu.Unlock()
 	if err != nil {
+		if closing != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			s.sayEnd(*closing)
+		}
 		s.engine.cfg.Log.Debug("startupFailed", "cause", err)
 		return false
 	}
-	s.mu.Lock()
-	s.database, s.key = st.Database, st.KeyDigest
-	s.mu.Unlock()
-	if a := s.engine.admit(st); a.Code != cwstatement.OK {
+	a := shutdownAnswer()
+	if !s.engine.refusing.Load() {
+		a = s.engine.admit(st)
+	}
+	if a.Code != cwstatement.OK {
 		s.engine.cfg.Log.Info("sessionRefused", "database", s.database, "code", a.Code, "why", a.Detail)
 		// The session ends in any case, so a write error is ignored.
 		_ = s.caller.Refuse(a)
@@ -133,6 +150,28 @@
 	return s.caller.Accept() == nil
 }
 
+// beginStatement tracks a statement that was read.
+func (s *session) beginStatement(st cwstatement.Statement, began time.Time) {
+	s.open = &openStatement{
+		id: st.ID, verb: st.Verb, from: fromCaller, readAt: began, requester: s,
+		mayCommit: s.mayCommit(st), inTransaction: s.stateAfter(st.Verb) != cwstatement.Idle,
+	}
+	s.engine.open.begin(s.open)
+}
+
+// mayCommit reports whether a statement can commit a write.
+func (s *session) mayCommit(st cwstatement.Statement) bool {
+	switch st.Verb {
+	case cwstatement.Write:
+		return !s.inTransaction()
+	case cwstatement.Execute:
+		return !s.inTransaction() && s.prepared[st.Name].writes
+	case cwstatement.Commit:
+		return s.tx != nil && s.tx.mayHaveWritten || s.remote != nil && s.remote.mayHaveWritten
+	}
+	return false
+}
+
 func noDatabase(name string) cwstatement.Response {
 	return cwstatement.Failure(cwstatement.NoDatabase, "no entry is named "+name)
 }
@@ -150,6 +189,7 @@
 			timeout = s.remote.entry.Contract.IdleTransaction
 		}
 		if !s.beginIdle(timeout) {
+			s.sayEnd(*s.closing)
 			return cwstatement.Statement{}, io.EOF
 		}
 		st, err := s.caller.Next()
@@ -157,11 +197,16 @@
 		s.idle = false
 		closing := s.closing
 		s.mu.Unlock()
-		if errors.Is(err, os.ErrDeadlineExceeded) && !closing && s.inTransaction() {
-			s.failTransaction("the transaction rested for too long")
-			continue
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return st, err
+		case closing != nil:
+			s.sayEnd(*closing)
+			return st, err
+		case !s.inTransaction():
+			return st, err
 		}
-		return st, err
+		s.failTransaction("the transaction rested for too long")
 	}
 }
 
@@ -170,22 +215,23 @@
 func (s *session) beginIdle(timeout time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
+	if s.closing != nil {
 		return false
 	}
-	s.idle, s.idleInTransaction = true, s.inTransaction()
+	s.idle, s.idleInTransaction, s.idleSince = true, s.inTransaction(), s.engine.cfg.Clock.Now()
 	return s.caller.SetReadTimeout(timeout) == nil
 }
 
-// closeIfIdle ends the session if it waits for its caller. Inside a transaction it does
-// so only if transactions is true. It does not interrupt a statement in progress.
-func (s *session) closeIfIdle(transactions bool) {
+// closeIfIdle ends the session if it waits for its caller, and tells the caller why. Inside
+// a transaction, and after less than minIdle, it does so only if all is true. It does not
+// interrupt a statement in progress.
+func (s *session) closeIfIdle(all bool, why cwstatement.Response) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.idle || s.closing || s.idleInTransaction && !transactions {
+	if !s.idle || s.closing != nil || !all && (s.idleInTransaction || s.engine.cfg.Clock.Since(s.idleSince) < minIdle) {
 		return
 	}
-	s.closing = true
+	s.closing = &why
 	// The expired timeout wakes the reader. If setting it fails, the reader fails as
 	// well.
 	_ = s.caller.SetReadTimeout(time.Nanosecond)
@@ -234,6 +280,9 @@
 
 // handle runs one statement, which arrived at began, and returns its answer.
 func (s *session) handle(st cwstatement.Statement, began time.Time) cwstatement.Response {
+	if a, refused := s.refuseShuttingDown(st); refused {
+		return a
+	}
 	if a := s.authorise(st, began); a.Code != cwstatement.OK {
 		return a
 	}
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -36,8 +36,13 @@
 // Error is the class of errors that Run returns.
 var Error = errs.Class("instance")
 
-// probeTimeout bounds reading the headers of an HTTP request.
-const probeTimeout = 5 * time.Second
+// Limits of the HTTP servers.
+const (
+	// probeTimeout bounds reading the headers of a request.
+	probeTimeout = 5 * time.Second
+	// httpDrainTimeout bounds the wait for requests in progress when the instance stops.
+	httpDrainTimeout = 100 * time.Millisecond
+)
 
 // Config holds the settings and dependencies of an instance.
 type Config struct {
@@ -227,50 +232,50 @@
 	})
 }
 
-// Run serves until ctx ends. Then it drains the engine, so that sessions can end,
-// and stops the other parts. It also stops if one of them fails.
+// Run serves until ctx ends, or until a part fails. Then it stops in this order, in which
+// nothing that was read, or that another instance has forwarded, is left without its answer:
+//
+//  1. The engine drains: the sessions of callers end, and all statements are answered, those
+//     of other instances too. The other parts go on meanwhile, since statements need them.
+//  2. The server for other instances writes the answers that are left and closes its
+//     connections, and all other parts end.
+//
+// It returns the error of the part that failed.
 func (in *Instance) Run(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp4", in.cfg.CallerListen)
+	ls, err := in.listen()
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	peerListener, err := net.Listen("tcp4", in.cfg.PeerListen)
-	if err != nil {
-		_ = callerListener.Close()
-		return Error.Wrap(err)
-	}
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
-	eg, run := errgroup.WithContext(run)
+	// A part that fails must not end the others before the engine has drained, so they run
+	// on a context that the group does not cancel.
+	eg, failed := errgroup.WithContext(run)
 	in.engine.Start(run, eg)
 	if in.meter != nil {
 		in.meter.Start()
 	}
-	httpServers := []*http.Server{in.newHTTPServer(in.cfg.ReadyListen, in.cfg.ReadyPath, in.serveReady)}
-	if in.cfg.MetricsListen != "" {
-		httpServers = append(httpServers, in.newHTTPServer(in.cfg.MetricsListen, "/metrics", in.serveMetrics))
-	}
-	for _, p := range httpServers {
-		eg.Go(func() error { return serveHTTP(p) })
+	httpServers := []*http.Server{newHTTPServer(in.cfg.ReadyPath, in.serveReady), newHTTPServer("/metrics", in.serveMetrics)}
+	for i, ln := range ls.http {
+		eg.Go(func() error { return serveHTTP(httpServers[i], ln) })
 	}
 	eg.Go(func() error { return in.loopReleaseMemory(run) })
 	eg.Go(func() error { return in.directory.Run(run) })
 	eg.Go(func() error { return in.members.Run(run) })
 	eg.Go(func() error { return in.peers.Run(run) })
 	eg.Go(func() error {
-		return in.newPeerServer().Run(run, peerListener)
+		return in.newPeerServer().Run(run, ls.peers)
 	})
-	eg.Go(func() error { return in.engine.Serve(callerListener, in.cfg.NewCallerConn) })
+	eg.Go(func() error { return in.engine.Serve(ls.callers, in.cfg.NewCallerConn) })
 	in.cfg.Log.Info("started", "instance", in.cfg.Name, "dataCentre", in.cfg.DataCentre, "listen", in.cfg.CallerListen)
 	select {
 	case <-ctx.Done():
-		in.engine.Drain()
-	case <-run.Done():
+	case <-failed.Done():
 	}
+	in.engine.Drain()
 	stop()
-	_ = callerListener.Close()
-	for _, p := range httpServers {
-		_ = p.Close()
+	for _, s := range httpServers {
+		shutDownHTTP(s)
 	}
 	err = eg.Wait()
 	in.engine.LogUnanswered()
@@ -278,20 +283,57 @@
 	return Error.Wrap(err)
 }
 
-func (in *Instance) newHTTPServer(address, path string, h http.HandlerFunc) *http.Server {
+// listeners are the listeners of an instance. http are those for probes and, if there is an
+// address for them, for metrics.
+type listeners struct {
+	callers, peers net.Listener
+	http           []net.Listener
+}
+
+// listen opens all listeners. On an error it closes those that it has opened.
+func (in *Instance) listen() (listeners, error) {
+	addresses := []string{in.cfg.CallerListen, in.cfg.PeerListen, in.cfg.ReadyListen}
+	if in.cfg.MetricsListen != "" {
+		addresses = append(addresses, in.cfg.MetricsListen)
+	}
+	var all []net.Listener
+	for _, a := range addresses {
+		ln, err := net.Listen("tcp4", a)
+		if err != nil {
+			for _, open := range all {
+				_ = open.Close()
+			}
+			return listeners{}, err
+		}
+		all = append(all, ln)
+	}
+	return listeners{callers: all[0], peers: all[1], http: all[2:]}, nil
+}
+
+func newHTTPServer(path string, h http.HandlerFunc) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, h)
-	return &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: probeTimeout}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: probeTimeout}
 }
 
-func serveHTTP(s *http.Server) error {
-	err := s.ListenAndServe()
+func serveHTTP(s *http.Server, ln net.Listener) error {
+	err := s.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
+// shutDownHTTP ends a server once the requests that it has read are answered, after
+// httpDrainTimeout at the latest.
+func shutDownHTTP(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), httpDrainTimeout)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
 func (in *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !in.engine.AnswerProbe() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -60,6 +60,9 @@
 	// NotRun is true if no statement of the operation has reached a target there, apart
 	// from those that the target refused. It is false if the holder is of an older build.
 	NotRun bool
+	// Leaving is true if the holder is shutting down: it runs no further statements, apart
+	// from those of open transactions.
+	Leaving bool
 }
 
 // Holder is another instance that runs statements of a group.
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -24,8 +24,12 @@
 	Startup() (Startup, error)
 	// Accept answers the startup message with success.
 	Accept() error
-	// Refuse answers the startup message with an error.
+	// Refuse answers the startup message with an error, or ends a session that waits for
+	// its caller. If a statement of the caller was on its way, the error is the first part
+	// of its answer; see EndRefused.
 	Refuse(cwstatement.Response) error
+	// EndRefused completes the answer to a statement that was read after Refuse.
+	EndRefused(cwstatement.TransactionState) error
 	// Next reads the next statement. The error is io.EOF once the caller has
 	// ended the session.
 	Next() (cwstatement.Statement, error)
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -20,6 +20,9 @@
 	// idleTimeout closes a connection on which the client sends nothing. Clients
 	// send pings far more often.
 	idleTimeout = time.Minute
+	// drainTimeout limits how long a server that stops waits for the answers to requests
+	// that it has read. The engine has answered all statements by then.
+	drainTimeout = 200 * time.Millisecond
 	// dialTimeout limits the time to open a connection. It covers a few round
 	// trips between data centres and the queue of a busy instance.
 	dialTimeout = 500 * time.Millisecond
@@ -27,9 +30,10 @@
 
 // Handler runs forwarded statements.
 type Handler interface {
-	// ServeForwarded runs a forwarded statement. The value of from identifies the
-	// connection that the statement came from.
-	ServeForwarded(from any, h cwport.ForwardRequest) cwport.ForwardResponse
+	// ServeForwarded runs a forwarded statement and calls reply once with its answer, which
+	// may be before it returns. The value of from identifies the connection that the
+	// statement came from.
+	ServeForwarded(from any, h cwport.ForwardRequest, reply func(cwport.ForwardResponse))
 	// ConnectionClosed is called when a connection has ended. The transactions that
 	// were forwarded on it end with it.
 	ConnectionClosed(from any)
@@ -57,7 +61,8 @@
 	encoder newsEncoder
 }
 
-// Run accepts connections until ctx ends, and waits until all of them are closed.
+// Run accepts connections until ctx ends, and waits until all of them are closed. The
+// requests that were read by then are answered first, for at most drainTimeout.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
 	l := cwlisten.Listener{Listener: ln, Handle: s.serve}
 	defer l.Wait()
@@ -67,48 +72,17 @@
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	bounded := &cwlisten.LimitedConn{Conn: conn, MaxMessage: maxMessage, IdleTimeout: idleTimeout}
 	defer s.Handler.ConnectionClosed(bounded)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	handle := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-		switch req.Method {
-		case methodNews:
-			return s.answerNews(ctx, req)
-		case methodQuota:
-			return s.answerQuota(req)
-		case methodPath:
-			return s.answerPath(req)
-		case methodMembers:
-			return s.answerMembers(ctx, req)
-		case methodDemand:
-			return s.answerDemand(req)
-		case methodQuotaReturn:
-			return s.answerQuotaReturn(req)
-		}
-		return s.answerPingOrStatement(bounded, req)
-	}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(bounded), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle).SuppressErrClosed()))
+	requests := newRequests(ctx, s, bounded)
+	// A jsonrpc2 connection closes when its context ends, whatever is unanswered.
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(bounded), requests)
 	defer func() { _ = rpc.Close() }()
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
+		requests.await(drainTimeout)
 	}
 }
 
-// answerPingOrStatement handles a ping or a forwarded statement.
-func (s *Server) answerPingOrStatement(from any, req *jsonrpc2.Request) (any, error) {
-	switch {
-	case req.Method == methodPing:
-		return struct{}{}, nil
-	case req.Method != methodForward || req.Params == nil:
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
-	}
-	h, err := decodeStatement(*req.Params)
-	if err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-	}
-	return encodeResult(s.Handler.ServeForwarded(from, h)), nil
-}
-
 // answerNews handles a request for store changes.
 func (s *Server) answerNews(ctx context.Context, req *jsonrpc2.Request) (any, error) {
 	if s.News == nil || req.Params == nil {
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -89,6 +89,7 @@
 	Elsewhere bool         `json:"elsewhere,omitempty"`
 	Contended bool         `json:"contended,omitempty"`
 	NotRun    bool         `json:"notRun,omitempty"`
+	Leaving   bool         `json:"leaving,omitempty"`
 }
 
 // MalformedMessageError reports a message that is malformed or has values out of range.
@@ -177,6 +178,7 @@
 	return resultBody{
 		Rows: a.Rows, Proof: a.Proof, Code: a.Code.String(), Detail: a.Detail, State: a.State.String(),
 		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder, Contended: r.Contended, NotRun: r.NotRun,
+		Leaving: r.Leaving,
 	}
 }
 
@@ -187,6 +189,6 @@
 	}
 	return cwport.ForwardResponse{
 		Answer:         cwstatement.Response{Rows: b.Rows, Proof: b.Proof, Code: cwstatement.ParseCode(b.Code), Detail: b.Detail, State: state},
-		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, Contended: b.Contended, NotRun: b.NotRun,
+		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, Contended: b.Contended, NotRun: b.NotRun, Leaving: b.Leaving,
 	}, nil
 }
--- a/internal/wire/cwforward/forward_test.go
+++ b/internal/wire/cwforward/forward_test.go
@@ -49,7 +49,7 @@
 	t.Run("an answer", func(t *testing.T) {
 		want := cwport.ForwardResponse{
 			Answer:         cwstatement.Response{Rows: []string{"a", "b c"}, Proof: "7.1f3", Code: cwstatement.Busy, Detail: "why", State: cwstatement.InFailedTransaction},
-			CommitPosition: cwgroup.LogPosition{Term: 3, Index: 9}, TryOtherHolder: true,
+			CommitPosition: cwgroup.LogPosition{Term: 3, Index: 9}, TryOtherHolder: true, Leaving: true,
 		}
 		got, err := encodeResult(want).decode()
 		qt.Assert(t, err, qt.IsNil)
@@ -162,8 +162,8 @@
 	closed chan any
 }
 
-func (h *fakeHandler) ServeForwarded(_ any, ho cwport.ForwardRequest) cwport.ForwardResponse {
-	return h.answer(ho)
+func (h *fakeHandler) ServeForwarded(_ any, ho cwport.ForwardRequest, reply func(cwport.ForwardResponse)) {
+	reply(h.answer(ho))
 }
 
 func (h *fakeHandler) ConnectionClosed(from any) { h.closed <- from }
@@ -215,6 +215,36 @@
 	c.Assert(errors.As(err, &lost), qt.IsTrue)
 }
 
+// Guards against the loss of answers that are ready: a server that stopped closed its
+// connections while a request was being answered.
+func TestStoppingServerAnswersWhatItHasRead(t *testing.T) {
+	c := qt.New(t)
+	read, release := make(chan struct{}), make(chan struct{})
+	h := &fakeHandler{closed: make(chan any, 1), answer: func(h cwport.ForwardRequest) cwport.ForwardResponse {
+		close(read)
+		<-release
+		return cwport.ForwardResponse{Answer: cwstatement.Response{Rows: []string{h.Statement.ID}}}
+	}}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- (&Server{Handler: h}).Run(ctx, ln) }()
+	conn, err := Dial(context.Background(), "holder", ln.Addr().String())
+	c.Assert(err, qt.IsNil)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := conn.Forward(context.Background(), exampleStatement())
+		answered <- err
+	}()
+	<-read
+	cancel()
+	time.AfterFunc(drainTimeout/10, func() { close(release) })
+	c.Assert(<-answered, qt.IsNil)
+	c.Assert(<-ended, qt.IsNil)
+	<-conn.Done()
+}
+
 // newsFunc answers requests for store changes with a function.
 type newsFunc func(context.Context, cwport.ChangesRequest) (cwport.ChangesResponse, error)
 
