cwpeers: no statements to a holder that is shutting down

Cause: a holder that stops returned each statement to be run elsewhere, and was avoided for a second, then asked again, until its connection closed. A write that reached it right before that had an unknown outcome, though it had not run.

Change: the holder's answer says that it is leaving, and the connection gets no new statements from then on; open transactions go on.

Measured: the case in TestHolder fails without the change (the holder is chosen again at once).

--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -73,6 +73,8 @@
 	// last pause; zero after a successful attempt and before the first.
 	nextDialAt  time.Time
 	dialBackoff time.Duration
+	// leaving is true once the remote instance has said on conn that it is shutting down.
+	leaving bool
 	// avoidUntil is when statements are sent to the holder again after it returned one
 	// to be run elsewhere.
 	avoidUntil time.Time
@@ -94,9 +96,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !now.Before(l.avoidUntil)
+	return !l.avoided(now)
 }
 
+// avoided reports whether no statements are sent to the holder. The caller holds mu.
+func (l *link) avoided(now time.Time) bool { return l.leaving || now.Before(l.avoidUntil) }
+
 // ensureConnected reports whether there is a connection, and starts to connect if
 // there is none.
 func (l *link) ensureConnected(now time.Time) bool {
@@ -123,7 +128,7 @@
 func (l *link) state(now time.Time) cwholder.ConnectionState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	avoided := now.Before(l.avoidUntil)
+	avoided := l.avoided(now)
 	out := cwholder.ConnectionState{Ready: l.conn != nil && !avoided, Failed: avoided || l.conn == nil && l.dialBackoff > 0, Connecting: -1}
 	if l.dialing {
 		out.Connecting = now.Sub(l.dialSince)
@@ -245,7 +250,7 @@
 		return
 	}
 	l.log.Info("holderConnected", "holder", l.remote.ID, "dataCentre", l.remote.DataCentre)
-	l.conn, l.lastAnswerAt, l.lastUsedAt, l.dialBackoff = conn, now, now, 0
+	l.conn, l.lastAnswerAt, l.lastUsedAt, l.dialBackoff, l.leaving = conn, now, now, 0, false
 	if l.path != nil {
 		// The remote instance has answered a ping.
 		l.path.RecordAnswer(now)
@@ -330,7 +335,7 @@
 	l.mu.Lock()
 	if l.conn == conn {
 		l.log.Warn("holderLost", "holder", l.remote.ID, "cause", cause)
-		l.conn = nil
+		l.conn, l.leaving = nil, false
 		l.backOff(l.clock.Now())
 	}
 	l.mu.Unlock()
@@ -376,9 +381,25 @@
 	if resp.TryOtherHolder {
 		l.avoid()
 	}
+	if resp.Leaving {
+		l.recordLeaving(conn)
+	}
 	return resp, nil
 }
 
+// recordLeaving stops statements to a holder that is shutting down, until there is another
+// connection.
+//
+// A statement that reaches a holder right before its connection closes gets no answer, and
+// the outcome of a write is unknown then.
+func (l *link) recordLeaving(conn Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.leaving = true
+	}
+}
+
 // avoid stops statements to the holder for avoidFor.
 func (l *link) avoid() {
 	l.mu.Lock()
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -107,7 +107,7 @@
 	if err := c.awaitAnswer(ctx); err != nil {
 		return cwport.ForwardResponse{}, &cwport.NoResponseError{Instance: c.name, Cause: err}
 	}
-	return cwport.ForwardResponse{TryOtherHolder: h.Statement.ID == "elsewhere"}, nil
+	return cwport.ForwardResponse{TryOtherHolder: h.Statement.ID == "elsewhere", Leaving: h.Statement.ID == "leaving"}, nil
 }
 
 func (c *fakeConn) ServeChanges(ctx context.Context, _ cwport.ChangesRequest) (cwport.ChangesResponse, error) {
@@ -258,6 +258,27 @@
 			return ok && h.Name() == first.Name()
 		})
 	})
+	t.Run("one that shuts down is not used until it is connected again", func(t *testing.T) {
+		c, p, _, clock := startNonHolder(t)
+		first := awaitHolder(c, p, clock)
+		_, err := forwardTo(first, "leaving")
+		c.Assert(err, qt.IsNil)
+		for end := clock.Now().Add(5 * avoidFor); clock.Now().Before(end); clock.Advance(avoidFor / 10) {
+			h, ok := p.Holder("g", scarceCapacity, nil)
+			c.Assert(!ok || h.Name() != first.Name(), qt.IsTrue)
+		}
+		p.mu.Lock()
+		l := p.links[first.Name()]
+		p.mu.Unlock()
+		l.mu.Lock()
+		conn := l.conn
+		l.mu.Unlock()
+		c.Assert(conn.Close(), qt.IsNil)
+		eventually(c, clock, func() bool {
+			h, ok := p.Holder("g", scarceCapacity, nil)
+			return ok && h.Name() == first.Name()
+		})
+	})
 	t.Run("one whose row was removed is not used", func(t *testing.T) {
 		c, p, _, clock := startNonHolder(t)
 		first := awaitHolder(c, p, clock)
