cwpeers: a connection to a removed instance closes once its calls are answered

What callers saw: a write of unknown outcome, although the holder that ran it had answered. Cause: when the row of an instance is removed or changed, the connection to its former address was closed at once, under the statements in progress there.

Change: a closed link opens no more connections, and closes its own with the end of the last call. A call without an answer is bounded by its own timeout and by the probes of the connection.

--- a/internal/proxy/cwpeers/link.go
+++ b/internal/proxy/cwpeers/link.go
@@ -171,6 +171,7 @@
 	defer l.mu.Unlock()
 	l.activeCalls--
 	l.lastUsedAt = l.clock.Now()
+	l.closeUnused()
 }
 
 // closeIdle closes a connection that has been unused for idleTimeout, and reports
@@ -342,14 +343,24 @@
 	_ = conn.Close()
 }
 
+// close makes the link open no more connections, and closes the present one once no call is
+// in progress on it. A call without an answer is bounded by its own timeout, and the
+// connection by its probes.
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
-	if l.conn != nil {
-		_ = l.conn.Close()
-		l.conn = nil
+	l.closeUnused()
+}
+
+// closeUnused closes the connection of a closed link if no call is in progress on it. The
+// caller holds mu.
+func (l *link) closeUnused() {
+	if !l.closed || l.activeCalls > 0 || l.conn == nil {
+		return
 	}
+	_ = l.conn.Close()
+	l.conn = nil
 }
 
 // Forward implements cwport.Instance.
--- a/internal/proxy/cwpeers/peers_test.go
+++ b/internal/proxy/cwpeers/peers_test.go
@@ -37,6 +37,8 @@
 	// lasts until its channel is closed.
 	dials   []string
 	hanging map[string]chan struct{}
+	// held, if not nil, is closed when statements with the id "held" are answered.
+	held chan struct{}
 }
 
 func (n *fakeNetwork) dial(_ context.Context, name, _ string) (Conn, error) {
@@ -107,6 +109,13 @@
 	if err := c.awaitAnswer(ctx); err != nil {
 		return cwport.ForwardResponse{}, &cwport.NoResponseError{Instance: c.name, Cause: err}
 	}
+	if h.Statement.ID == "held" {
+		select {
+		case <-c.net.held:
+		case <-c.done:
+			return cwport.ForwardResponse{}, &cwport.NoResponseError{Instance: c.name, Cause: errNoAnswer}
+		}
+	}
 	return cwport.ForwardResponse{TryOtherHolder: h.Statement.ID == "elsewhere", Leaving: h.Statement.ID == "leaving"}, nil
 }
 
@@ -289,6 +298,35 @@
 	})
 }
 
+// Guards against a write of unknown outcome whose holder answers: the connection closed
+// under the statement when the holder's row was removed.
+func TestStatementOutlivesRowOfItsHolder(t *testing.T) {
+	c, p, n, clock := startNonHolder(t)
+	first := awaitHolder(c, p, clock)
+	n.withLock(func() { n.held = make(chan struct{}) })
+	answered := make(chan error, 1)
+	go func() {
+		_, err := forwardTo(first, "held")
+		answered <- err
+	}()
+	p.mu.Lock()
+	l := p.links[first.Name()]
+	p.mu.Unlock()
+	eventually(c, clock, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.activeCalls > 0
+	})
+	p.ApplyRows([]cwport.Row{{Key: InstanceKey(instance(first.Name(), "z")), Removed: true}}, false)
+	n.withLock(func() { close(n.held) })
+	c.Assert(<-answered, qt.IsNil)
+	eventually(c, clock, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.conn == nil
+	})
+}
+
 // Guards against a caller that waits until its statement times out, after half a minute,
 // because a holder froze, though other holders could serve it.
 func TestUnresponsiveHolderIsDroppedQuickly(t *testing.T) {
