cwengine, cwforward: the end of a stop fits into the grace period

Cause: with a grace period of 4 s the waits after 5/6 of it could add up to 4.08 s: 0.33 s for sessions whose callers don't read, 0.2 s for the server of other instances, 0.2 s for probes.

Change: a third of what is left for sessions, and 0.1 s for the server.

--- a/internal/proxy/cwengine/shutdown.go
+++ b/internal/proxy/cwengine/shutdown.go
@@ -65,7 +65,7 @@
 	}
 	e.stopAccepting()
 	e.answerOpen()
-	e.awaitEnd(plan.Left() / 2)
+	e.awaitEnd(plan.Left() / 3)
 	e.cfg.Log.Info("drained", "sessions", e.SessionCount(), "tookMs", e.cfg.Clock.Since(began).Milliseconds())
 }
 
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -22,7 +22,7 @@
 	idleTimeout = time.Minute
 	// drainTimeout limits how long a server that stops waits for the answers to requests
 	// that it has read. The engine has answered all statements by then.
-	drainTimeout = 200 * time.Millisecond
+	drainTimeout = 100 * time.Millisecond
 	// dialTimeout limits the time to open a connection. It covers a few round
 	// trips between data centres and the queue of a busy instance.
 	dialTimeout = 500 * time.Millisecond
