cwcommand: SIGHUP and a log without a reader do not end a proxy

What callers saw: all sessions of a proxy of the PostgreSQL side were cut off by a SIGHUP, and of either kind of proxy when whoever read its log ended. Cause: nothing handled SIGHUP there, and a write to a broken standard error raises SIGPIPE; both end a Go program at once.

Change: both signals are ignored from the start; serve still reloads its settings on SIGHUP.

TestReloadDuringShutdownKeepsSessions gets a second SIGTERM besides and checks that nothing ends before the first.

--- a/cmd/cicadawalk/serve_test.go
+++ b/cmd/cicadawalk/serve_test.go
@@ -29,16 +29,42 @@
 	settings = strings.ReplaceAll(settings, "PORT5", port)
 	path := filepath.Join(c.TempDir(), "node.json")
 	c.Assert(os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
-	cmd := exec.Command(filepath.Join(programDir, "cicadawalk"), "serve", "--settings", path)
+	assertOutlivesSignals(c, exec.Command(filepath.Join(programDir, "cicadawalk"), "serve", "--settings", path))
+}
+
+// Guards against sessions that are cut off by a SIGHUP, which nothing handled in a proxy of
+// the PostgreSQL side, or by the end of whoever read its log.
+func TestSignalsDoNotEndProxyAtOnce(t *testing.T) {
+	c := qt.New(t)
+	log, reader, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	cmd := exec.Command(filepath.Join(programDir, "cicadawalk"), "proxy", "--instance", "entry-1", "--data-centre", "hall-rufino",
+		"--platform", "http://"+freeAddr(c, "127.0.0.1"), "--listen", freeAddr(c, "127.0.0.1"),
+		"--peer-listen", freeAddr(c, "127.0.0.1"), "--http-listen", freeAddr(c, "127.0.0.1"))
+	cmd.Stderr = reader
+	c.Assert(log.Close(), qt.IsNil)
+	assertOutlivesSignals(c, cmd)
+}
+
+// assertOutlivesSignals starts a proxy and checks that it ends with code 0 after signals in
+// series, and not before the first SIGTERM.
+func assertOutlivesSignals(c *qt.C, cmd *exec.Cmd) {
 	c.Assert(cmd.Start(), qt.IsNil)
 	c.Cleanup(func() { _ = cmd.Process.Kill() })
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
 	// The process needs some time until it handles signals.
 	time.Sleep(time.Second)
 	c.Assert(cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
-	time.Sleep(100 * time.Millisecond)
-	c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
-	time.Sleep(200 * time.Millisecond)
-	c.Assert(cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
-	c.Assert(cmd.Wait(), qt.IsNil)
-	c.Assert(cmd.ProcessState.ExitCode(), qt.Equals, 0)
+	select {
+	case err := <-ended:
+		c.Fatalf("the process ended: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		// The process may have ended before the last ones.
+		_ = cmd.Process.Signal(s)
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.Assert(<-ended, qt.IsNil)
 }
--- a/internal/tool/cwcommand/proxy.go
+++ b/internal/tool/cwcommand/proxy.go
@@ -80,6 +80,7 @@
 }
 
 func (p *proxyFlags) run(cmd *cobra.Command) error {
+	ignoreSignals()
 	level, err := log.ParseLevel(p.logLevel)
 	if err != nil {
 		return err
--- a/internal/tool/cwcommand/root.go
+++ b/internal/tool/cwcommand/root.go
@@ -68,6 +68,11 @@
 	return ExitFailed
 }
 
+// ignoreSignals makes a proxy outlive the signals that would end it at once, in the middle of
+// statements: SIGHUP, which a terminal sends as well, and SIGPIPE, when nobody reads its log
+// any more.
+func ignoreSignals() { signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) }
+
 // RootCommand returns the root command of the program cicadawalk.
 func RootCommand() *cobra.Command {
 	root := &cobra.Command{
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -60,6 +60,7 @@
 // serve runs an instance with the settings file at path until the command's context
 // ends.
 func serve(cmd *cobra.Command, path, metricsPort string, level log.Level) error {
+	ignoreSignals()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Err: err}
