cwserver: a shutdown answers the statements that it gives up

Change: statements in progress are given up first, in the way of a primary that is lost: a read is refused as not run, a write is of unknown outcome, a transaction is rolled back, and what waits for its turn is refused. Sessions that wait inside a transaction get 57P01. The connections close 0.75 s later at the latest.

--- a/internal/core/cwrefusal/refusal.go
+++ b/internal/core/cwrefusal/refusal.go
@@ -30,6 +30,8 @@
 	// FeatureNotSupported means that the feature cannot be supported with pooled
 	// connections.
 	FeatureNotSupported Code = "0A000"
+	// AdminShutdown means that the proxy is shutting down.
+	AdminShutdown Code = "57P01"
 	// UndefinedDatabase means that the catalogue has no such database.
 	UndefinedDatabase Code = "3D000"
 	// InvalidParameter means that the value of a setting is outside its range.
--- a/internal/proxy/cwpgproxy/operator_test.go
+++ b/internal/proxy/cwpgproxy/operator_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
@@ -159,6 +160,33 @@
 	c.Assert(queryInt(c, b.connect(c, 0), "SELECT count(*) FROM ronda"), qt.Equals, int64(2))
 }
 
+// Guards against clients that are cut off in the middle of a statement when the time of a
+// shutdown is over.
+func TestShutdownAnswersStatementsInProgress(t *testing.T) {
+	t.Parallel()
+	c, b := newTestCluster(t, cwdemo.Options{DrainTimeout: 300 * time.Millisecond})
+	reader, writer, idle := b.connect(c, 1), b.connect(c, 1), b.connect(c, 1)
+	exec(c, reader, "CREATE TABLE ronda (id bigint)")
+	exec(c, writer, "BEGIN")
+	exec(c, writer, "INSERT INTO ronda VALUES (1)")
+	exec(c, idle, "BEGIN")
+	c.Assert(queryInt(c, idle, "SELECT count(*) FROM ronda"), qt.Equals, int64(0))
+	answers := make(chan error, 2)
+	for _, conn := range []*pgx.Conn{reader, writer} {
+		go func() {
+			_, err := conn.Exec(background, "SELECT pg_sleep(20)")
+			answers <- err
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	c.Assert(b.Proxies[1].Stop(), qt.IsNil)
+	assertNotRun(c, <-answers)
+	assertNotRun(c, <-answers)
+	_, err := idle.Exec(background, "COMMIT")
+	assertCode(c, err, "57P01")
+	c.Assert(queryInt(c, b.connect(c, 0), "SELECT count(*) FROM ronda"), qt.Equals, int64(0))
+}
+
 // Guards against cancel requests without effect: a load balancer may send the request
 // to another proxy than the one that runs the statement. Whichever of eight proxies it
 // reaches, the statement must be cancelled.
--- a/internal/proxy/cwserver/relay.go
+++ b/internal/proxy/cwserver/relay.go
@@ -202,14 +202,17 @@
 
 // checkTarget returns an error if waiting any longer is pointless.
 //
-// It guards against three failures: the primary was replaced before it
-// responded; the statement reached its deadline; or the connection went silent,
+// It guards against four failures: the proxy shuts down; the primary was replaced before
+// it responded; the statement reached its deadline; or the connection went silent,
 // because a device on the path dropped its state. In the last case nothing at all
 // arrives, while new connections work. A long statement looks the same to the
 // proxy, so the target is asked over its control connection whether it is busy
 // for this one.
 func (w *watchdog) checkTarget() error {
 	now := w.s.server.Clock.Now()
+	if w.s.server.statements.Err() != nil {
+		return &responseLostError{reason: "this proxy is shutting down"}
+	}
 	if w.route.primary && !w.s.group.MayStillLead(w.route.term) {
 		return &responseLostError{reason: "the primary was replaced"}
 	}
--- a/internal/proxy/cwserver/request.go
+++ b/internal/proxy/cwserver/request.go
@@ -234,7 +234,7 @@
 func (s *session) acquireConnection(read bool, deadline time.Time) (route, func(), error) {
 	r := route{deadline: deadline}
 	endWrite := func() {}
-	ctx := context.Background()
+	ctx := s.server.statements
 	if read {
 		d, err := s.selectReadMember(ctx, deadline)
 		if err != nil {
--- a/internal/proxy/cwserver/server.go
+++ b/internal/proxy/cwserver/server.go
@@ -108,8 +108,11 @@
 
 	statementCache cwsql.Cache
 	draining       atomic.Bool
-	retryBudget    retryBudget
-	listener       *cwlisten.Listener
+	// statements ends, by endStatements, when statements in progress are given up.
+	statements    context.Context
+	endStatements context.CancelFunc
+	retryBudget   retryBudget
+	listener      *cwlisten.Listener
 
 	mu       sync.Mutex
 	sessions map[cancelKey]*session
@@ -151,6 +154,7 @@
 // Run accepts client connections on ln until ctx ends. It returns without
 // waiting for the sessions to end; see Drain.
 func (srv *Server) Run(ctx context.Context, ln net.Listener) error {
+	srv.statements, srv.endStatements = context.WithCancel(context.WithoutCancel(ctx))
 	srv.listener = &cwlisten.Listener{
 		Listener:     ln,
 		Handle:       func(_ context.Context, conn net.Conn) { srv.serve(conn) },
@@ -239,16 +243,20 @@
 	return ok
 }
 
+// giveUpTime is how long sessions have for their last messages after a drain has given up
+// their statements: two polls of a target that does not answer, and the message itself.
+const giveUpTime = 2*readPollInterval + 250*time.Millisecond
+
 // Drain refuses new clients and closes each session once it has no statement in
-// progress and no open transaction. It returns nil when all sessions have ended;
-// if ctx ends first, it closes the remaining connections and returns ctx's error.
+// progress and no open transaction. It returns nil when all sessions have ended.
+//
+// If ctx ends first, the remaining statements are answered as far as they are known, their
+// transactions are rolled back, and after giveUpTime at most all connections are closed. It
+// returns ctx's error then. Without the answers a client would not learn whether its
+// statement may have run.
 func (srv *Server) Drain(ctx context.Context) error {
 	srv.draining.Store(true)
-	srv.mu.Lock()
-	for _, s := range srv.sessions {
-		s.interruptIdle()
-	}
-	srv.mu.Unlock()
+	srv.interruptWaiting(false)
 	done := make(chan struct{})
 	go func() {
 		srv.listener.Wait()
@@ -258,8 +266,24 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+	}
+	srv.endStatements()
+	srv.interruptWaiting(true)
+	select {
+	case <-done:
+	case <-time.After(giveUpTime):
 		srv.closeAll()
-		return ctx.Err()
+	}
+	return ctx.Err()
+}
+
+// interruptWaiting ends the sessions that wait for their client, those in a transaction
+// only if all is true.
+func (srv *Server) interruptWaiting(all bool) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	for _, s := range srv.sessions {
+		s.interruptWaiting(all)
 	}
 }
 
--- a/internal/proxy/cwserver/session.go
+++ b/internal/proxy/cwserver/session.go
@@ -59,7 +59,9 @@
 	// mu guards the fields that Drain and CancelSession use.
 	mu          sync.Mutex
 	activeLease *cwpgpool.Lease
-	idle        bool
+	// waiting is true while the session waits for a message of its client, and idle if
+	// neither a transaction nor a batch is open then.
+	waiting, idle bool
 }
 
 func newSession(srv *Server, conn net.Conn) *session {
@@ -147,13 +149,13 @@
 func (s *session) run() {
 	defer s.discardOpenConnections()
 	for {
-		if !s.enterIdle() {
-			s.sendError("FATAL", cwrefusal.NotRun("57P01", time.Second, "this proxy is shutting down; connect again"))
+		if !s.beginWait() {
+			s.sendError("FATAL", shutdownRefusal())
 			_ = s.flush()
 			return
 		}
 		msg, err := s.backend.Receive()
-		s.leaveIdle()
+		s.endWait()
 		if err != nil {
 			s.answerReceiveError(err)
 			return
@@ -164,6 +166,12 @@
 	}
 }
 
+// shutdownRefusal is the last message to a client of a proxy that shuts down. An open
+// transaction is rolled back.
+func shutdownRefusal() error {
+	return cwrefusal.NotRun(cwrefusal.AdminShutdown, time.Second, "this proxy is shutting down; connect again")
+}
+
 // answerReceiveError sends the client an error if a message was too long or
 // malformed, or if the wait was ended by a drain. It sends nothing if the client
 // has disconnected.
@@ -171,7 +179,7 @@
 	var ne net.Error
 	switch {
 	case errors.As(err, &ne) && ne.Timeout() && s.server.draining.Load():
-		s.sendError("FATAL", cwrefusal.NotRun("57P01", time.Second, "this proxy is shutting down; connect again"))
+		s.sendError("FATAL", shutdownRefusal())
 	case isMessageTooLong(err):
 		s.sendError("FATAL", cwrefusal.NotRun(cwrefusal.LimitExceeded, 0, "message longer than %d bytes", MaxMessageSize))
 	case isDisconnect(err):
@@ -194,29 +202,28 @@
 	return errors.As(err, &op) || errors.Is(err, net.ErrClosed) || strings.Contains(err.Error(), "EOF")
 }
 
-// enterIdle marks the session as idle unless a transaction or batch is open. It
-// returns false if the session is idle and the proxy drains.
-func (s *session) enterIdle() bool {
+// beginWait marks the session as waiting for its client. It returns false if the session
+// is to end instead: the proxy drains and no transaction or batch is open, or statements
+// are given up.
+func (s *session) beginWait() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.tx != nil || s.batch.active() {
-		return true
-	}
-	s.idle = true
-	return !s.server.draining.Load()
+	s.waiting, s.idle = true, s.tx == nil && !s.batch.active()
+	return s.server.statements.Err() == nil && !(s.idle && s.server.draining.Load())
 }
 
-func (s *session) leaveIdle() {
+func (s *session) endWait() {
 	s.mu.Lock()
-	s.idle = false
+	s.waiting, s.idle = false, false
 	s.mu.Unlock()
 }
 
-// interruptIdle ends the wait for the next message of an idle session.
-func (s *session) interruptIdle() {
+// interruptWaiting ends the wait for the next message, in a transaction or batch only if
+// all is true.
+func (s *session) interruptWaiting(all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.idle {
+	if s.idle || s.waiting && all {
 		_ = s.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/tool/cwdemo/cluster.go
+++ b/internal/tool/cwdemo/cluster.go
@@ -7,6 +7,7 @@
 package cwdemo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,6 +29,9 @@
 	"cicadawalk.example/cicadawalk/internal/wire/cwplatform"
 )
 
+// defaultDrainTimeout is longer than the statements of the demo.
+const defaultDrainTimeout = 20 * time.Second
+
 // Error is the class of the demo's errors.
 var Error = errs.Class("demo")
 
@@ -55,6 +59,8 @@
 	Log io.Writer
 	// Groups is the number of groups of the service; zero means one.
 	Groups int
+	// DrainTimeout is how long sessions have to end when a proxy stops; zero means 20 s.
+	DrainTimeout time.Duration
 	// RewriteAddress lets tests put a relay between proxies and databases: it returns the
 	// address that the catalogue has for a database. It may be nil.
 	RewriteAddress func(id cwgroup.MemberID, address string) string
@@ -221,7 +227,7 @@
 		Table:        client,
 		Instances:    client,
 		ListLag:      b.opts.ListLag,
-		DrainTimeout: 20 * time.Second,
+		DrainTimeout: cmp.Or(b.opts.DrainTimeout, defaultDrainTimeout),
 		Clock:        clockwork.NewRealClock(),
 		Log:          log.NewWithOptions(b.opts.Log, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true}),
 		RunID:        fmt.Sprintf("%x", time.Now().UnixNano()),
