cwengine, platform: a message that breaks the protocol is answered

What callers saw: a connection that closed without a word after a whole message that was not understood, the same as an instance that goes away. Cause: the read's error ended the session.

Change: the error has a type, and the caller gets MALFORMED before the session ends.

Measured: TestMalformedMessageIsAnswered fails before (no refusal) and passes now.

--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -89,6 +89,7 @@
 	for {
 		st, err := s.next()
 		if err != nil {
+			s.refuseMalformed(err)
 			s.handleEnd(err)
 			return
 		}
@@ -134,6 +135,7 @@
 		if closing != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 			s.sayEnd(*closing)
 		}
+		s.refuseMalformed(err)
 		s.engine.cfg.Log.Debug("startupFailed", "cause", err)
 		return false
 	}
@@ -237,6 +239,16 @@
 	_ = s.caller.SetReadTimeout(time.Nanosecond)
 }
 
+// refuseMalformed tells the caller that its message breaks the protocol. It has no effect if
+// err is another error.
+func (s *session) refuseMalformed(err error) {
+	var malformed *cwport.MalformedMessageError
+	if errors.As(err, &malformed) {
+		// The session ends in any case, so a write error is ignored.
+		_ = s.caller.Refuse(cwstatement.Failure(cwstatement.Malformed, malformed.Error()))
+	}
+}
+
 // handleEnd rolls back the open transaction after the caller's connection has ended.
 func (s *session) handleEnd(err error) {
 	s.failTransaction("the caller is gone")
--- a/internal/proxy/cwengine/shutdown_test.go
+++ b/internal/proxy/cwengine/shutdown_test.go
@@ -195,3 +195,20 @@
 	env.c.Assert(codes[cwstatement.Aborted] > 0, qt.IsTrue, qt.Commentf("%v", codes))
 	env.c.Assert(codes, qt.HasLen, 2)
 }
+
+// malformedCaller sends a message that breaks the protocol.
+type malformedCaller struct{ *testCaller }
+
+func (malformedCaller) Next() (cwstatement.Statement, error) {
+	return cwstatement.Statement{}, &cwport.MalformedMessageError{Cause: errUnavailable}
+}
+
+// Guards against a session that ends without a word after a message that was read whole.
+func TestMalformedMessageIsAnswered(t *testing.T) {
+	env := newTestEnv(t, cwcatalogue.ReadLatest)
+	tc := env.newCaller("")
+	s := &session{engine: env.engine("x"), caller: malformedCaller{tc}}
+	s.serve()
+	env.c.Assert(tc.refusal, qt.IsNotNil)
+	env.c.Assert(tc.refusal.Code, qt.Equals, cwstatement.Malformed)
+}
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -20,7 +20,8 @@
 
 // CallerConn is the connection of one caller's session.
 type CallerConn interface {
-	// Startup reads the caller's startup message.
+	// Startup reads the caller's startup message. The error is a *MalformedMessageError if it
+	// breaks the protocol.
 	Startup() (Startup, error)
 	// Accept answers the startup message with success.
 	Accept() error
@@ -31,7 +32,8 @@
 	// EndRefused completes the answer to a statement that was read after Refuse.
 	EndRefused(cwstatement.TransactionState) error
 	// Next reads the next statement. The error is io.EOF once the caller has
-	// ended the session.
+	// ended the session, and a *MalformedMessageError for a message that breaks the
+	// protocol.
 	Next() (cwstatement.Statement, error)
 	// Reply writes the answer to a statement.
 	Reply(cwstatement.Response) error
@@ -41,6 +43,15 @@
 	Close() error
 }
 
+// MalformedMessageError reports a message of a caller that breaks the protocol. The session
+// cannot go on after it.
+type MalformedMessageError struct{ Cause error }
+
+func (e *MalformedMessageError) Error() string { return "malformed message: " + e.Cause.Error() }
+
+// Unwrap returns Cause.
+func (e *MalformedMessageError) Unwrap() error { return e.Cause }
+
 // Startup is the content of a caller's startup message.
 type Startup struct {
 	// Database is the service name of the catalogue entry to use.
