cwengine: the answer of a stop is not cut short by the end of its statement

What a caller could see: a part of an answer. Cause, found by reading the mend of the stop: when the statement that a stop gives up ends while its answer is being written, the session's goroutine closed the connection.

Change: whoever gives a statement up closes its session, after the answer; a transaction is rolled back before the session is read on.

Measured: TestAnswerOfStopIsNotCutShort fails without the change (no answer) and passes with it; the tests of the stop pass under -race.

--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -65,6 +65,9 @@
 	tx         *transaction
 	// open is the statement in progress; nil if there is none.
 	open *openStatement
+	// givenUp is true if a shutdown has answered that statement. It closes the session then,
+	// after the answer.
+	givenUp bool
 	// remote is the open transaction if it runs at a holder; tx is nil then.
 	remote *remoteTransaction
 
@@ -81,8 +84,7 @@
 
 // serve handles the session until it ends.
 func (s *session) serve() {
-	defer s.engine.removeSession(s)
-	defer func() { _ = s.caller.Close() }()
+	defer s.close()
 	if !s.start() {
 		return
 	}
@@ -98,6 +100,7 @@
 		a := s.handle(st, began)
 		s.returnQuota()
 		if !s.engine.open.claim(s.open) {
+			s.givenUp = true
 			return
 		}
 		took := s.engine.cfg.Clock.Since(began)
@@ -117,6 +120,15 @@
 	}
 }
 
+// close closes the caller's connection, unless a shutdown does that.
+func (s *session) close() {
+	if s.givenUp {
+		return
+	}
+	_ = s.caller.Close()
+	s.engine.removeSession(s)
+}
+
 // start reads the caller's startup message and accepts or refuses the session. It
 // returns false if the session has ended.
 func (s *session) start() bool {
--- a/internal/proxy/cwengine/shutdown.go
+++ b/internal/proxy/cwengine/shutdown.go
@@ -164,7 +164,11 @@
 // Without it, a caller that sends a statement at the moment at which its session is closed
 // does not learn whether it has run. It may not retry a write then.
 func (s *session) sayEnd(why cwstatement.Response) {
-	if s.caller.Refuse(why) != nil || s.caller.SetReadTimeout(crossingWait) != nil {
+	if s.caller.Refuse(why) != nil {
+		return
+	}
+	s.failTransaction(why.Detail)
+	if s.caller.SetReadTimeout(crossingWait) != nil {
 		return
 	}
 	st, err := s.caller.Next()
--- a/internal/proxy/cwengine/shutdown_test.go
+++ b/internal/proxy/cwengine/shutdown_test.go
@@ -212,3 +212,47 @@
 	env.c.Assert(tc.refusal, qt.IsNotNil)
 	env.c.Assert(tc.refusal.Code, qt.Equals, cwstatement.Malformed)
 }
+
+// slowCaller is slow to read an answer.
+type slowCaller struct {
+	*testCaller
+	read chan struct{}
+}
+
+func (c slowCaller) Reply(a cwstatement.Response) error {
+	<-c.read
+	select {
+	case <-c.gone:
+		return net.ErrClosed
+	default:
+	}
+	return c.testCaller.Reply(a)
+}
+
+// Guards against an answer that is cut short: the statement ended while a stop was writing its
+// answer, and its session closed the connection.
+func TestAnswerOfStopIsNotCutShort(t *testing.T) {
+	env := newTestEnv(t, cwcatalogue.ReadLatest)
+	env.entry.Contract.StatementTimeout = longWork
+	e := env.engine("x")
+	env.waitForPrimary(e)
+	c := slowCaller{env.newCaller(""), make(chan struct{})}
+	s := &session{engine: e, caller: c}
+	e.sessions[s] = struct{}{}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.serve()
+	}()
+	env.group.SetWorkTime(func(string) time.Duration { return longWork }, env.clock)
+	c.in <- cwstatement.Statement{ID: "w", Verb: cwstatement.Write, Text: "WRITE i 1"}
+	e.Drain()
+	<-ended
+	close(c.read)
+	select {
+	case a := <-c.out:
+		env.c.Assert(a.Code, qt.Equals, cwstatement.Unresolved)
+	case <-time.After(5 * time.Second):
+		env.c.Fatal("the connection was closed before the answer")
+	}
+}
