--- a/internal/proxy/cwengine/shutdown_test.go
+++ b/internal/proxy/cwengine/shutdown_test.go
@@ -148,6 +148,36 @@
 	env.c.Assert(env.group.CommandCount("w"), qt.Equals, 0)
 }
 
+// Guards against a commit of unknown outcome: it crossed the end of its transaction, which had
+// not ended in time.
+func TestCommitThatCrossesTheEndIsRefused(t *testing.T) {
+	env := newTestEnv(t, cwcatalogue.ReadLatest)
+	e := env.engine("x")
+	env.waitForPrimary(e)
+	s := env.session(e)
+	assertOK(env.c, s.ask(cwstatement.Begin, "BEGIN"))
+	assertOK(env.c, s.ask(cwstatement.Write, "WRITE i 1"))
+	s.crossing = &cwstatement.Statement{ID: "c", Verb: cwstatement.Commit, Text: "COMMIT"}
+	assertDrained(env.c, e, stop(e))
+	env.c.Assert(<-s.out, qt.DeepEquals, shutdownAnswer())
+	env.c.Assert(env.group.Value("i"), qt.Equals, "")
+}
+
+// Guards against statements that begin when there is no time left to run them.
+func TestStatementsAreRefusedLateInAStop(t *testing.T) {
+	env := newTestEnv(t, cwcatalogue.ReadLatest)
+	e := env.engine("x")
+	env.waitForPrimary(e)
+	single, inTransaction := env.session(e), env.session(e)
+	assertOK(env.c, inTransaction.ask(cwstatement.Begin, "BEGIN"))
+	assertOK(env.c, inTransaction.ask(cwstatement.Write, "WRITE i 1"))
+	e.refusing.Store(true)
+	env.c.Assert(single.ask(cwstatement.Write, "WRITE i 2"), qt.DeepEquals, shutdownAnswer())
+	env.c.Assert(inTransaction.ask(cwstatement.Read, "READ i"), qt.DeepEquals, shutdownAnswer().WithState(cwstatement.InFailedTransaction))
+	env.eventually("both sessions end", func() bool { return e.SessionCount() == 0 })
+	env.c.Assert(env.group.Value("i"), qt.Equals, "")
+}
+
 // Guards against callers that come late in a stop and are cut off: they are served, then
 // refused, and none is left when the listener is closed.
 func TestCallersDuringStopAreAnswered(t *testing.T) {
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -246,6 +246,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	return in.serve(ctx, ls)
+}
+
+// serve is Run with open listeners.
+func (in *Instance) serve(ctx context.Context, ls listeners) error {
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	// A part that fails must not end the others before the engine has drained, so they run
@@ -277,7 +282,7 @@
 	for _, s := range httpServers {
 		shutDownHTTP(s)
 	}
-	err = eg.Wait()
+	err := eg.Wait()
 	in.engine.LogUnanswered()
 	in.cfg.Log.Info("stopped", "instance", in.cfg.Name, "cause", err)
 	return Error.Wrap(err)
