--- a/internal/proxy/cwengine/session.go
+++ b/internal/proxy/cwengine/session.go
@@ -132,21 +132,8 @@
 // start reads the caller's startup message and accepts or refuses the session. It
 // returns false if the session has ended.
 func (s *session) start() bool {
-	if !s.beginIdle(startupTimeout) {
-		return false
-	}
-	st, err := s.caller.Startup()
-	s.mu.Lock()
-	s.idle = false
-	closing := s.closing
-	if err == nil {
-		s.database, s.key = st.Database, st.KeyDigest
-	}
-	s.mu.Unlock()
+	st, err := s.receiveStartup()
 	if err != nil {
-		if closing != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-			s.sayEnd(*closing)
-		}
 		s.refuseMalformed(err)
 		s.engine.cfg.Log.Debug("startupFailed", "cause", err)
 		return false
@@ -164,6 +151,26 @@
 	return s.caller.Accept() == nil
 }
 
+// receiveStartup waits for the caller's startup message. If the session is ended meanwhile,
+// it tells the caller why.
+func (s *session) receiveStartup() (cwport.Startup, error) {
+	if !s.beginIdle(startupTimeout) {
+		return cwport.Startup{}, io.EOF
+	}
+	st, err := s.caller.Startup()
+	closing := s.endIdle()
+	if closing != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		s.sayEnd(*closing)
+	}
+	if err != nil {
+		return st, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.database, s.key = st.Database, st.KeyDigest
+	return st, nil
+}
+
 // beginStatement tracks a statement that was read.
 func (s *session) beginStatement(st cwstatement.Statement, began time.Time) {
 	s.open = &openStatement{
@@ -207,10 +214,7 @@
 			return cwstatement.Statement{}, io.EOF
 		}
 		st, err := s.caller.Next()
-		s.mu.Lock()
-		s.idle = false
-		closing := s.closing
-		s.mu.Unlock()
+		closing := s.endIdle()
 		switch {
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return st, err
@@ -236,6 +240,15 @@
 	return s.caller.SetReadTimeout(timeout) == nil
 }
 
+// endIdle marks the session as no longer waiting. It returns what the caller is to be told if
+// the session is to end, else nil.
+func (s *session) endIdle() *cwstatement.Response {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = false
+	return s.closing
+}
+
 // closeIfIdle ends the session if it waits for its caller, and tells the caller why. Inside
 // a transaction, and after less than minIdle, it does so only if all is true. It does not
 // interrupt a statement in progress.
