cwengine: a test of a stop waits until its session is open

Cause: TestStatementsAreRefusedLateInAStop failed once, in a run of the package on one processor ('the session has ended'): the session was refused at its startup, since it had not begun when the engine was made to refuse; 193 of 200 runs on one processor. Change: the session runs a statement first. The check is the same.

Measured: 150 runs on one processor and 150 on four pass; the other tests of a stop four times on one.

--- a/internal/proxy/cwengine/shutdown_test.go
+++ b/internal/proxy/cwengine/shutdown_test.go
@@ -169,6 +169,7 @@
 	e := env.engine("x")
 	env.waitForPrimary(e)
 	single, inTransaction := env.session(e), env.session(e)
+	assertOK(env.c, single.ask(cwstatement.Read, "READ i"))
 	assertOK(env.c, inTransaction.ask(cwstatement.Begin, "BEGIN"))
 	assertOK(env.c, inTransaction.ask(cwstatement.Write, "WRITE i 1"))
 	e.refusing.Store(true)
