cwserver, cwmonitor: a write that awaits its acknowledgement is answered at a shutdown

What clients saw: the connection closed when the drain was over, though the write had run and only its acknowledgement by another database was missing. Cause, found by reading the mend of the drain: the wait for a majority, and the look-up of a keyed write, knew no end but their own time.

Change: both end when statements are given up; the outcome is unknown (08007) then.

--- a/internal/proxy/cwmonitor/place.go
+++ b/internal/proxy/cwmonitor/place.go
@@ -241,8 +241,9 @@
 }
 
 // AwaitMajority waits until a majority of the members holds the record at m, the
-// outcome can no longer be determined, or the contract's AckTimeout has passed.
-func (g *Group) AwaitMajority(m cwgroup.LogPosition) cwack.Outcome {
+// outcome can no longer be determined, the contract's AckTimeout has passed, or ctx has
+// ended.
+func (g *Group) AwaitMajority(ctx context.Context, m cwgroup.LogPosition) cwack.Outcome {
 	now := g.cfg.Clock.Now()
 	done := make(chan cwack.Outcome, 1)
 	g.mu.Lock()
@@ -258,7 +259,12 @@
 	})
 	g.tracker.Update(g.sup.View(), now)
 	g.mu.Unlock()
-	return <-done
+	select {
+	case o := <-done:
+		return o
+	case <-ctx.Done():
+		return cwack.TimedOut
+	}
 }
 
 // observeCommit treats the position that the primary returned with a commit as a
--- a/internal/proxy/cwpgproxy/operator_test.go
+++ b/internal/proxy/cwpgproxy/operator_test.go
@@ -187,6 +187,25 @@
 	c.Assert(queryInt(c, b.connect(c, 0), "SELECT count(*) FROM ronda"), qt.Equals, int64(0))
 }
 
+// Guards against a client that is cut off while its write, which has run, awaits the
+// acknowledgement of another database.
+func TestShutdownAnswersWriteWithoutAcknowledgement(t *testing.T) {
+	t.Parallel()
+	c, b := newTestCluster(t, cwdemo.Options{DrainTimeout: 300 * time.Millisecond})
+	conn := b.connect(c, 1)
+	exec(c, conn, "CREATE TABLE ronda (id bigint)")
+	b.Databases[1].Stop()
+	b.Databases[2].Stop()
+	answer := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (1)")
+		answer <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	c.Assert(b.Proxies[1].Stop(), qt.IsNil)
+	assertCode(c, <-answer, "08007")
+}
+
 // Guards against cancel requests without effect: a load balancer may send the request
 // to another proxy than the one that runs the statement. Whichever of eight proxies it
 // reaches, the statement must be cancelled.
--- a/internal/proxy/cwserver/request.go
+++ b/internal/proxy/cwserver/request.go
@@ -218,7 +218,7 @@
 		return nil
 	}
 	began := s.server.Clock.Now()
-	outcome := s.group.AwaitMajority(m)
+	outcome := s.group.AwaitMajority(s.server.statements, m)
 	s.server.Metrics.AckWait.Update(s.server.Clock.Since(began).Seconds())
 	if outcome != cwack.Acknowledged {
 		return cwrefusal.Unknown("the write ran at the primary, but it is not known to be kept: %s", outcome)
--- a/internal/proxy/cwserver/request_key.go
+++ b/internal/proxy/cwserver/request_key.go
@@ -245,7 +245,7 @@
 	if position.Term != r.term {
 		return errTermChanged
 	}
-	if o := s.group.AwaitMajority(position); o != cwack.Acknowledged {
+	if o := s.group.AwaitMajority(s.server.statements, position); o != cwack.Acknowledged {
 		return cwrefusal.Unknown("not known to be kept: %s", o)
 	}
 	s.recordPosition(position)
@@ -280,7 +280,7 @@
 // more, and only then is a refusal as not run returned. If neither is known by
 // the deadline, the outcome is reported as unknown.
 func (s *session) resolveOutcome(key, digest string, deadline time.Time) error {
-	for s.server.Clock.Now().Before(deadline) {
+	for s.server.Clock.Now().Before(deadline) && s.server.statements.Err() == nil {
 		done, err := s.resolveOutcomeOnce(key, digest, deadline)
 		if done {
 			return err
