cwsoak: faults and planned stops are two plays of one run

Cause: Run went round its own loop of callers to play planned stops, and its checks stood twice. Change: playFaults and playStops; the checks stand once, that of statements without an answer in both, where a run with faults has none to check. Draws of existing seeds are as they were.

--- a/internal/tool/cwsoak/soak.go
+++ b/internal/tool/cwsoak/soak.go
@@ -148,33 +148,51 @@
 	}
 	faultCtx, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
-	eg, faultCtx := errgroup.WithContext(faultCtx)
-	for i := range cfg.Callers {
-		if cfg.Stops {
-			break
-		}
-		c := &caller{env: env, id: i, rand: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+1))}
-		eg.Go(func() error { return c.run(faultCtx) })
-	}
+	play := env.playFaults
 	if cfg.Stops {
-		return env.runStops(ctx, faultCtx, eg)
+		play = env.playStops
 	}
-	f := &faultInjector{env: env, rand: rand.New(rand.NewPCG(cfg.Seed, 0)), restoreRand: rand.New(rand.NewPCG(cfg.Seed, restoreStream)), memberRand: rand.New(rand.NewPCG(cfg.Seed, memberStream)), active: make(map[string]func())}
-	eg.Go(func() error { return f.run(faultCtx) })
-	eg.Go(func() error { return f.runRestores(faultCtx) })
-	eg.Go(func() error { return f.runMemberFaults(faultCtx) })
-	eg.Go(func() error { return env.runDesiredStates(faultCtx) })
-	eg.Go(func() error { return env.takeSnapshots(faultCtx) })
-	if err := eg.Wait(); err != nil {
+	p, err := play(faultCtx)
+	if err != nil {
 		return Report{}, err
 	}
-	f.endAll()
 	env.checkRecovery(ctx)
-	env.checkAfterRestore(ctx)
+	if !cfg.Stops {
+		env.checkAfterRestore(ctx)
+	}
 	env.ledger.checkGroups(env.groups)
 	env.ledger.checkReads(env.groups)
+	env.ledger.checkUnanswered(env.groups)
 	env.checkWorkspaces()
 	r := env.ledger.report()
-	r.Seed, r.Faults = cfg.Seed, f.injected
+	r.Seed, r.Faults, r.Stopped = cfg.Seed, p.faults, p.stopped
 	return r, nil
 }
+
+// played counts the faults, or series of stops, of a run, and the instances that were
+// stopped as planned in a run with planned stops only.
+type played struct{ faults, stopped int }
+
+// playFaults runs callers and injects faults until ctx ends, and ends all faults.
+func (env *environment) playFaults(ctx context.Context) (played, error) {
+	seed := env.cfg.Seed
+	eg, ctx := errgroup.WithContext(ctx)
+	for i := range env.cfg.Callers {
+		c := &caller{env: env, id: i, rand: rand.New(rand.NewPCG(seed, uint64(i)+1))}
+		eg.Go(func() error { return c.run(ctx) })
+	}
+	f := &faultInjector{
+		env: env, rand: rand.New(rand.NewPCG(seed, 0)), restoreRand: rand.New(rand.NewPCG(seed, restoreStream)),
+		memberRand: rand.New(rand.NewPCG(seed, memberStream)), active: make(map[string]func()),
+	}
+	eg.Go(func() error { return f.run(ctx) })
+	eg.Go(func() error { return f.runRestores(ctx) })
+	eg.Go(func() error { return f.runMemberFaults(ctx) })
+	eg.Go(func() error { return env.runDesiredStates(ctx) })
+	eg.Go(func() error { return env.takeSnapshots(ctx) })
+	if err := eg.Wait(); err != nil {
+		return played{}, err
+	}
+	f.endAll()
+	return played{faults: f.injected}, nil
+}
--- a/internal/tool/cwsoak/stops.go
+++ b/internal/tool/cwsoak/stops.go
@@ -53,29 +53,25 @@
 	return between(minWorkTime, maxWorkTime)
 }
 
-// runStops runs callers and planned stops until faultCtx ends, and checks the guarantees.
-func (env *environment) runStops(ctx, faultCtx context.Context, eg *errgroup.Group) (Report, error) {
+// playStops runs callers and planned stops until ctx ends, and waits until the instances that
+// were stopped have ended.
+func (env *environment) playStops(ctx context.Context) (played, error) {
+	eg, ctx := errgroup.WithContext(ctx)
 	b := newBalancer(env)
 	for i := range env.cfg.Callers {
-		v := &visitor{caller: &caller{env: env, id: i, rand: rand.New(rand.NewPCG(env.cfg.Seed, uint64(i)+1))}, balancer: b}
-		eg.Go(func() error { return v.run(faultCtx) })
+		c := &caller{env: env, id: i, rand: rand.New(rand.NewPCG(env.cfg.Seed, uint64(i)+1))}
+		v := &visitor{caller: c, balancer: b}
+		eg.Go(func() error { return v.run(ctx) })
 	}
 	s := &stopper{env: env, rand: rand.New(rand.NewPCG(env.cfg.Seed, 0))}
-	eg.Go(func() error { return b.run(faultCtx) })
-	eg.Go(func() error { return s.run(faultCtx) })
-	eg.Go(func() error { return env.runDesiredStates(faultCtx) })
+	eg.Go(func() error { return b.run(ctx) })
+	eg.Go(func() error { return s.run(ctx) })
+	eg.Go(func() error { return env.runDesiredStates(ctx) })
 	if err := eg.Wait(); err != nil {
-		return Report{}, err
+		return played{}, err
 	}
 	s.stops.Wait()
-	env.checkRecovery(ctx)
-	env.ledger.checkGroups(env.groups)
-	env.ledger.checkReads(env.groups)
-	env.ledger.checkUnanswered(env.groups)
-	env.checkWorkspaces()
-	r := env.ledger.report()
-	r.Seed, r.Faults, r.Stopped = env.cfg.Seed, s.series, s.stopped
-	return r, nil
+	return played{faults: s.series, stopped: s.stopped}, nil
 }
 
 // visitor opens one session after another until the run ends, also at instances that stop.
@@ -111,8 +107,6 @@
 	rand *rand.Rand
 	// stops waits for the instances that are being stopped.
 	stops sync.WaitGroup
-
-	mu sync.Mutex
 	// series and stopped count the series of signals and the instances that were stopped.
 	series, stopped int
 }
@@ -187,9 +181,7 @@
 	if _, stopping := p.state(); stopping {
 		return
 	}
-	s.mu.Lock()
 	s.stopped++
-	s.mu.Unlock()
 	ended := p.current()
 	p.signal(syscall.SIGTERM)
 	s.stops.Go(func() { s.awaitEnd(p, ended) })
