cwinstance: the listener of callers is closed in any case

Cause, by reading: Drain closes the listener that Serve has; a stop before Serve has begun would have left it open, and Run waiting for Serve. Change: Run closes it as well, as it did before.

Measured: TestFailedPartDrainsFirst passes three times.

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -279,6 +279,8 @@
 	}
 	in.engine.Drain()
 	stop()
+	// Drain closes it unless Serve had not begun.
+	_ = ls.callers.Close()
 	for _, s := range httpServers {
 		shutDownHTTP(s)
 	}
