cwsoak: an answer to nothing is a violation while a session waits

Cause: since a stop may end an idle session by an error, a caller of the soak that found unread input left its session without a word; an answer that came twice would no longer have been seen.

Change: the input is read. An error and the end of the connection end the session; any other message, a whole answer too, counts as mixed.

--- a/internal/tool/cwsoak/caller.go
+++ b/internal/tool/cwsoak/caller.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"time"
 
@@ -89,7 +92,7 @@
 	s := &session{caller: c, target: t, process: v.process, rule: readRule.rule, key: key}
 	s.startCount, _ = v.process.state()
 	for range v.operations() {
-		if !sleep(ctx, time.Duration(c.rand.Int64N(int64(2*v.think)))) || !t.NoUnreadInput() || !s.runOperation() {
+		if !sleep(ctx, time.Duration(c.rand.Int64N(int64(2*v.think)))) || s.hasEnded() || !s.runOperation() {
 			return
 		}
 	}
@@ -112,6 +115,23 @@
 	txStarted time.Time
 }
 
+// hasEnded reports whether the instance has ended the session while no statement was in
+// progress. It may say so by an error; any other message is an answer to nothing.
+func (s *session) hasEnded() bool {
+	if s.target.NoUnreadInput() {
+		return false
+	}
+	if s.target.SetTimeout(answerTimeout) != nil {
+		return true
+	}
+	a, err := s.target.Receive()
+	var broken net.Error
+	if err == nil || !errors.Is(err, io.EOF) && !errors.As(err, &broken) {
+		s.caller.env.ledger.addViolation(MismatchedAnswer, "%s answered nothing that was asked: %v %v", s.process.name, a, err)
+	}
+	return true
+}
+
 // runOperation runs a random operation: a read of the caller's own item (40%), a read of
 // any item of the group (20%), a write (30%) or a transaction (10%). It returns false
 // if the session is no longer usable.
