--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -17,6 +17,8 @@
 const (
 	frontPort = 8784
 	readyPort = 8785
+	// peerPort is the port for the other proxies, the last of the internal ports.
+	peerPort = 7455
 	// readyTime is the time in which a proxy must be ready after its start.
 	readyTime = 20 * time.Second
 	// gracePeriod is the time between SIGTERM and SIGKILL.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -80,30 +80,40 @@
 	s.changed = make(chan struct{})
 }
 
-// ServeHTTP implements http.Handler.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// handle runs a call and returns the status and the body of the answer. convert is applied
+// to the values of rows that are read.
+func (s *store) handle(r *http.Request, convert func([]byte) []byte) (int, []byte) {
 	switch r.URL.Path {
 	case names.RangePath:
-		s.serveRange(w, r)
+		return s.handleRange(r, convert)
 	case names.FeedPath:
-		s.serveFeed(w, r)
+		return s.handleFeed(r, convert)
 	case names.CommitPath:
-		s.serveCommit(w, r)
+		return s.handleCommit(r)
 	case names.PromotionPath:
-		s.servePromotion(w, r)
-	default:
-		w.WriteHeader(http.StatusNotFound)
+		return s.handlePromotion(r), nil
 	}
+	return http.StatusNotFound, nil
 }
 
-// answer sends rows. The caller holds mu.
-func (s *store) answer(w http.ResponseWriter, status int, rows []storeRow) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(rowsAnswer{Rows: rows, Ver: s.ver, NowMS: time.Since(s.start).Milliseconds()})
+// answer returns an answer with rows. The caller holds mu.
+func (s *store) answer(status int, rows []storeRow) (int, []byte) {
+	b, err := json.Marshal(rowsAnswer{Rows: rows, Ver: s.ver, NowMS: time.Since(s.start).Milliseconds()})
+	if err != nil {
+		return http.StatusInternalServerError, nil
+	}
+	return status, b
+}
+
+// converted returns the rows with their values converted.
+func converted(rows []storeRow, convert func([]byte) []byte) []storeRow {
+	for i := range rows {
+		rows[i].Value = convert(rows[i].Value)
+	}
+	return rows
 }
 
-func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
+func (s *store) handleRange(r *http.Request, convert func([]byte) []byte) (int, []byte) {
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,16 +125,15 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b storeRow) int { return strings.Compare(a.Key, b.Key) })
-	s.answer(w, http.StatusOK, rows)
+	return s.answer(http.StatusOK, converted(rows, convert))
 }
 
-func (s *store) serveFeed(w http.ResponseWriter, r *http.Request) {
+func (s *store) handleFeed(r *http.Request, convert func([]byte) []byte) (int, []byte) {
 	q := r.URL.Query()
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, err2 := strconv.ParseUint(q.Get("wait_ms"), 10, 32)
 	if err != nil || err2 != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+		return http.StatusBadRequest, nil
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
@@ -138,9 +147,9 @@
 		}
 		if len(rows) > 0 || ctx.Err() != nil {
 			slices.SortFunc(rows, func(a, b storeRow) int { return int(a.Ver) - int(b.Ver) })
-			s.answer(w, http.StatusOK, rows)
+			status, body := s.answer(http.StatusOK, converted(rows, convert))
 			s.mu.Unlock()
-			return
+			return status, body
 		}
 		changed := s.changed
 		s.mu.Unlock()
@@ -151,11 +160,10 @@
 	}
 }
 
-func (s *store) serveCommit(w http.ResponseWriter, r *http.Request) {
+func (s *store) handleCommit(r *http.Request) (int, []byte) {
 	var t commitRequest
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+		return http.StatusBadRequest, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,8 +179,7 @@
 		}
 	}
 	if !holds {
-		s.answer(w, http.StatusPreconditionFailed, current)
-		return
+		return s.answer(http.StatusPreconditionFailed, current)
 	}
 	for _, p := range t.Puts {
 		s.write(storeRow{Table: p.Table, Part: p.Part, Key: p.Key, Value: p.Value})
@@ -180,17 +187,16 @@
 	for _, p := range t.Remove {
 		s.write(storeRow{Table: p.Table, Part: p.Part, Key: p.Key, Deleted: true})
 	}
-	s.answer(w, http.StatusOK, nil)
+	return s.answer(http.StatusOK, nil)
 }
 
-func (s *store) servePromotion(w http.ResponseWriter, r *http.Request) {
+func (s *store) handlePromotion(r *http.Request) int {
 	var b struct {
 		Service string `json:"service"`
 		ID      string `json:"id"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+		return http.StatusBadRequest
 	}
 	var holder, token string
 	for name, values := range r.Header {
@@ -201,5 +207,5 @@
 			token = values[0]
 		}
 	}
-	w.WriteHeader(s.promote(b.ID, holder, token))
+	return s.promote(b.ID, holder, token)
 }
