--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -14,4 +14,4 @@
     exit 2
   fi
 done
-exec target/review/standin -case bytes -trouble="$trouble" -record "$here/record.txt"
+exec target/review/standin -case linefeed -trouble="$trouble" -record "$here/record.txt"
