cwleadership: a synchronous service's commits are counted like all others

Cause: AwaitAck took a synchronous primary's answer for the acknowledgement. The replica that such a primary has waited for may be any: one that is leaving and no longer counts towards the majority that a change of primary fences, or one that no proxy knows yet.

Change: every commit is acknowledged once the members that count have it, as with sync_replicas 0. Contract.Synchronous, which nothing reads any more, goes.

Evidence: TestLeavingMemberDoesNotAcknowledge failed before (acknowledged, want timedOut). The cost is the first poll of a replica for a commit, as for all other services.

--- a/internal/core/cwcatalogue/catalogue.go
+++ b/internal/core/cwcatalogue/catalogue.go
@@ -136,9 +136,6 @@
 	Aim time.Duration
 	// Priority orders entries that share targets; zero is the highest.
 	Priority int
-	// Synchronous is true if a primary acknowledges a commit only once a
-	// replica has it.
-	Synchronous bool
 	// IdleTransaction is how long a transaction may be idle; zero means no
 	// limit.
 	IdleTransaction time.Duration
--- a/internal/proxy/cwengine/groups.go
+++ b/internal/proxy/cwengine/groups.go
@@ -61,7 +61,7 @@
 		p.capacity, p.placementKnown = d, false
 	}
 	if g := e.groups[service]; g != nil {
-		g.SetMembers(members, e.memberships[service].StableSize(), p.contract.Connections, p.contract.Synchronous)
+		g.SetMembers(members, e.memberships[service].StableSize(), p.contract.Connections)
 	}
 	e.updateHolding(service, p)
 }
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithCancel(e.runCtx)
 	g := &runningGroup{Group: e.cfg.NewGroup(service), cancel: cancel}
 	e.groups[service] = g
-	g.SetMembers(e.listings.forService(service), e.memberships[service].StableSize(), p.contract.Connections, p.contract.Synchronous)
+	g.SetMembers(e.listings.forService(service), e.memberships[service].StableSize(), p.contract.Connections)
 	g.SetEra(e.era, e.restoredAt)
 	if row, ok := e.rows[service]; ok {
 		g.SetRow(row)
--- a/internal/proxy/cwleadership/ack.go
+++ b/internal/proxy/cwleadership/ack.go
@@ -12,15 +12,14 @@
 
 // AwaitAck blocks until the outcome of a commit at m is known: acknowledged by a
 // second member, superseded by a change of primary, or timed out after AckTimeout.
+//
+// That a primary itself waits for a synchronous replica before it answers does not suffice:
+// the replica may be one that is leaving, or that no proxy knows yet, and a change of
+// primary need not fence it.
 func (g *Group) AwaitAck(m cwgroup.LogPosition) cwack.Outcome {
 	now := g.cfg.Clock.Now()
 	done := make(chan cwack.Outcome, 1)
 	g.mu.Lock()
-	if g.synchronous && m.Term == g.term && now.Sub(g.termLearntAt) >= Lease {
-		// The primary has already waited for a synchronous replica.
-		g.mu.Unlock()
-		return cwack.Acknowledged
-	}
 	g.tracker.Add(cwack.PendingWrite{Position: m, Deadline: now.Add(AckTimeout), Notify: func(o cwack.Outcome) { done <- o }})
 	g.resolveAckWaits(now)
 	start := !g.pollingAcks && g.tracker.Len() > 0
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -171,9 +171,6 @@
 	// separately: failed attempts count in the row's term but not in the members'
 	// terms.
 	termWhenRowSeen cwgroup.Term
-	// synchronous is true if the primary itself waits for a replica before it answers a
-	// commit.
-	synchronous bool
 	// rank is this proxy's rank among those that may replace the primary.
 	rank int
 	// heldElsewhere is true if other proxies hold the group; this proxy then watches it
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -21,12 +21,11 @@
 
 // SetMembers replaces the targets of the group. The group has size members, or
 // len(list) if that is more. Each target accepts ceiling connections from all proxies
-// together. synchronous is true if the primary itself waits for a replica before it
-// answers a commit.
-func (g *Group) SetMembers(list []cwport.ListedTarget, size, ceiling int, synchronous bool) {
+// together.
+func (g *Group) SetMembers(list []cwport.ListedTarget, size, ceiling int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.synchronous, g.size = synchronous, size
+	g.size = size
 	seen := make(map[cwgroup.MemberID]bool, len(list))
 	for _, l := range list {
 		seen[l.ID] = true
--- a/internal/proxy/cwleadership/member_test.go
+++ b/internal/proxy/cwleadership/member_test.go
@@ -1,11 +1,13 @@
 package cwleadership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwack"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
@@ -22,10 +24,57 @@
 	b.SetMembers([]cwport.ListedTarget{
 		{ID: "a", Service: "ledger", Address: "10.0.0.1:1", DataCentre: "dc", Slots: 3, StartedAt: time.UnixMilli(400)},
 		{ID: "b", Service: "ledger", Address: "10.0.0.2:1", DataCentre: "dc", Slots: 3, StartedAt: time.UnixMilli(400)},
-	}, 2, 8, false)
+	}, 2, 8)
 	qt.Assert(t, b.beginHealthCheck("c", CauseUnsettled), qt.IsFalse)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	qt.Assert(t, b.lastCheckAt, qt.HasLen, 0)
 	qt.Assert(t, b.readLog, qt.HasLen, 0)
 }
+
+// listChange lists members of which some are leaving, and waits until all proxies know.
+func (b *testGroup) listChange(staying, leaving []cwgroup.MemberID) {
+	var list []cwport.ListedTarget
+	for _, id := range append(append([]cwgroup.MemberID{}, staying...), leaving...) {
+		list = append(list, cwport.ListedTarget{
+			ID: id, Service: "ledger", Address: string(id) + ":1", DataCentre: "dc", Slots: 3,
+			Draining: slices.Contains(leaving, id),
+		})
+	}
+	b.SetMembers(list, 3, 8)
+	b.clock.Advance(LeavingGrace)
+	b.SetMembers(list, 3, 8)
+}
+
+// Guards against a commit that is acknowledged although only the primary and a member that
+// is leaving have it: no change of primary need fence these two.
+func TestLeavingMemberDoesNotAcknowledge(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		has  cwgroup.MemberID
+		want cwack.Outcome
+	}{
+		{"a member that is leaving has it", "a", cwack.TimedOut},
+		{"a member that stays has it", "c", cwack.Acknowledged},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newTestGroup(t)
+			b.listChange([]cwgroup.MemberID{"b", "c", "d"}, []cwgroup.MemberID{"a"})
+			b.reportHealth("b", cwgroup.RolePrimary, 1, 100)
+			b.clock.Advance(Lease)
+			b.reportHealth("b", cwgroup.RolePrimary, 1, 101)
+			b.reportHealth(tc.has, cwgroup.RoleReplica, 1, 101)
+			outcome := make(chan cwack.Outcome, 1)
+			go func() { outcome <- b.AwaitAck(cwgroup.LogPosition{Term: 1, Index: 101}) }()
+			for {
+				select {
+				case got := <-outcome:
+					qt.Assert(t, got, qt.Equals, tc.want)
+					return
+				case <-time.After(time.Millisecond):
+					b.clock.Advance(ackPollMax)
+				}
+			}
+		})
+	}
+}
--- a/internal/proxy/cwleadership/observer_play_test.go
+++ b/internal/proxy/cwleadership/observer_play_test.go
@@ -142,7 +142,7 @@
 		time.Sleep(time.Millisecond)
 		return in.ServeMembers(ctx, q), nil
 	})
-	in.SetMembers(playMembers(), playDataCentres, 100, false)
+	in.SetMembers(playMembers(), playDataCentres, 100)
 	if n < playDataCentres*playHolders {
 		in.SetHeld(n, true)
 	} else {
@@ -158,7 +158,7 @@
 	user.Group = New(in.cfg)
 	user.cfg.Dialer = p.members.DialerFrom("late")
 	user.cfg.Observers = func() []cwport.Observer { return p.observersOf(user) }
-	user.SetMembers(playMembers(), playDataCentres, 100, false)
+	user.SetMembers(playMembers(), playDataCentres, 100)
 	user.SetHeld(-1, false)
 	return user
 }
--- a/internal/proxy/cwleadership/replaced_test.go
+++ b/internal/proxy/cwleadership/replaced_test.go
@@ -59,7 +59,7 @@
 		b.SetMembers([]cwport.ListedTarget{
 			{ID: "a", Service: "ledger", Address: "10.0.0.1:1", DataCentre: "dc", Slots: 3},
 			{ID: "c", Service: "ledger", Address: "10.0.0.3:1", DataCentre: "dc", Slots: 3},
-		}, 3, 8, false)
+		}, 3, 8)
 		b.assertPrimary("")
 	})
 	t.Run("the newest primary refuses to lead", func(t *testing.T) {
--- a/internal/proxy/cwleadership/restart_test.go
+++ b/internal/proxy/cwleadership/restart_test.go
@@ -45,7 +45,7 @@
 		{ID: "a", Service: "ledger", Address: "10.0.0.1:1", DataCentre: "dc", Slots: 3, StartedAt: time.UnixMilli(400)},
 		{ID: "b", Service: "ledger", Address: "10.0.0.2:1", DataCentre: "dc", Slots: 3, StartedAt: time.UnixMilli(400)},
 		{ID: "c", Service: "ledger", Address: "10.0.0.3:1", DataCentre: "dc", Slots: 3, StartedAt: startedAt},
-	}, 3, 8, false)
+	}, 3, 8)
 }
 
 // reportHealth lets a member answer a health check sent now, one millisecond later,
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -63,15 +63,14 @@
 }
 
 type entryBody struct {
-	Service     string `json:"service"`
-	Group       string `json:"group"`
-	Reads       string `json:"reads,omitempty"`
-	TimeoutUS   int64  `json:"timeoutUs,omitempty"`
-	MaxAgeUS    int64  `json:"maxAgeUs,omitempty"`
-	AimUS       int64  `json:"aimUs,omitempty"`
-	Priority    int    `json:"priority,omitempty"`
-	Synchronous bool   `json:"synchronous,omitempty"`
-	IdleUS      int64  `json:"idleUs,omitempty"`
+	Service   string `json:"service"`
+	Group     string `json:"group"`
+	Reads     string `json:"reads,omitempty"`
+	TimeoutUS int64  `json:"timeoutUs,omitempty"`
+	MaxAgeUS  int64  `json:"maxAgeUs,omitempty"`
+	AimUS     int64  `json:"aimUs,omitempty"`
+	Priority  int    `json:"priority,omitempty"`
+	IdleUS    int64  `json:"idleUs,omitempty"`
 }
 
 type positionBody struct {
@@ -114,7 +113,7 @@
 		Entry: entryBody{
 			Service: h.Entry.Service, Group: h.Entry.Groups[0].Name, Reads: string(c.Reads), TimeoutUS: c.StatementTimeout.Microseconds(),
 			MaxAgeUS: c.MaxAge.Microseconds(), AimUS: c.Aim.Microseconds(), Priority: c.Priority,
-			Synchronous: c.Synchronous, IdleUS: c.IdleTransaction.Microseconds(),
+			IdleUS: c.IdleTransaction.Microseconds(),
 		},
 		Workspace: h.Workspace, ID: h.Statement.ID, Verb: h.Statement.Verb.String(), Text: h.Statement.Text, Name: h.Statement.Name, Rest: h.Statement.Args,
 		Values: h.Values, Seen: encodePosition(h.LastWrite), ElapsedUS: h.Elapsed.Microseconds(),
@@ -168,7 +167,7 @@
 		Groups:  []cwcatalogue.Group{{Name: b.Group}},
 		Contract: cwcatalogue.Contract{
 			Reads: cwcatalogue.ReadConsistency(b.Reads), StatementTimeout: microseconds(b.TimeoutUS), MaxAge: microseconds(b.MaxAgeUS),
-			Aim: microseconds(b.AimUS), Priority: b.Priority, Synchronous: b.Synchronous, IdleTransaction: microseconds(b.IdleUS),
+			Aim: microseconds(b.AimUS), Priority: b.Priority, IdleTransaction: microseconds(b.IdleUS),
 		},
 	}
 }
--- a/internal/wire/cwforward/forward_test.go
+++ b/internal/wire/cwforward/forward_test.go
@@ -27,7 +27,7 @@
 			Service: "bookings", Groups: []cwcatalogue.Group{{Name: "ledger"}},
 			Contract: cwcatalogue.Contract{
 				Reads: cwcatalogue.ReadYourWrites, StatementTimeout: time.Second, MaxAge: 1500 * time.Millisecond,
-				Aim: 200 * time.Millisecond, Priority: 2, Synchronous: true, IdleTransaction: 5 * time.Second,
+				Aim: 200 * time.Millisecond, Priority: 2, IdleTransaction: 5 * time.Second,
 			},
 		},
 		Statement: cwstatement.Statement{ID: "5c0e", Verb: cwstatement.Execute, Name: "s1", Args: "1a4 \u00e9\"x"},
