--- a/internal/core/cwack/ack.go
+++ b/internal/core/cwack/ack.go
@@ -1,11 +1,11 @@
 // Package cwack decides when a write may be acknowledged to its caller.
 //
 // Replication is asynchronous, so a record that only the primary has is lost with
-// the primary. A write is therefore acknowledged once a majority of the members,
-// including the primary, reports that its log has the record and that it is in the
-// primary's term. A change of primary first makes a majority of the members adopt
-// the next term and then promotes the most advanced of them. Any two majorities
-// have a member in common, so every acknowledged record is in the new primary's
+// the primary. A write is therefore acknowledged once a majority of the members
+// reports that its log has the record and that it is in the primary's term. A change
+// of primary first makes a majority of the members adopt the next term and then
+// promotes the most advanced of them. Any two majorities have a member in common,
+// also while members leave and come (see cwgroup.Quorums), so every acknowledged record is in the new primary's
 // log, and the replaced primary can no longer get a majority in its term, so
 // nothing is acknowledged on its behalf.
 //
--- a/internal/core/cwfailover/attempt_test.go
+++ b/internal/core/cwfailover/attempt_test.go
@@ -14,7 +14,10 @@
 var members = []cwgroup.MemberID{"a", "b", "c"}
 
 func testPlan() Plan {
-	return Plan{Group: "g", Members: members, Term: 4, Claim: "k", MembersCheckTerm: true, WithoutTable: true}
+	return Plan{
+		Group: "g", Members: members, Quorums: cwgroup.Quorums{Current: cwgroup.Configuration{Members: members}},
+		Term: 4, Claim: "k", MembersCheckTerm: true, WithoutTable: true,
+	}
 }
 
 func logPosition(t cwgroup.Term, p cwgroup.LogIndex) cwgroup.LogPosition {
--- a/internal/core/cwfailover/command.go
+++ b/internal/core/cwfailover/command.go
@@ -96,9 +96,9 @@
 type Plan struct {
 	Group   string
 	Members []cwgroup.MemberID
-	// GroupSize is the number of members of the group. Members may list fewer, but never
-	// more.
-	GroupSize int
+	// Quorums tells how many of the members must be fenced. Members may include some that
+	// do not count by themselves because they are leaving.
+	Quorums cwgroup.Quorums
 	// StableSize is the number of members of the group without those that are being
 	// exchanged; zero if it is not known.
 	StableSize int
@@ -113,9 +113,11 @@
 	// unless MembersCheckTerm is set, because otherwise only the table makes a claim
 	// unique.
 	WithoutTable bool
-	// LeavingPrimary is a member that is leaving. It is promoted only if it may be
-	// the only one that has every acknowledged record.
+	// LeavingPrimary is the primary if it is leaving. It is fenced before the others.
 	LeavingPrimary cwgroup.MemberID
+	// Leaving are the members that are leaving, the primary among them. One of them is
+	// promoted only if it may be the only one that has every acknowledged record.
+	Leaving []cwgroup.MemberID
 	// Preferred is promoted if several members are equally advanced.
 	Preferred cwgroup.MemberID
 	// ExcludedPrimary is a primary that no replica can replicate from. It is fenced
--- a/internal/core/cwfailover/detector.go
+++ b/internal/core/cwfailover/detector.go
@@ -200,6 +200,8 @@
 	for _, r := range v.Reports() {
 		switch {
 		case r.Member == primary.Member || now.Sub(r.At) > ReportMaxAge || !r.Reachable:
+		case r.UpstreamAge > UpstreamTimeout && !v.Quorums().Current.Listed(r.Member):
+			// A majority of the configuration in force must have lost the primary.
 		case r.UpstreamAge > UpstreamTimeout:
 			e.ReplicasDisconnected++
 		default:
@@ -217,28 +219,25 @@
 	if !ok {
 		return false
 	}
-	connected, disconnected := 1, 0
+	connected := []cwgroup.MemberID{p.Member}
+	var disconnected []cwgroup.MemberID
 	for _, r := range v.Reports() {
 		switch {
 		case r.Member == p.Member || now.Sub(r.At) > ReportMaxAge || !r.Reachable:
 		case r.Role != cwgroup.RoleReplica || r.UpstreamAge > UpstreamTimeout:
-			disconnected++
+			disconnected = append(disconnected, r.Member)
 		default:
-			connected++
+			connected = append(connected, r.Member)
 		}
 	}
-	majority := cwgroup.Majority(v.Size())
-	return connected < majority && disconnected >= majority
+	q := v.Quorums()
+	return !q.Decides(cwgroup.SetOf(connected...)) && q.Fences(cwgroup.SetOf(disconnected...))
 }
 
-// majorityReachable reports whether a majority of the members answered after since
-// and within the last ReportMaxAge.
+// majorityReachable reports whether enough members to fence the primary answered after
+// since and within the last ReportMaxAge.
 func majorityReachable(v cwgroup.View, since, now time.Time) bool {
-	n := 0
-	for _, r := range v.Reports() {
-		if r.Reachable && r.At.After(since) && now.Sub(r.At) <= ReportMaxAge {
-			n++
-		}
-	}
-	return n >= cwgroup.Majority(v.Size())
+	return v.Quorums().Fences(v.Where(func(r cwgroup.Report) bool {
+		return r.Reachable && r.At.After(since) && now.Sub(r.At) <= ReportMaxAge
+	}))
 }
--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -41,12 +41,11 @@
 		k.fenced[resp.Member] = resp.Status
 		k.highestPriorTerm = max(k.highestPriorTerm, resp.Status.PriorTerm)
 	}
-	majority := k.majority()
-	if len(k.fenceFailed) > k.countedMembers()-majority {
+	if !k.majorityPossible() {
 		k.abandon(ReasonNoMajority)
 		return nil
 	}
-	if len(k.fenced) >= majority && k.majorityFencedAt.IsZero() {
+	if k.plan.Quorums.Fences(k.isFenced) && k.majorityFencedAt.IsZero() {
 		k.majorityFencedAt = now
 	}
 	if resp.Member == k.plan.LeavingPrimary && len(k.deferredAdopts) > 0 {
@@ -74,11 +73,10 @@
 	case k.phase == PhaseFencing:
 		delete(k.fenced, m)
 		k.fenceFailed[m] = true
-		majority := k.majority()
-		if len(k.fenced) < majority {
+		if !k.plan.Quorums.Fences(k.isFenced) {
 			k.majorityFencedAt = time.Time{}
 		}
-		if len(k.fenceFailed) > k.countedMembers()-majority {
+		if !k.majorityPossible() {
 			k.abandon(ReasonMemberRestarted)
 		}
 	case k.phase == PhasePromoting && len(k.heldCommands) > 0:
@@ -86,14 +84,19 @@
 	}
 }
 
-// groupSize returns the number of members of the group, including those that are
-// not in the plan's list.
-func (k *Attempt) groupSize() int { return max(k.plan.GroupSize, len(k.plan.Members)) }
+func (k *Attempt) isFenced(id cwgroup.MemberID) bool {
+	_, ok := k.fenced[id]
+	return ok
+}
 
-func (k *Attempt) majority() int { return cwgroup.Majority(k.groupSize()) }
+// majorityPossible reports whether enough members can still be fenced.
+func (k *Attempt) majorityPossible() bool {
+	return k.plan.Quorums.Fences(func(id cwgroup.MemberID) bool {
+		return slices.Contains(k.plan.Members, id) && !k.fenceFailed[id] && id != k.plan.ExcludedPrimary
+	})
+}
 
 // countedMembers returns how many listed members may contribute to the majority.
-// The majority itself is always that of the whole group.
 func (k *Attempt) countedMembers() int {
 	n := len(k.plan.Members)
 	if k.plan.ExcludedPrimary != "" {
@@ -110,18 +113,13 @@
 	return all || now.Sub(k.majorityFencedAt) >= FenceGracePeriod
 }
 
-// startPromotion selects the most advanced of the fenced members. It compares the
-// term of the last record first, then its index: a member that adopted later terms
-// while it was partitioned may still have fewer acknowledged records.
+// startPromotion selects the most advanced of the candidates.
 func (k *Attempt) startPromotion() []Command {
 	k.phase = PhasePromoting
+	candidate := k.candidates()
 	var best cwgroup.Status
 	for _, m := range k.plan.Members {
-		s, ok := k.fenced[m]
-		if !ok {
-			continue
-		}
-		if best.Member == "" || k.isBetterCandidate(s, best) {
+		if s, ok := k.fenced[m]; ok && candidate(m) && (best.Member == "" || k.isBetterCandidate(s, best)) {
 			best = s
 		}
 	}
@@ -129,28 +127,30 @@
 	return k.recordReplacedTerm([]Command{k.newCommand(Promote, k.newPrimary)})
 }
 
-// allOthersFenced reports whether every member except the leaving one was fenced.
-// In that case one of them has every acknowledged record, because the leaving
-// member alone cannot acknowledge anything, and the leaving member need not be
-// promoted even if it has the longest log.
-func (k *Attempt) allOthersFenced() bool {
-	n := len(k.fenced)
-	if _, ok := k.fenced[k.plan.LeavingPrimary]; ok {
-		n--
-	}
-	return n == k.groupSize()-1
+// candidates returns the fenced members that may be promoted. Members that are leaving are
+// not among them if the others suffice by themselves: then one of those has every
+// acknowledged record, also if the log of one that is leaving is longer.
+func (k *Attempt) candidates() cwgroup.MemberSet {
+	staying := func(id cwgroup.MemberID) bool { return k.isFenced(id) && !k.isLeaving(id) }
+	if k.plan.Quorums.Fences(staying) {
+		return staying
+	}
+	return k.isFenced
+}
+
+func (k *Attempt) isLeaving(id cwgroup.MemberID) bool {
+	return id == k.plan.LeavingPrimary || slices.Contains(k.plan.Leaving, id)
 }
 
-// isBetterCandidate reports whether a should be promoted rather than b.
+// isBetterCandidate reports whether a should be promoted rather than b. It compares the
+// term of the last record first, then its index: a member that adopted later terms while
+// it was partitioned may still have fewer acknowledged records.
 func (k *Attempt) isBetterCandidate(a, b cwgroup.Status) bool {
-	if k.allOthersFenced() && (a.Member == k.plan.LeavingPrimary) != (b.Member == k.plan.LeavingPrimary) {
-		return b.Member == k.plan.LeavingPrimary
-	}
 	if c := a.Durable.Compare(b.Durable); c != 0 {
 		return c > 0
 	}
-	if (a.Member == k.plan.LeavingPrimary) != (b.Member == k.plan.LeavingPrimary) {
-		return b.Member == k.plan.LeavingPrimary
+	if k.isLeaving(a.Member) != k.isLeaving(b.Member) {
+		return k.isLeaving(b.Member)
 	}
 	return a.Member == k.plan.Preferred
 }
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
@@ -187,10 +189,9 @@
 	s.updateVote(now)
 }
 
-// SetMembers sets the listed members of the group and its size. The size counts as
-// len(ids) if that is larger.
-func (s *Supervisor) SetMembers(ids []cwgroup.MemberID, size int) {
-	s.view = s.view.WithMembers(ids).WithSize(size)
+// SetMembers sets the listed members of the group and the quorums by which they decide.
+func (s *Supervisor) SetMembers(ids []cwgroup.MemberID, q cwgroup.Quorums) {
+	s.view = s.view.WithMembers(ids, q)
 }
 
 // Suspects reports whether this proxy suspects the primary.
@@ -298,8 +299,9 @@
 	plan := Plan{
 		Group:            s.view.Name(),
 		Members:          s.view.Members(),
-		GroupSize:        s.view.Size(),
+		Quorums:          s.view.Quorums(),
 		StableSize:       s.view.StableSize(),
+		Leaving:          slices.Sorted(maps.Keys(s.stoppingSince)),
 		ReplacedTerm:     max(s.view.Term(), s.view.ReplacedTerm()),
 		Term:             max(NextTerm(s.view), in.RowTerm+1),
 		Claim:            cwgroup.ClaimID(fmt.Sprintf("%s-%s-%d", s.Self, s.ClaimSeed, s.claimCount)),
--- a/internal/core/cwgroup/group.go
+++ b/internal/core/cwgroup/group.go
@@ -13,6 +13,11 @@
 //
 // A View is what one proxy knows about a group: an immutable value with the last
 // Status received from each member and the time at which it was received.
+//
+// Members leave and come, and each proxy learns of that at another time. A Configuration is
+// the set of members of which a majority decides, Quorums has the configurations that may
+// be in force at once, and Reconfiguration tells when an earlier one ends. The invariant
+// stands at Quorums. Membership is the number of members, also of those not listed.
 package cwgroup
 
 import (
@@ -163,17 +168,20 @@
 	// reports has the same order as members; a zero At means that there is no
 	// report.
 	reports []Report
-	// minSize is the number of members the group is known to have; some of them may
-	// not be listed.
-	minSize int
+	// quorums tells which of the members decide. Members that are leaving are in members
+	// but not in the configuration in force.
+	quorums Quorums
 	// replacedTerm is the newest term whose primary is known to have been replaced.
 	// It never decreases.
 	replacedTerm Term
 }
 
-// NewView returns a view of a group without any reports.
+// NewView returns a view of a group without any reports, in which all members decide.
 func NewView(name string, members []MemberID) View {
-	return View{name: name, members: slices.Clone(members), reports: make([]Report, len(members))}
+	return View{
+		name: name, members: slices.Clone(members), reports: make([]Report, len(members)),
+		quorums: Quorums{Current: newConfiguration(members, 0)},
+	}
 }
 
 // Name returns the group's name.
@@ -212,10 +220,11 @@
 	return v
 }
 
-// WithMembers returns a view with the given members. Those that were members before
-// keep their reports.
-func (v View) WithMembers(ids []MemberID) View {
+// WithMembers returns a view with the given members, which decide by the given quorums.
+// Those that were members before keep their reports.
+func (v View) WithMembers(ids []MemberID, q Quorums) View {
 	next := v
+	next.quorums = q
 	next.members, next.reports = slices.Clone(ids), make([]Report, len(ids))
 	for i, id := range ids {
 		if old := slices.Index(v.members, id); old >= 0 {
@@ -249,19 +258,26 @@
 	return v
 }
 
-// WithSize returns a view of a group that has n members, or as many as are listed
-// if that is more.
-func (v View) WithSize(n int) View {
-	v.minSize = n
-	return v
-}
+// Quorums returns which sets of members suffice for what.
+func (v View) Quorums() Quorums { return v.quorums }
 
-// Size returns the number of members of the group, listed or not.
-func (v View) Size() int { return max(v.minSize, len(v.members)) }
+// Size returns the number of members of the configuration in force, listed or not.
+func (v View) Size() int { return v.quorums.Current.Size() }
 
-// StableSize returns the size set by WithSize, regardless of which members are
-// listed; zero if it was not set.
-func (v View) StableSize() int { return v.minSize }
+// StableSize returns the number of members that the group is known to have, regardless of
+// which members are listed; zero if it is not known.
+func (v View) StableSize() int { return v.quorums.Current.MinSize }
+
+// Where returns the members whose last report satisfies f.
+func (v View) Where(f func(Report) bool) MemberSet {
+	var ids []MemberID
+	for _, r := range v.Reports() {
+		if f(r) {
+			ids = append(ids, r.Member)
+		}
+	}
+	return SetOf(ids...)
+}
 
 // WithReplacedTerm returns a view in which the primaries of term t and of all earlier
 // terms count as replaced.
@@ -338,46 +354,33 @@
 	if t <= v.replacedTerm {
 		return true
 	}
-	n := 0
-	for _, r := range v.reports {
-		if r.AdoptedTerm > t {
-			n++
-		}
-	}
-	return n >= Majority(v.Size())
+	return v.quorums.Current.HasMajority(v.Where(func(r Report) bool { return r.AdoptedTerm > t }))
 }
 
-// OnMajority reports whether a majority of the members has the record at m and
-// is in the term of m.
+// OnMajority reports whether enough members have the record at m and are in the term of m
+// for the record to be acknowledged.
 func (v View) OnMajority(m LogPosition) bool {
-	n := 0
-	for _, r := range v.reports {
-		if !r.At.IsZero() && r.HasRecord(m) {
-			n++
-		}
-	}
-	return n >= Majority(v.Size())
+	return v.quorums.Decides(v.Where(func(r Report) bool { return r.HasRecord(m) }))
 }
 
-// ConfirmedPosition reports whether a majority of n members is in the primary's
-// term according to their answers to one request, and returns the end of the
-// primary's log.
+// ConfirmedPosition reports whether enough members to confirm the primary are in its term
+// according to their answers to one request, and returns the end of the primary's log.
 //
 // A primary may have been replaced without knowing it. A majority that had not
 // adopted a later term when it was asked proves that nothing had been acknowledged
 // in a later term until then.
-func ConfirmedPosition(answers []Status, n int) (LogPosition, bool) {
+func ConfirmedPosition(answers []Status, q Quorums) (LogPosition, bool) {
 	var primary Status
 	for _, s := range answers {
 		if s.Role == RolePrimary && s.AdoptedTerm > primary.AdoptedTerm {
 			primary = s
 		}
 	}
-	same := 0
+	var same []MemberID
 	for _, s := range answers {
 		if s.AdoptedTerm == primary.AdoptedTerm {
-			same++
+			same = append(same, s.Member)
 		}
 	}
-	return primary.Durable, primary.AdoptedTerm > 0 && same >= Majority(n)
+	return primary.Durable, primary.AdoptedTerm > 0 && q.Decides(SetOf(same...))
 }
--- a/internal/core/cwgroup/group_test.go
+++ b/internal/core/cwgroup/group_test.go
@@ -85,7 +85,7 @@
 		{"no primary", []Status{same, same}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			m, ok := ConfirmedPosition(tc.answers, 3)
+			m, ok := ConfirmedPosition(tc.answers, NewView("g", []MemberID{"a", "b", "c"}).Quorums())
 			qt.Assert(t, ok, qt.Equals, tc.want)
 			if ok {
 				qt.Assert(t, m, qt.Equals, LogPosition{3, 8})
--- /dev/null
+++ b/internal/core/cwgroup/reconfiguration.go
@@ -0,0 +1,144 @@
+package cwgroup
+
+import (
+	"slices"
+	"time"
+)
+
+// PropagationTime is the longest time that a connected proxy takes to learn of a change of
+// the listed members, plus a margin.
+const PropagationTime = 4 * time.Second
+
+// Reconfiguration follows how the members of a group change, for one proxy. It is
+// immutable. The zero Reconfiguration is that of a group that was never listed.
+//
+// It prevents a record from being acknowledged on account of one set of members while a
+// change of primary fences a majority of another one: members that leave and come, or
+// receive nothing, make the two disjoint, and the record is lost. Each change begins with
+// a joint phase, as in Raft: a member that is leaving no longer counts by itself, but for
+// PropagationTime nothing is decided without a majority of the earlier members as well.
+// There is no log that orders the changes, so an earlier configuration ends only when its
+// leaving members are gone and a majority of the present one is known to have all that was
+// acknowledged before; see WithSettled.
+type Reconfiguration struct {
+	current Configuration
+	// former are the earlier configurations that have not been settled, the oldest first.
+	former []formerConfiguration
+	// absent are the members of current that are not listed, the most recent last. A
+	// member that did not announce its leaving keeps its place until another one takes it.
+	absent []MemberID
+	// leaving are the listed members that have announced that they leave.
+	leaving []MemberID
+}
+
+// formerConfiguration is a configuration that was in force until replacedAt.
+type formerConfiguration struct {
+	Configuration
+	replacedAt time.Time
+	// decidesUntil is the time until which a proxy may have decided by it, also one that
+	// is cut off from the platform but not from the members. It moves on while one of the
+	// members is leaving and still listed, which is when leaving is true.
+	decidesUntil time.Time
+	leaving      bool
+}
+
+// WithMembers returns the reconfiguration after exactly these members are listed. The group
+// has size members, or len(staying) if that is more.
+func (r Reconfiguration) WithMembers(staying, leaving []MemberID, size int, now time.Time) Reconfiguration {
+	listed := slices.Concat(staying, leaving)
+	r.absent = r.stillAbsent(listed, size-len(staying))
+	r.leaving = slices.Clone(leaving)
+	before := r.current
+	r.current = newConfiguration(slices.Concat(staying, r.absent), size)
+	if before.Size() == 0 && len(leaving) > 0 {
+		// A proxy that begins in the middle of a change has not seen the members before it.
+		before = newConfiguration(listed, size)
+	}
+	former := slices.Clone(r.former)
+	if before.canDecide() {
+		former = append(former, formerConfiguration{Configuration: before, replacedAt: now, decidesUntil: now.Add(PropagationTime)})
+	}
+	r.former = nil
+	present := SetOf(slices.Concat(listed, r.absent)...)
+	for i, f := range former {
+		f.Configuration = f.withPresent(present)
+		f.leaving = slices.ContainsFunc(leaving, f.Listed)
+		if f.leaving && now.After(f.decidesUntil) {
+			f.decidesUntil = now
+		}
+		replaced := slices.ContainsFunc(former[i+1:], func(o formerConfiguration) bool { return o.Equal(f.Configuration) })
+		if len(f.Members) > 0 && !f.Equal(r.current) && !replaced {
+			r.former = append(r.former, f)
+		}
+	}
+	return r
+}
+
+// stillAbsent returns the members of the present configuration that are not listed and have
+// not announced their leaving: the n most recent ones, since new members take the places of
+// the others.
+func (r Reconfiguration) stillAbsent(listed []MemberID, n int) []MemberID {
+	missing := slices.Clone(r.absent)
+	for _, id := range r.current.Members {
+		if !slices.Contains(r.absent, id) && !slices.Contains(r.leaving, id) {
+			missing = append(missing, id)
+		}
+	}
+	missing = slices.DeleteFunc(missing, func(id MemberID) bool { return slices.Contains(listed, id) })
+	return missing[len(missing)-min(len(missing), max(0, n)):]
+}
+
+func newConfiguration(ids []MemberID, size int) Configuration {
+	return Configuration{Members: slices.Sorted(slices.Values(ids)), MinSize: size}
+}
+
+// withPresent returns an earlier configuration after all its members have ended that are not
+// in the set.
+func (c Configuration) withPresent(present MemberSet) Configuration {
+	remaining := slices.DeleteFunc(slices.Clone(c.Members), func(id MemberID) bool { return !present(id) })
+	c.MinSize = c.Size()
+	c.Ended += len(c.Members) - len(remaining)
+	c.Members = remaining
+	return c
+}
+
+// Current returns the configuration in force.
+func (r Reconfiguration) Current() Configuration { return r.current }
+
+// Quorums returns the quorums at the given time.
+func (r Reconfiguration) Quorums(now time.Time) Quorums {
+	q := Quorums{Current: r.current}
+	for _, f := range r.former {
+		q.Unsettled = append(q.Unsettled, f.Configuration)
+		if now.Sub(f.replacedAt) < PropagationTime {
+			q.Recent = append(q.Recent, f.Configuration)
+		}
+	}
+	return q
+}
+
+// SettleAfter returns the earliest time of a position that WithSettled may be called with.
+// The second result is false if no earlier configuration can be settled yet.
+func (r Reconfiguration) SettleAfter() (time.Time, bool) {
+	var first time.Time
+	for _, f := range r.former {
+		if !f.leaving && (first.IsZero() || f.decidesUntil.Before(first)) {
+			first = f.decidesUntil
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// WithSettled returns the reconfiguration without the earlier configurations by which no
+// proxy has decided anything since the given time, provided that a majority of the current
+// members has what was acknowledged until then. end is the end that the primary's log had at
+// that time; a confirmation since then must have shown that it was the primary.
+func (r Reconfiguration) WithSettled(v View, end LogPosition, at time.Time) Reconfiguration {
+	if !r.current.HasMajority(v.Where(func(p Report) bool { return p.HasRecord(end) })) {
+		return r
+	}
+	r.former = slices.DeleteFunc(slices.Clone(r.former), func(f formerConfiguration) bool {
+		return !f.leaving && !at.Before(f.decidesUntil)
+	})
+	return r
+}
--- a/internal/core/cwroute/quorum.go
+++ b/internal/core/cwroute/quorum.go
@@ -8,15 +8,15 @@
 
 // QuorumReadPosition returns a log position at or above every record that was
 // acknowledged before since, computed from the reports of the members other than
-// the primary. Every acknowledged record is held by the primary and at least one
-// more member, so all members but one must have reported at since or later; the
-// missing one may be the primary. The second result is false if fewer have
+// the primary. The members that have reported at since or later must have one in common
+// with every set on whose account a record was acknowledged, see cwgroup.Quorums.Covers;
+// the primary may be missing. The second result is false if too few have
 // reported, if one of them is a primary that is not known to be replaced, or if
 // eligible returns false for one of them.
 func QuorumReadPosition(v cwgroup.View, since time.Time, eligible func(cwgroup.MemberID) bool) (cwgroup.LogPosition, bool) {
 	primary, known := v.Primary()
 	var top cwgroup.LogPosition
-	reported := 0
+	var reported []cwgroup.MemberID
 	for _, r := range v.Reports() {
 		switch {
 		case known && r.Member == primary.Member:
@@ -29,12 +29,12 @@
 		case r.Role == cwgroup.RolePrimary || !eligible(r.Member):
 			return cwgroup.LogPosition{}, false
 		}
-		reported++
+		reported = append(reported, r.Member)
 		if r.Durable.AtLeast(top) {
 			top = r.Durable
 		}
 	}
-	if n := v.Size(); n < 2 || reported < n-1 {
+	if !v.Quorums().Covers(cwgroup.SetOf(reported...)) {
 		return cwgroup.LogPosition{}, false
 	}
 	return top, true
--- a/internal/core/cwroute/route.go
+++ b/internal/core/cwroute/route.go
@@ -258,11 +258,8 @@
 	if !ok {
 		return cwgroup.Report{}, false
 	}
-	n := 0
-	for _, r := range v.Reports() {
-		if r.AdoptedTerm == p.AdoptedTerm && now.Sub(r.At) <= MaxReportAge && r.Reachable {
-			n++
-		}
-	}
-	return p, n >= cwgroup.Majority(v.Size())
+	following := v.Where(func(r cwgroup.Report) bool {
+		return r.AdoptedTerm == p.AdoptedTerm && now.Sub(r.At) <= MaxReportAge && r.Reachable
+	})
+	return p, v.Quorums().Decides(following)
 }
--- a/internal/core/cwroute/staleness.go
+++ b/internal/core/cwroute/staleness.go
@@ -130,24 +130,28 @@
 // members together with this proxy would keep answering promptly while its data
 // gets older, and would serve reads with a maximum age indefinitely.
 func ConfirmedAt(v cwgroup.View, primary cwgroup.Report, requestedAt time.Time) (time.Time, bool) {
-	need := cwgroup.Majority(v.Size()) - 1
-	var reportTimes []time.Time
+	var inTerm []cwgroup.Report
 	for _, r := range v.Reports() {
 		if r.Member != primary.Member && r.AdoptedTerm == primary.AdoptedTerm {
-			reportTimes = append(reportTimes, r.At)
+			inTerm = append(inTerm, r)
 		}
 	}
-	if len(reportTimes) < need {
-		return time.Time{}, false
-	}
-	if need == 0 {
-		return requestedAt, true
-	}
-	slices.SortFunc(reportTimes, func(a, b time.Time) int { return b.Compare(a) })
-	if at := reportTimes[need-1]; at.Before(requestedAt) {
-		return at, true
+	slices.SortFunc(inTerm, func(a, b cwgroup.Report) int { return b.At.Compare(a.At) })
+	at := requestedAt
+	confirming := []cwgroup.MemberID{primary.Member}
+	for {
+		if v.Quorums().Decides(cwgroup.SetOf(confirming...)) {
+			return at, true
+		}
+		if len(inTerm) == 0 {
+			return time.Time{}, false
+		}
+		confirming = append(confirming, inTerm[0].Member)
+		if inTerm[0].At.Before(at) {
+			at = inTerm[0].At
+		}
+		inTerm = inTerm[1:]
 	}
-	return requestedAt, true
 }
 
 // lagSmoothingDivisor is the divisor of the moving average of the lag: the
--- a/internal/core/cwsimulation/faults_test.go
+++ b/internal/core/cwsimulation/faults_test.go
@@ -55,9 +55,27 @@
 	faultKinds
 )
 
+// The faults of a group whose members leave and come.
+const (
+	// replaceTarget replaces a member as planned, and replacePrimary the primary.
+	replaceTarget = faultKinds + iota
+	replacePrimary
+	// deafenReplicas makes the members outside of one place receive no records, either all
+	// of them or those that stay.
+	deafenReplicas
+	// cutDataCentre cuts off a data centre, and cutPrimaryDataCentre that of the primary.
+	cutDataCentre
+	cutPrimaryDataCentre
+	// cutProxyFromTable cuts a proxy off from the table and the list for a long time, and
+	// from no member.
+	cutProxyFromTable
+	membershipFaultKinds
+)
+
 var faultNames = [...]string{
 	"killMember", "freezeMember", "isolateMember", "cutProxyFromMember", "cutReplication", "isolateProxy",
 	"killProxy", "pauseProxy", "tableDown", "tableSlow", "tableLoses", "lagMember", "killPrimary", "isolatePrimary", "freezePrimary", "cutPrimaryFromReplicas", "splitPrimary",
+	"replaceTarget", "replacePrimary", "deafenReplicas", "cutDataCentre", "cutPrimaryDataCentre", "cutProxyFromTable",
 }
 
 func (f fault) String() string {
@@ -65,10 +83,18 @@
 }
 
 // drawFaults draws a schedule of 1 to most faults.
-func drawFaults(t *rapid.T, most int) []fault {
+func drawFaults(t *rapid.T, most int) []fault { return drawFaultsOf(t, most, 0, faultKinds) }
+
+// drawMembershipFaults draws a schedule in which members leave and come, and 1 to most faults.
+func drawMembershipFaults(t *rapid.T, most int) []fault {
+	return append(drawFaultsOf(t, 3, replaceTarget, replacePrimary+1), drawFaultsOf(t, most, killPrimary, membershipFaultKinds)...)
+}
+
+// drawFaultsOf draws 1 to most faults of the kinds from first up to but not including last.
+func drawFaultsOf(t *rapid.T, most int, first, last faultKind) []fault {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
 		return fault{
-			kind:   faultKind(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind")),
+			kind:   faultKind(rapid.IntRange(int(first), int(last)-1).Draw(t, "kind")),
 			at:     time.Duration(rapid.IntRange(500, 9000).Draw(t, "at")) * time.Millisecond,
 			lasts:  time.Duration(rapid.IntRange(1, 5000).Draw(t, "lasts")) * time.Millisecond,
 			target: rapid.IntRange(0, 2).Draw(t, "target"),
@@ -82,7 +108,7 @@
 	m, p := sim.members[f.target], sim.proxies[f.target]
 	other := sim.members[(f.target+f.other)%3]
 	switch f.kind {
-	case killPrimary, isolatePrimary, freezePrimary, cutPrimaryFromReplicas, splitPrimary:
+	case killPrimary, isolatePrimary, freezePrimary, cutPrimaryFromReplicas, splitPrimary, replacePrimary, cutPrimaryDataCentre:
 		if pr := sim.primary(); pr != nil {
 			m = pr
 		}
@@ -90,14 +116,14 @@
 	switch f.kind {
 	case killMember, killPrimary:
 		m.down = true
-		sim.after(f.lasts, func() { m.down = false })
+		sim.after(f.lasts, func() { m.down = m.ended })
 	case freezeMember, freezePrimary:
 		m.pause(f.lasts)
 	case isolateMember, isolatePrimary:
 		for _, o := range sim.proxies {
 			sim.cutPath(m.name, o.name, f.lasts)
 		}
-		for _, o := range sim.members {
+		for _, o := range sim.all {
 			if o != m {
 				sim.cutPath(m.name, o.name, f.lasts)
 			}
@@ -105,7 +131,7 @@
 	case splitPrimary:
 		sim.split(p, m, f.lasts)
 	case cutPrimaryFromReplicas:
-		for _, o := range sim.members {
+		for _, o := range sim.all {
 			if o != m {
 				sim.cutPath(m.name, o.name, f.lasts)
 			}
@@ -143,6 +169,18 @@
 	case lagMember:
 		m.lag = f.lasts / 4
 		sim.after(f.lasts, func() { m.lag = sim.options.lag })
+	case replaceTarget, replacePrimary:
+		sim.replaceMember(m.place)
+	case deafenReplicas:
+		for _, o := range sim.all {
+			if o.place != f.target && !(f.other == 1 && o.leaving) {
+				o.deafUntil = sim.now.Add(f.lasts)
+			}
+		}
+	case cutDataCentre, cutPrimaryDataCentre:
+		sim.cutZone(m.place, f.lasts)
+	case cutProxyFromTable:
+		sim.cutPath(p.name, "table", 3*f.lasts)
 	}
 }
 
@@ -155,7 +193,7 @@
 			sim.cutPath(m.name, o.name, lasts)
 		}
 	}
-	for _, o := range sim.members {
+	for _, o := range sim.all {
 		if o != m {
 			sim.cutPath(m.name, o.name, lasts)
 			sim.cutPath(p.name, o.name, lasts)
@@ -166,8 +204,8 @@
 // primary returns the primary of the highest term, or nil if there is none.
 func (sim *simulation) primary() *member {
 	var best *member
-	for _, m := range sim.members {
-		if m.role == cwgroup.RolePrimary && (best == nil || m.adopted > best.adopted) {
+	for _, m := range sim.all {
+		if !m.ended && m.role == cwgroup.RolePrimary && (best == nil || m.adopted > best.adopted) {
 			best = m
 		}
 	}
--- a/internal/core/cwsimulation/ledger_test.go
+++ b/internal/core/cwsimulation/ledger_test.go
@@ -92,12 +92,19 @@
 		l.sim.send(m.name, p.name, func() { p.do(func() { l.complete(r, tombstone, position) }) })
 		return
 	}
-	l.sim.send(m.name, p.name, func() { p.do(func() { l.awaitMajority(r, p, position, tombstone) }) })
+	answer := func() {
+		l.sim.send(m.name, p.name, func() { p.do(func() { l.awaitMajority(r, p, position, tombstone) }) })
+	}
+	if l.sim.options.synchronous {
+		m.awaiting = append(m.awaiting, syncAnswer{length: len(m.log), answer: answer})
+		return
+	}
+	answer()
 }
 
 // awaitMajority answers the request when a majority has the record.
 func (l *ledger) awaitMajority(r *request, p *proxy, position cwgroup.LogPosition, tombstone bool) {
-	if l.sim.options.ackAtPrimary {
+	if l.sim.options.ackAtPrimary || l.sim.options.ackAtSynchronousReplica {
 		l.complete(r, tombstone, position)
 		return
 	}
@@ -133,7 +140,8 @@
 			l.routeRead(r, p, cwroute.Read{Floor: floorOf(r.position)})
 			return
 		}
-		p.readPosition(func(position cwgroup.LogPosition) { l.routeRead(r, p, cwroute.Read{Floor: floorOf(position)}) })
+		quorum := l.sim.options.quorumReads && l.sim.rng.IntN(2) > 0
+		p.readPosition(quorum, func(position cwgroup.LogPosition) { l.routeRead(r, p, cwroute.Read{Floor: floorOf(position)}) })
 	})
 }
 
--- a/internal/core/cwsimulation/proof_test.go
+++ b/internal/core/cwsimulation/proof_test.go
@@ -50,3 +50,26 @@
 		}
 	})
 }
+
+// whileMembersChange configures members that leave and come, before a table that every
+// failover needs. Reads also take their floor from the members without the primary.
+var whileMembersChange = options{checksTerm: true, lag: 2 * time.Millisecond, quorumReads: true}
+
+// whileSynchronousMembersChange configures the same with a primary that waits for a replica.
+var whileSynchronousMembersChange = options{checksTerm: true, lag: 2 * time.Millisecond, quorumReads: true, synchronous: true}
+
+// Guards against violations while members leave and come: a record is acknowledged on
+// account of one set of members, and a change of primary or a read relies on another set
+// that lacks it, since members are replaced, cut off or receive nothing.
+func TestNothingIsLostWhileMembersChange(t *testing.T) {
+	for name, o := range map[string]options{"asynchronous": whileMembersChange, "synchronous": whileSynchronousMembersChange} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				sim := newSimulation(rapid.Uint64().Draw(t, "seed"), o)
+				if violations := sim.runSchedule(drawMembershipFaults(t, 4)); len(violations) > 0 {
+					t.Fatalf("%s", strings.Join(violations, "\n"))
+				}
+			})
+		})
+	}
+}
--- a/internal/core/cwsimulation/proxy_test.go
+++ b/internal/core/cwsimulation/proxy_test.go
@@ -23,31 +23,37 @@
 	tracker    cwack.Tracker
 	lagTracker cwroute.LagTracker
 	history    cwroute.PositionHistory
-	lastHeard  map[cwgroup.MemberID]time.Time
-	changes    int
+	// lastHeard has an entry for each member in the platform's list as last read: listed
+	// and draining.
+	lastHeard        map[cwgroup.MemberID]time.Time
+	listed, draining []cwgroup.MemberID
+	leavingSince     map[cwgroup.MemberID]time.Time
+	reconfiguration  cwgroup.Reconfiguration
+	changes          int
 	// starts is the number of starts. It makes claims unique.
 	starts int
 }
 
 func newProxy(sim *simulation, i int) *proxy {
-	p := &proxy{process: process{sim: sim, name: fmt.Sprintf("p%d", i)}, index: i, lastHeard: make(map[cwgroup.MemberID]time.Time)}
+	p := &proxy{process: process{sim: sim, name: fmt.Sprintf("p%d", i)}, index: i}
 	p.restart()
 	for _, m := range sim.members {
 		sim.every(250*time.Millisecond, func() { p.do(func() { p.probe(m) }) })
 	}
 	sim.every(25*time.Millisecond, func() { p.do(p.tick) })
 	sim.every(time.Second, func() { p.do(p.broadcastVote) })
+	sim.every(listInterval, func() { p.do(p.readList) })
 	return p
 }
 
 // restart replaces the state of the proxy by that of a new process.
 func (p *proxy) restart() {
 	p.starts++
-	p.supervisor = cwfailover.NewSupervisor(cwfailover.InstanceID(p.name), fmt.Sprint(p.starts), "g", []cwgroup.MemberID{"m0", "m1", "m2"})
+	p.supervisor = cwfailover.NewSupervisor(cwfailover.InstanceID(p.name), fmt.Sprint(p.starts), "g", nil)
 	p.tracker, p.lagTracker, p.history = cwack.Tracker{}, cwroute.LagTracker{}, cwroute.PositionHistory{}
-	for _, m := range p.sim.members {
-		p.lastHeard[m.id()] = p.sim.now
-	}
+	p.lastHeard, p.leavingSince = make(map[cwgroup.MemberID]time.Time), make(map[cwgroup.MemberID]time.Time)
+	p.reconfiguration = cwgroup.Reconfiguration{}
+	p.readList()
 }
 
 // receiveStatus delivers a member's current status to the proxy.
@@ -57,6 +63,9 @@
 }
 
 func (p *proxy) report(s cwgroup.Status, following cwgroup.MemberID, asked time.Time) {
+	if !p.knows(s.Member) {
+		return
+	}
 	p.lastHeard[s.Member] = p.sim.now
 	if p.supervisor.AddReport(cwgroup.Report{Status: s, At: p.sim.now, Reachable: true}, following, p.sim.now) {
 		p.broadcastVote()
@@ -119,11 +128,12 @@
 }
 
 func (p *proxy) tick() {
-	for _, m := range p.sim.members {
-		if p.sim.now.Sub(p.lastHeard[m.id()]) > unreachableAfter {
-			p.unreachable(m.id())
+	for _, id := range p.known() {
+		if p.sim.now.Sub(p.lastHeard[id]) > unreachableAfter {
+			p.unreachable(id)
 		}
 	}
+	p.countMembers()
 	p.tracker.Update(p.supervisor.View(), p.sim.now)
 	commands := p.supervisor.Tick(p.sim.now, p.tickInputs())
 	if r, ok := p.supervisor.TakeResult(p.sim.now, p.tickInputs()); ok && r.Changed() {
@@ -196,7 +206,7 @@
 }
 
 func (sim *simulation) member(id cwgroup.MemberID) *member {
-	for _, m := range sim.members {
+	for _, m := range sim.all {
 		if m.id() == id {
 			return m
 		}
@@ -261,8 +271,11 @@
 func (p *proxy) routeRead(rd cwroute.Read) cwroute.Decision {
 	var cands []cwroute.Candidate
 	v := p.supervisor.View()
-	for _, m := range p.sim.members {
-		c := cwroute.Candidate{Member: m.id(), Load: p.sim.rng.Float64()}
+	for _, m := range p.sim.all {
+		if !p.knows(m.id()) {
+			continue
+		}
+		c := cwroute.Candidate{Member: m.id(), Load: p.sim.rng.Float64(), Draining: p.supervisor.Stopping(m.id())}
 		if rep, ok := v.Report(m.id()); ok {
 			c.Age, c.AgeKnown = p.history.Age(rep.Applied, p.sim.now)
 		}
@@ -278,20 +291,33 @@
 }
 
 // readPosition queries the status of every member, and calls then with the primary's log
-// position when a majority has confirmed the primary's term.
-func (p *proxy) readPosition(then func(cwgroup.LogPosition)) {
+// position when a majority has confirmed the primary's term. If quorum is true, it calls
+// then with the floor that follows from the members without a primary.
+func (p *proxy) readPosition(quorum bool, then func(cwgroup.LogPosition)) {
+	asked := p.sim.now
 	var answers []cwgroup.Status
 	done := false
-	for _, m := range p.sim.members {
+	position := func() (cwgroup.LogPosition, bool) {
+		if !quorum {
+			return cwgroup.ConfirmedPosition(answers, p.supervisor.View().Quorums())
+		}
+		v := cwgroup.NewView("g", nil).WithMembers(p.supervisor.View().Members(), p.supervisor.View().Quorums())
+		for _, s := range answers {
+			v = v.WithReport(cwgroup.Report{Status: s, At: asked, Reachable: true})
+		}
+		return cwroute.QuorumReadPosition(v, asked, func(cwgroup.MemberID) bool { return true })
+	}
+	for _, id := range p.known() {
+		m := p.sim.member(id)
 		p.sim.send(p.name, m.name, func() {
 			m.do(func() {
 				s := m.status()
 				p.sim.send(m.name, p.name, func() {
 					p.do(func() {
 						answers = append(answers, s)
-						if position, ok := cwgroup.ConfirmedPosition(answers, len(p.sim.members)); ok && !done {
+						if m, ok := position(); ok && !done {
 							done = true
-							then(position)
+							then(m)
 						}
 					})
 				})
--- a/internal/core/cwsimulation/regression_test.go
+++ b/internal/core/cwsimulation/regression_test.go
@@ -72,3 +72,28 @@
 		fault{kind: killMember, at: 503 * time.Millisecond, lasts: 988 * time.Millisecond, target: 0, other: 1},
 		fault{kind: tableSlow, at: 500 * time.Millisecond, lasts: 1736 * time.Millisecond, target: 1, other: 1})
 }
+
+// Guards against records lost while two members leave and those that replace them receive
+// nothing: the records are acknowledged on account of the leaving ones, and the primary is
+// cut off and replaced on account of the others. The rejected rules show that the schedule
+// brings this about.
+func TestRecordsOfLeavingMembersAreKept(t *testing.T) {
+	schedule := []fault{
+		{kind: replaceTarget, at: 500 * time.Millisecond, target: 1},
+		{kind: replaceTarget, at: 500 * time.Millisecond, target: 2},
+		{kind: deafenReplicas, at: 1100 * time.Millisecond, lasts: 8 * time.Second, target: 0, other: 1},
+		{kind: isolatePrimary, at: 5900 * time.Millisecond, lasts: 4 * time.Second},
+	}
+	dropped, trusted := whileMembersChange, whileSynchronousMembersChange
+	dropped.dropLeavingMembers = true
+	trusted.ackAtSynchronousReplica = true
+	for seed := range uint64(3) {
+		assertNoViolations(t, seed, whileMembersChange, schedule...)
+		assertNoViolations(t, seed, whileSynchronousMembersChange, schedule...)
+		for name, o := range map[string]options{"leaving members are dropped": dropped, "a synchronous primary is trusted": trusted} {
+			if violations := newSimulation(seed, o).runSchedule(schedule); len(violations) == 0 {
+				t.Errorf("%s: no violation with seed %d", name, seed)
+			}
+		}
+	}
+}
--- a/internal/core/cwsimulation/simulation_test.go
+++ b/internal/core/cwsimulation/simulation_test.go
@@ -17,7 +17,10 @@
 	rng     *rand.Rand
 	queue   eventQueue
 	seq     int
+	// members holds the member in each of the group's three places, and all of them and
+	// those that they have replaced.
 	members []*member
+	all     []*member
 	proxies []*proxy
 	table   *table
 	// cuts is the number of active cuts of the path between two processes, in both
@@ -42,6 +45,14 @@
 	// replicaWait is the longest time that a read waits for a replica. Zero means
 	// that reads go to the primary instead.
 	replicaWait time.Duration
+	// synchronous makes a primary answer a write only once a replica has received it.
+	synchronous bool
+	// ackAtSynchronousReplica acknowledges a write when a synchronous primary answers it,
+	// whichever replica has it. dropLeavingMembers counts only the members that are not
+	// leaving, from dropGrace after their announcement on. These are the rejected rules.
+	ackAtSynchronousReplica, dropLeavingMembers bool
+	// quorumReads makes some reads take their floor from the members without the primary.
+	quorumReads bool
 	// lag delays the replication, and applyLag the visibility of replicated records
 	// for reads.
 	lag, applyLag time.Duration
@@ -87,6 +98,7 @@
 	for i := range 3 {
 		sim.members = append(sim.members, newMember(sim, i))
 	}
+	sim.all = slices.Clone(sim.members)
 	for i := range 3 {
 		sim.proxies = append(sim.proxies, newProxy(sim, i))
 	}
@@ -213,7 +225,8 @@
 // member is a fake database.
 type member struct {
 	process
-	index int
+	// place is the member's place in the group, and its data centre.
+	place int
 	log   []logRecord
 	// receivedAt holds the time at which each record was added to the log.
 	receivedAt  []time.Time
@@ -225,10 +238,23 @@
 	lag         time.Duration
 	// fetchSeq is the number of fetches so far. It identifies outdated answers.
 	fetchSeq int
+	// deafUntil is the time until which the member receives no records.
+	deafUntil time.Time
+	// leaving is true once the member has announced that it leaves, and ended once it has
+	// exited for good.
+	leaving, ended bool
+	// awaiting holds the answers of a synchronous primary that wait for a replica.
+	awaiting []syncAnswer
+}
+
+// syncAnswer is the answer to a write that waits until a replica has the record.
+type syncAnswer struct {
+	length int
+	answer func()
 }
 
 func newMember(sim *simulation, i int) *member {
-	m := &member{process: process{sim: sim, name: fmt.Sprintf("m%d", i)}, index: i, adopted: 1, lastFetched: sim.now, lag: sim.options.lag}
+	m := &member{process: process{sim: sim, name: fmt.Sprintf("m%d", i)}, place: i, adopted: 1, lastFetched: sim.now, lag: sim.options.lag}
 	m.log, m.receivedAt = []logRecord{{term: 1}}, []time.Time{epoch}
 	if i == 0 {
 		m.role = cwgroup.RolePrimary
@@ -248,6 +274,19 @@
 	return cwgroup.LogPosition{Term: m.log[len(m.log)-1].term, Index: cwgroup.LogIndex(len(m.log))}
 }
 
+// answerSynchronous sends the answers that wait for a replica with a log of this length.
+func (m *member) answerSynchronous(length int) {
+	waiting := m.awaiting
+	m.awaiting = nil
+	for _, a := range waiting {
+		if a.length <= length && m.role == cwgroup.RolePrimary {
+			a.answer()
+		} else {
+			m.awaiting = append(m.awaiting, a)
+		}
+	}
+}
+
 // applied returns the number of records that are visible to reads.
 func (m *member) applied() int {
 	n := len(m.log)
@@ -332,7 +371,7 @@
 func (m *member) fetch() {
 	m.do(func() {
 		p := m.follow
-		if m.role != cwgroup.RoleReplica || p == nil {
+		if m.role != cwgroup.RoleReplica || p == nil || m.sim.now.Before(m.deafUntil) {
 			return
 		}
 		m.fetchSeq++
@@ -344,6 +383,7 @@
 					return
 				}
 				keep := commonLength(p.log, mine)
+				p.answerSynchronous(keep)
 				more := slices.Clone(p.log[keep:])
 				m.sim.send(p.name, m.name, func() {
 					m.sim.after(m.lag, func() { m.do(func() { m.applyFetched(n, term, p, keep, more) }) })
@@ -354,7 +394,7 @@
 }
 
 func (m *member) applyFetched(n int, term cwgroup.Term, p *member, keep int, more []logRecord) {
-	if m.role != cwgroup.RoleReplica || m.adopted != term || m.follow != p || n < m.fetchSeq-int(m.lag/(20*time.Millisecond))-2 {
+	if m.role != cwgroup.RoleReplica || m.adopted != term || m.follow != p || m.sim.now.Before(m.deafUntil) || n < m.fetchSeq-int(m.lag/(20*time.Millisecond))-2 {
 		return
 	}
 	m.lastFetched = m.sim.now
--- a/internal/proxy/cwleadership/confirm.go
+++ b/internal/proxy/cwleadership/confirm.go
@@ -29,7 +29,7 @@
 	q := inquiry{
 		cause: CauseConfirmation, own: g.membersToConfirm, hedge: waiting,
 		request: cwport.MembersRequest{
-			MaxAge: maxAge, Wait: cwevidence.AnswerWait, Others: cwgroup.Majority(v.Size()) - 1, Primary: now.Sub(p.At) >= maxAge,
+			MaxAge: maxAge, Wait: cwevidence.AnswerWait, Others: len(g.othersToConfirm(p.Member)), Primary: now.Sub(p.At) >= maxAge,
 		},
 		sufficient: func(askedAt time.Time) bool { return !g.confirmedAt.Before(askedAt.Add(-maxAge)) },
 	}
@@ -62,9 +62,22 @@
 	if m := g.members[p.Member]; ok && m != nil && now.Sub(p.At) > confirmRefreshAge-confirmInterval {
 		ask = append(ask, *m)
 	}
-	need := cwgroup.Majority(v.Size()) - 1
-	others := g.othersByProximity(p.Member)
-	return append(ask, others[:min(need, len(others))]...)
+	return append(ask, g.othersToConfirm(p.Member)...)
+}
+
+// othersToConfirm returns the members that confirm the primary together with it, as near as
+// possible. The caller holds mu.
+func (g *Group) othersToConfirm(primary cwgroup.MemberID) []Member {
+	q := g.sup.View().Quorums()
+	confirming := []cwgroup.MemberID{primary}
+	others := g.othersByProximity(primary)
+	for i, m := range others {
+		if q.Decides(cwgroup.SetOf(confirming...)) {
+			return others[:i]
+		}
+		confirming = append(confirming, m.ID)
+	}
+	return others
 }
 
 // othersByProximity returns all members except one: first those in this data centre,
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -7,10 +7,13 @@
 // checks the members on behalf of the other instances there, which count the answers that
 // it passes on like their own, with their ages.
 //
-// A primary is confirmed when a majority of the members, the primary among them, is
-// known to be in its term. A confirmation is valid for Lease. A change of primary first
-// fences a majority of the members, that is, it stops them from receiving records of
-// the old primary, so the old primary can't be confirmed after that. No proxy
+// Which members count, while they leave and come, is the matter of cwgroup.Reconfiguration:
+// acknowledgements, confirmations, fences and the floors of reads all go by its Quorums.
+//
+// A primary is confirmed when a majority of the members is known to be in its term. A
+// confirmation is valid for Lease. A change of primary first fences a majority of the
+// members, that is, it stops them from receiving records of the old primary, so the old
+// primary can't be confirmed after that. No proxy
 // acknowledges a commit of a new term before it has known that term for Lease. While a
 // confirmation is valid, the confirmed primary therefore has every acknowledged record.
 package cwleadership
@@ -46,10 +49,6 @@
 	// AckTimeout bounds the wait for a second member after a commit. A replica whose
 	// replication works receives the record within a few milliseconds.
 	AckTimeout = time.Second
-	// LeavingGrace is how long a leaving member, one that is listed as draining, still
-	// counts towards a majority. It is the longest time that a connected instance takes
-	// to learn that the member is leaving, plus a margin.
-	LeavingGrace = 4 * time.Second
 	// healthTimeout bounds a health check on an open connection.
 	healthTimeout = 300 * time.Millisecond
 	// activeTick is the interval of the loop while a change of primary or a restore is
@@ -126,6 +125,10 @@
 	sup     *cwfailover.Supervisor
 	// size is the minimum number of members of the group, listed or not.
 	size int
+	// reconfiguration tells which members count while they leave and come. nextSettleAt is
+	// the earliest time of the next request for reports to settle a change.
+	reconfiguration cwgroup.Reconfiguration
+	nextSettleAt    time.Time
 	// history samples the log position of the primary. Samples up to confirmedAt are of
 	// the group's primary; later ones may be of a primary that has been replaced.
 	history cwroute.PositionHistory
--- a/internal/proxy/cwleadership/loop.go
+++ b/internal/proxy/cwleadership/loop.go
@@ -123,6 +123,7 @@
 	commands := g.sup.Tick(now, c)
 	result, ended := g.sup.TakeResult(now, c)
 	ask, cause := g.membersToCheck(now)
+	settle := g.settleDue(now)
 	if cause != CauseUnsettled {
 		g.rounds = cwevidence.Rounds{}
 	}
@@ -131,6 +132,9 @@
 		g.logResult(result)
 	}
 	g.checkOrAsk(ask, cause)
+	if settle {
+		g.requestConfirmation(Lease, false)
+	}
 	g.dispatch(ctx, eg, commands)
 }
 
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -14,9 +14,6 @@
 type Member struct {
 	cwport.ListedTarget
 	Pool *cwtargetpool.Pool
-	// leavingSince is when this proxy learnt that the member is leaving; zero if it
-	// stays.
-	leavingSince time.Time
 }
 
 // SetMembers replaces the targets of the group. The group has size members, or
@@ -60,38 +57,37 @@
 	g.notify()
 }
 
-// updateCountedMembers sets which members count towards a majority: all except those
-// that have been leaving for LeavingGrace and are not the primary.
+// updateCountedMembers sets which members count towards which majority, and which are being
+// stopped. A primary that is an outlier is replaced like one that is leaving, but counts.
 //
-// A member that is being exchanged and its replacement are both listed until the old
-// one ends. If both are in one data centre and that data centre is cut off, the two
-// others are no majority of four, and the group would serve nothing although most of it
-// is reachable. A leaving member still counts for LeavingGrace, so that every proxy
-// has learnt of the change before any stops counting it. A primary that is an outlier
-// is replaced like one that is being stopped. The caller holds mu.
+// A member that is leaving and its replacement are both listed until the old one ends. If
+// both are in one data centre and that data centre is cut off, the two others are no
+// majority of four, and the group would serve nothing although most of it is reachable.
+// Members that are leaving therefore stop counting; cwgroup.Reconfiguration tells when they
+// may. The caller holds mu.
 func (g *Group) updateCountedMembers(now time.Time) {
-	p, _ := g.sup.View().Primary()
-	var ids, stopping []cwgroup.MemberID
+	var staying, leaving []cwgroup.MemberID
 	for id, m := range g.members {
 		if m.Draining {
-			stopping = append(stopping, id)
-		}
-		if !m.Draining || id == p.Member || now.Sub(m.leavingSince) < LeavingGrace {
-			ids = append(ids, id)
+			leaving = append(leaving, id)
+		} else {
+			staying = append(staying, id)
 		}
 	}
-	slices.Sort(ids)
-	if v := g.sup.View(); !slices.Equal(ids, v.Members()) || max(g.size, len(ids)) != v.Size() {
-		g.cfg.Log.Info("membersCounted", "group", g.cfg.Service, "members", ids, "of", max(g.size, len(ids)))
-		g.sup.SetMembers(ids, g.size)
+	before := g.reconfiguration.Current()
+	g.reconfiguration = g.reconfiguration.WithMembers(staying, leaving, g.size, now)
+	if c := g.reconfiguration.Current(); !c.Equal(before) {
+		g.cfg.Log.Info("membersCounted", "group", g.cfg.Service, "members", c.Members, "of", c.Size(), "leaving", leaving)
 	}
-	if id, ok := g.outlierPrimary(now); ok && !slices.Contains(stopping, id) {
+	g.settleMembers(now)
+	g.sup.SetMembers(slices.Sorted(maps.Keys(g.members)), g.reconfiguration.Quorums(now))
+	if id, ok := g.outlierPrimary(now); ok && !slices.Contains(leaving, id) {
 		if !g.sup.Stopping(id) {
 			g.cfg.Log.Warn("primaryIsOutlier", "group", g.cfg.Service, "target", id, "reason", g.outliers.Reason(id))
 		}
-		stopping = append(stopping, id)
+		leaving = append(leaving, id)
 	}
-	g.sup.SetStopping(stopping, now)
+	g.sup.SetStopping(leaving, now)
 }
 
 func (g *Group) setMember(l cwport.ListedTarget, ceiling int) {
@@ -110,9 +106,6 @@
 		g.members[l.ID] = m
 		g.logProgress[l.ID] = &logProgress{}
 	}
-	if l.Draining && !m.Draining {
-		m.leavingSince = g.cfg.Clock.Now()
-	}
 	m.ListedTarget = l
 	m.Pool.SetMaxConnections(ceiling)
 	m.Pool.SetSlots(l.Slots)
--- a/internal/proxy/cwleadership/member_test.go
+++ b/internal/proxy/cwleadership/member_test.go
@@ -42,7 +42,7 @@
 		})
 	}
 	b.SetMembers(list, 3, 8)
-	b.clock.Advance(LeavingGrace)
+	b.clock.Advance(cwgroup.PropagationTime)
 	b.SetMembers(list, 3, 8)
 }
 
@@ -78,3 +78,37 @@
 		})
 	}
 }
+
+// Guards against stale reads while two members leave and their replacements receive
+// nothing: reads took the logs of the replacements for all that was acknowledged.
+func TestReadsRelyOnLeavingMembersUntilOthersHaveTheRecords(t *testing.T) {
+	b := newTestGroup(t)
+	b.listChange([]cwgroup.MemberID{"a", "b", "c", "d", "e"}, nil)
+	b.listChange([]cwgroup.MemberID{"c", "d", "e"}, []cwgroup.MemberID{"a", "b"})
+	floor := func() (cwgroup.LogPosition, bool) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.quorumFloor(Read{ArrivedAt: b.clock.Now().Add(-10 * time.Millisecond)})
+	}
+	b.reportHealth("d", cwgroup.RoleReplica, 1, 90)
+	b.reportHealth("e", cwgroup.RoleReplica, 1, 90)
+	_, ok := floor()
+	qt.Assert(t, ok, qt.IsFalse)
+	b.reportHealth("c", cwgroup.RoleReplica, 1, 98)
+	_, ok = floor()
+	qt.Assert(t, ok, qt.IsFalse)
+	b.reportHealth("b", cwgroup.RoleReplica, 1, 100)
+	end, ok := floor()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, end, qt.Equals, cwgroup.LogPosition{Term: 1, Index: 100})
+}
+
+// Guards against a group without a primary because the one that was promoted is leaving.
+func TestLeavingMemberMayLead(t *testing.T) {
+	b := newTestGroup(t)
+	b.listChange([]cwgroup.MemberID{"b", "c", "d"}, []cwgroup.MemberID{"a"})
+	b.reportHealthAt("a", cwgroup.RolePrimary, 2, cwgroup.LogPosition{Term: 2, Index: 120})
+	b.reportHealthAt("c", cwgroup.RoleReplica, 2, cwgroup.LogPosition{Term: 2, Index: 120})
+	b.reportHealthAt("d", cwgroup.RoleReplica, 2, cwgroup.LogPosition{Term: 2, Index: 120})
+	b.assertPrimary("a")
+}
--- a/internal/proxy/cwleadership/pathdown.go
+++ b/internal/proxy/cwleadership/pathdown.go
@@ -25,7 +25,11 @@
 // majorityBehindPath reports whether a majority of the members can't be reached because
 // other data centres do not answer. The caller holds mu.
 func (g *Group) majorityBehindPath(now time.Time) bool {
-	return g.membersHere() < cwgroup.Majority(g.sup.View().Size()) && g.cfg.RemotePath.Down(now)
+	here := func(id cwgroup.MemberID) bool {
+		m := g.members[id]
+		return m != nil && !g.isRemote(m)
+	}
+	return !g.sup.View().Quorums().Decides(here) && g.cfg.RemotePath.Down(now)
 }
 
 // reachableOptions returns the targets without those in other data centres while these
--- a/internal/proxy/cwleadership/quorum.go
+++ b/internal/proxy/cwleadership/quorum.go
@@ -18,9 +18,9 @@
 // Without it, reads that any member could serve are refused while the primary is lost,
 // because its log position is unknown; that lasts until the primary is replaced, or as
 // long as the store is unavailable and no proxy may replace it. Every record
-// acknowledged in the primary's term is held by one more member. If all others were
-// asked after the acknowledgement, the most advanced of their logs has the record; and
-// if none of them led a later term by then, nothing had been acknowledged in a later
+// acknowledged in the primary's term is held by more members. If those asked after the
+// acknowledgement include one of them, the most advanced of their logs has the record;
+// and if none of them led a later term by then, nothing had been acknowledged in a later
 // term.
 func (g *Group) quorumFloor(rd Read) (cwgroup.LogPosition, bool) {
 	m, ok := cwroute.QuorumReadPosition(g.sup.View(), rd.freshAsOf(), func(id cwgroup.MemberID) bool {
@@ -63,14 +63,11 @@
 	defer g.mu.Unlock()
 	v := g.sup.View()
 	p, _ := v.Primary()
-	reached, down := 0, g.cfg.RemotePath.Down(now)
-	for _, id := range v.Members() {
+	down := g.cfg.RemotePath.Down(now)
+	enough = v.Quorums().Covers(func(id cwgroup.MemberID) bool {
 		m := g.members[id]
-		if id != p.Member && !g.unreachable[id] && !(down && m != nil && g.isRemote(m)) {
-			reached++
-		}
-	}
-	enough = reached >= v.Size()-1
+		return m != nil && id != p.Member && !g.unreachable[id] && !(down && g.isRemote(m))
+	})
 	due = enough && !now.Before(g.nextConfirmAt)
 	if due {
 		g.nextConfirmAt = now.Add(confirmInterval)
--- a/internal/proxy/cwleadership/reachability.go
+++ b/internal/proxy/cwleadership/reachability.go
@@ -108,19 +108,10 @@
 // whether one has answered lately. The caller holds mu.
 func (g *Group) updateReachability(now time.Time) {
 	v := g.sup.View()
-	reachable, answering := len(v.Members()), 0
-	for _, id := range v.Members() {
-		rep, known := v.Report(id)
-		switch {
-		case g.unreachable[id]:
-			reachable--
-		case known && now.Sub(rep.At) < Lease:
-			answering++
-		}
-	}
-	majority := cwgroup.Majority(v.Size())
-	g.majorityUnreachable.Store(reachable < majority)
-	g.majorityAnswering.Store(answering >= majority)
+	reachable := func(id cwgroup.MemberID) bool { return g.members[id] != nil && !g.unreachable[id] }
+	answering := v.Where(func(r cwgroup.Report) bool { return !g.unreachable[r.Member] && now.Sub(r.At) < Lease })
+	g.majorityUnreachable.Store(!v.Quorums().Decides(reachable))
+	g.majorityAnswering.Store(v.Quorums().Decides(answering))
 }
 
 // ReachabilityKnown reports whether the group is in use, and has been for long enough to
--- a/internal/proxy/cwleadership/remotepath.go
+++ b/internal/proxy/cwleadership/remotepath.go
@@ -126,17 +126,6 @@
 // isRemote reports whether a member is in another data centre.
 func (g *Group) isRemote(m *Member) bool { return m.DataCentre != g.cfg.DataCentre }
 
-// membersHere returns the number of members in this data centre. The caller holds mu.
-func (g *Group) membersHere() int {
-	n := 0
-	for _, m := range g.members {
-		if !g.isRemote(m) {
-			n++
-		}
-	}
-	return n
-}
-
 // RecordOverdue records that the answer to a statement sent to a member at sentAt is
 // overdue, and probes the member.
 func (g *Group) RecordOverdue(m Member, sentAt time.Time) {
--- a/internal/proxy/cwmonitor/group.go
+++ b/internal/proxy/cwmonitor/group.go
@@ -84,9 +84,14 @@
 	mu       sync.Mutex
 	contract cwcatalogue.Contract
 	sup      *cwfailover.Supervisor
-	history  cwroute.PositionHistory
-	lag      cwroute.LagTracker
-	tracker  cwack.Tracker
+	// members tells which targets count. removed are those that are no longer in the
+	// catalogue; other proxies count them until removedUntil.
+	members      cwgroup.Reconfiguration
+	removed      []cwgroup.MemberID
+	removedUntil time.Time
+	history      cwroute.PositionHistory
+	lag          cwroute.LagTracker
+	tracker      cwack.Tracker
 	// changed is closed and replaced whenever the view or the stopping members change.
 	changed chan struct{}
 	// openWrites is the number of this proxy's write transactions in progress.
@@ -111,6 +116,7 @@
 		sup:          cwfailover.NewSupervisor(cfg.Self, cfg.ClaimSeed, cfg.Group.Name, cfg.Group.MemberIDs()),
 		changed:      make(chan struct{}),
 	}
+	g.updateMembers(cfg.Clock.Now())
 	for _, t := range cfg.Group.Targets {
 		g.controlConns[t.ID] = &cwtarget.ControlConn{
 			Member:  t.ID,
@@ -164,6 +170,7 @@
 	g.mu.Lock()
 	c.OpenWrites = g.openWrites
 	c.MembersCheckTerm, c.WithoutTable = g.contract.ChecksTerm, g.contract.FailoverWithoutTable
+	g.updateMembers(now)
 	g.tracker.Update(g.sup.View(), now)
 	g.measureGap(now)
 	commands := g.sup.Tick(now, c)
--- a/internal/proxy/cwmonitor/place.go
+++ b/internal/proxy/cwmonitor/place.go
@@ -95,7 +95,7 @@
 		if s := <-results; s.Member != "" {
 			answers = append(answers, s)
 		}
-		if m, ok := cwgroup.ConfirmedPosition(answers, len(g.controlConns)); ok {
+		if m, ok := cwgroup.ConfirmedPosition(answers, g.View().Quorums()); ok {
 			return m, nil
 		}
 	}
@@ -190,13 +190,8 @@
 // primaryExpected reports whether there may be a primary soon, because a majority of
 // the members answers. The caller holds mu.
 func (g *Group) primaryExpected(now time.Time) bool {
-	n := 0
-	for _, r := range g.sup.View().Reports() {
-		if r.Reachable && now.Sub(r.At) <= cwroute.MaxReportAge {
-			n++
-		}
-	}
-	return n >= cwgroup.Majority(len(g.sup.View().Members()))
+	v := g.sup.View()
+	return v.Quorums().Decides(v.Where(func(r cwgroup.Report) bool { return r.Reachable && now.Sub(r.At) <= cwroute.MaxReportAge }))
 }
 
 // Primary returns the member that takes writes. While the primary is being replaced it
--- a/internal/proxy/cwpgproxy/catalogue.go
+++ b/internal/proxy/cwpgproxy/catalogue.go
@@ -255,7 +255,8 @@
 			stopping = append(stopping, t.ID)
 		}
 	}
-	if old, ok := n.groups[g.Name]; ok {
+	old, replaces := n.groups[g.Name]
+	if replaces {
 		if reflect.DeepEqual(old.spec, g) {
 			return func() {
 				old.SetContract(e.Contract)
@@ -281,6 +282,9 @@
 	})
 	n.groups[g.Name] = &runningGroup{Group: group, spec: g, cancel: cancel}
 	return func() {
+		if replaces {
+			group.Replace(old.Group)
+		}
 		group.SetStopping(stopping)
 		n.groupsEG.Go(func() error { return group.Run(ctx) })
 	}
