cwforward: texts reach another instance with the bytes that the caller sent

Cause: texts, values and rows go as JSON strings, whose encoder replaces bytes that are not UTF-8.

Change: a body with such a text carries its texts in base64 and says so. Its verb or code is carried so as well, so that an instance of an earlier build refuses the statement as not sent. Texts of over 512 KiB together go the same way: escapes make a JSON string up to six times as long, and a message of more than 4 MiB ended the connection for all other statements on it.

Evidence: the new cases of TestStatementRoundTrip failed before (changed bytes; 6 MiB for a statement of 1 MiB).

--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -42,6 +42,8 @@
 )
 
 type statementBody struct {
+	// Encoding is that of ID, Verb, Text, Name, Rest, Prepared.Shape and Values.
+	Encoding    textEncoding      `json:"encoding,omitempty"`
 	Transaction string            `json:"transaction,omitempty"`
 	Begin       string            `json:"begin,omitempty"`
 	Entry       entryBody         `json:"entry"`
@@ -79,6 +81,8 @@
 }
 
 type resultBody struct {
+	// Encoding is that of Rows, Proof, Code and Detail.
+	Encoding  textEncoding `json:"encoding,omitempty"`
 	Rows      []string     `json:"rows,omitempty"`
 	Proof     string       `json:"proof,omitempty"`
 	Code      string       `json:"code"`
@@ -107,30 +111,44 @@
 }
 
 func encodeStatement(h cwport.ForwardRequest) statementBody {
-	c := h.Entry.Contract
+	c, s := h.Entry.Contract, h.Statement
+	e := statementEncoding(h)
 	b := statementBody{
-		Transaction: h.Transaction, Begin: h.Begin.String(),
+		Encoding: e, Transaction: h.Transaction, Begin: h.Begin.String(),
 		Entry: entryBody{
 			Service: h.Entry.Service, Group: h.Entry.Groups[0].Name, Reads: string(c.Reads), TimeoutUS: c.StatementTimeout.Microseconds(),
 			MaxAgeUS: c.MaxAge.Microseconds(), AimUS: c.Aim.Microseconds(), Priority: c.Priority,
 			IdleUS: c.IdleTransaction.Microseconds(),
 		},
-		Workspace: h.Workspace, ID: h.Statement.ID, Verb: h.Statement.Verb.String(), Text: h.Statement.Text, Name: h.Statement.Name, Rest: h.Statement.Args,
-		Values: h.Values, Seen: encodePosition(h.LastWrite), ElapsedUS: h.Elapsed.Microseconds(),
+		Workspace: h.Workspace, ID: e.encode(s.ID), Verb: e.encode(s.Verb.String()), Text: e.encode(s.Text), Name: e.encode(s.Name), Rest: e.encode(s.Args),
+		Values: e.encodeMap(h.Values), Seen: encodePosition(h.LastWrite), ElapsedUS: h.Elapsed.Microseconds(),
 	}
 	if h.Prepared != nil {
-		b.Prepared = &preparedBody{Shape: h.Prepared.Text, Writes: h.Prepared.Writes}
+		b.Prepared = &preparedBody{Shape: e.encode(h.Prepared.Text), Writes: h.Prepared.Writes}
 	}
 	return b
 }
 
+// statementEncoding returns the encoding that carries the texts of a statement.
+func statementEncoding(h cwport.ForwardRequest) textEncoding {
+	texts := []string{h.Statement.ID, h.Statement.Text, h.Statement.Name, h.Statement.Args}
+	for k, v := range h.Values {
+		texts = append(texts, k, v)
+	}
+	if h.Prepared != nil {
+		texts = append(texts, h.Prepared.Text)
+	}
+	return encodingFor(texts...)
+}
+
 // decodeStatement decodes and validates a forwarded statement.
 func decodeStatement(params []byte) (cwport.ForwardRequest, error) {
 	var b statementBody
 	if err := json.Unmarshal(params, &b); err != nil {
 		return cwport.ForwardRequest{}, &MalformedMessageError{Reason: err.Error()}
 	}
-	verb, begin := cwstatement.ParseVerb(b.Verb), cwstatement.ParseVerb(b.Begin)
+	d := textDecoder{encoding: b.Encoding}
+	verb, begin := cwstatement.ParseVerb(d.decode(b.Verb)), cwstatement.ParseVerb(b.Begin)
 	switch {
 	case !holderRuns(verb):
 		return cwport.ForwardRequest{}, &MalformedMessageError{Reason: "verb " + b.Verb}
@@ -143,13 +161,13 @@
 	}
 	h := cwport.ForwardRequest{
 		Transaction: b.Transaction, Begin: begin, Entry: decodeEntry(b.Entry), Workspace: b.Workspace,
-		Statement: cwstatement.Statement{ID: b.ID, Verb: verb, Text: b.Text, Name: b.Name, Args: b.Rest},
-		Values:    b.Values, LastWrite: decodePosition(b.Seen), Elapsed: microseconds(b.ElapsedUS),
+		Statement: cwstatement.Statement{ID: d.decode(b.ID), Verb: verb, Text: d.decode(b.Text), Name: d.decode(b.Name), Args: d.decode(b.Rest)},
+		Values:    d.decodeMap(b.Values), LastWrite: decodePosition(b.Seen), Elapsed: microseconds(b.ElapsedUS),
 	}
 	if b.Prepared != nil {
-		h.Prepared = &cwport.Prepared{Text: b.Prepared.Shape, Writes: b.Prepared.Writes}
+		h.Prepared = &cwport.Prepared{Text: d.decode(b.Prepared.Shape), Writes: b.Prepared.Writes}
 	}
-	return h, nil
+	return h, d.err
 }
 
 // holderRuns reports whether statements with this verb can be forwarded to a holder.
@@ -174,8 +192,9 @@
 
 func encodeResult(r cwport.ForwardResponse) resultBody {
 	a := r.Answer
+	e := encodingFor(append([]string{a.Proof, a.Detail}, a.Rows...)...)
 	return resultBody{
-		Rows: a.Rows, Proof: a.Proof, Code: a.Code.String(), Detail: a.Detail, State: a.State.String(),
+		Encoding: e, Rows: e.encodeAll(a.Rows), Proof: e.encode(a.Proof), Code: e.encode(a.Code.String()), Detail: e.encode(a.Detail), State: a.State.String(),
 		Wrote: encodePosition(r.CommitPosition), Elsewhere: r.TryOtherHolder, Contended: r.Contended, NotRun: r.NotRun,
 		Leaving: r.Leaving,
 	}
@@ -186,8 +205,12 @@
 	if !ok {
 		return cwport.ForwardResponse{}, &MalformedMessageError{Reason: "state " + b.State}
 	}
+	d := textDecoder{encoding: b.Encoding}
+	answer := cwstatement.Response{
+		Rows: d.decodeAll(b.Rows), Proof: d.decode(b.Proof), Code: cwstatement.ParseCode(d.decode(b.Code)), Detail: d.decode(b.Detail), State: state,
+	}
 	return cwport.ForwardResponse{
-		Answer:         cwstatement.Response{Rows: b.Rows, Proof: b.Proof, Code: cwstatement.ParseCode(b.Code), Detail: b.Detail, State: state},
+		Answer:         answer,
 		CommitPosition: decodePosition(b.Wrote), TryOtherHolder: b.Elsewhere, Contended: b.Contended, NotRun: b.NotRun, Leaving: b.Leaving,
-	}, nil
+	}, d.err
 }
--- a/internal/wire/cwforward/forward_test.go
+++ b/internal/wire/cwforward/forward_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +39,8 @@
 	}
 }
 
+// Guards against a statement or a row that another instance receives with other bytes, among
+// other things: a JSON string has no room for text that is not UTF-8.
 func TestStatementRoundTrip(t *testing.T) {
 	t.Run("a statement", func(t *testing.T) {
 		b, err := json.Marshal(encodeStatement(exampleStatement()))
@@ -55,6 +58,40 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, got, qt.DeepEquals, want)
 	})
+	t.Run("texts that are not UTF-8", func(t *testing.T) {
+		want := exampleStatement()
+		want.Statement.ID, want.Statement.Args, want.Prepared.Text = "\xff", "Mu\xf1oz", "q\xe9"
+		want.Values = map[string]string{"n\xe9": "\xfe\n", "lang": "es"}
+		b, err := json.Marshal(encodeStatement(want))
+		qt.Assert(t, err, qt.IsNil)
+		got, err := decodeStatement(b)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.DeepEquals, want)
+		answer := cwport.ForwardResponse{Answer: cwstatement.Response{Rows: []string{"Mu\xf1oz", "b"}, Proof: "7\xff", Detail: "\xe9"}}
+		b, err = json.Marshal(encodeResult(answer))
+		qt.Assert(t, err, qt.IsNil)
+		var body resultBody
+		qt.Assert(t, json.Unmarshal(b, &body), qt.IsNil)
+		decoded, err := body.decode()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, decoded, qt.DeepEquals, answer)
+	})
+	t.Run("a long text that JSON would escape", func(t *testing.T) {
+		want := exampleStatement()
+		want.Statement.Args = strings.Repeat("\x01", 1<<20)
+		b, err := json.Marshal(encodeStatement(want))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(b) < maxMessage, qt.IsTrue)
+		got, err := decodeStatement(b)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.Statement == want.Statement, qt.IsTrue)
+	})
+	t.Run("an unknown encoding", func(t *testing.T) {
+		_, err := decodeStatement([]byte(`{"encoding":"rot13","entry":{"group":"g"},"verb":"read"}`))
+		qt.Assert(t, err, qt.ErrorAs, new(*MalformedMessageError))
+		_, err = resultBody{Encoding: "rot13", State: "idle"}.decode()
+		qt.Assert(t, err, qt.ErrorAs, new(*MalformedMessageError))
+	})
 	t.Run("an unknown code does not mean that nothing was changed", func(t *testing.T) {
 		got, err := resultBody{Code: "later", State: "idle"}.decode()
 		qt.Assert(t, err, qt.IsNil)
