cwleadership: a confirmed primary is copied while the lock is held

A statement could be placed at a half-written address. leader now returns a copy, so that no caller has a pointer; no other function hands one out.

--- a/internal/proxy/cwleadership/place.go
+++ b/internal/proxy/cwleadership/place.go
@@ -58,13 +58,13 @@
 	typicalDetectionTime = 300 * time.Millisecond
 )
 
-// leader returns the member that takes writes, with its last report. The error is a
-// *NoPrimaryError. The caller holds mu.
-func (g *Group) leader(now time.Time) (*Member, cwgroup.Report, error) {
+// leader returns a copy of the member that takes writes, with its last report. The error is
+// a *NoPrimaryError. The caller holds mu.
+func (g *Group) leader(now time.Time) (Member, cwgroup.Report, error) {
 	g.markUsed(now)
 	p, ok := g.sup.View().Primary()
-	refuse := func(why string) (*Member, cwgroup.Report, error) {
-		return nil, cwgroup.Report{}, &NoPrimaryError{
+	refuse := func(why string) (Member, cwgroup.Report, error) {
+		return Member{}, cwgroup.Report{}, &NoPrimaryError{
 			Group: g.cfg.Service, Reason: why, RetryAfter: g.retryAfter(now), MayServeElsewhere: ok && !p.Reachable || !ok && g.recordedPrimaryUnreachable(),
 		}
 	}
@@ -81,9 +81,9 @@
 		return refuse(string(p.Member) + " is gone")
 	}
 	if g.isRemote(m) && g.cfg.RemotePath.Down(now) {
-		return nil, cwgroup.Report{}, g.pathDownError(now, true)
+		return Member{}, cwgroup.Report{}, g.pathDownError(now, true)
 	}
-	return m, p, nil
+	return *m, p, nil
 }
 
 // recordedPrimaryUnreachable reports whether the primary recorded in the group's row
@@ -121,7 +121,7 @@
 	if err != nil {
 		return Placement{}, err
 	}
-	return Placement{Member: *m, Term: p.AdoptedTerm, Primary: true}, nil
+	return Placement{Member: m, Term: p.AdoptedTerm, Primary: true}, nil
 }
 
 // ConfirmedPrimary returns the primary once a confirmation covers everything that was
@@ -145,7 +145,7 @@
 			g.requestConfirmation(Lease, validFor <= 0)
 		}
 		if validFor > 0 {
-			return Placement{Member: *m, Term: p.AdoptedTerm, Primary: true, Evidence: evidence}, nil
+			return Placement{Member: m, Term: p.AdoptedTerm, Primary: true, Evidence: evidence}, nil
 		}
 		if down {
 			return Placement{}, g.pathDownError(now, false)
