cwleadership: a primary that is leaving serves for a limited time

Cause: a primary that is leaving gets statements until another one leads. Where no other member has its records that lasts longer than the platform allows; and since members that leave count until the others have their records, such a member is promoted more often than before.

Change: after the time for which a target without an entry gets work, drain_ms less 2 s, a leaving primary gets no more statements: they are refused as not run, and the others receive the records from it meanwhile.

Evidence: TestLeavingPrimaryServesForALimitedTime.

--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -225,7 +225,7 @@
 	return cwleadership.New(cwleadership.Config{
 		Self: cwfailover.InstanceID(in.cfg.Name), DataCentre: in.cfg.DataCentre, Service: service,
 		Clock: in.cfg.Clock, Log: in.cfg.Log, Dialer: countingDialer{in.cfg.Dialer, in.metrics}, Table: in.cfg.Table,
-		Era: in.cfg.Era, Promoter: in.cfg.Promoter, MinHolderInterval: in.cfg.MinHolderInterval, ClaimSeed: in.cfg.RunID, RemotePath: in.remotePath,
+		Era: in.cfg.Era, Promoter: in.cfg.Promoter, MinHolderInterval: in.cfg.MinHolderInterval, LeavingServes: in.cfg.RemovalDelay, ClaimSeed: in.cfg.RunID, RemotePath: in.remotePath,
 		Observers:  func() []cwport.Observer { return in.engine.Observers(service) },
 		CountCheck: in.metrics.CountHealthCheck, CountAnswer: in.metrics.CountObserverAnswer,
 		OnOutlier: in.metrics.CountOutlier,
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -100,6 +100,9 @@
 	// MinHolderInterval is the minimum time between changes of primary by two different
 	// holders.
 	MinHolderInterval time.Duration
+	// LeavingServes is how long a member that is leaving gets statements; zero if there is
+	// no bound. The platform wants none to reach it some time later.
+	LeavingServes time.Duration
 	// Observers returns the holders of the group, to ask for reports of its members. It
 	// is called without any lock of the group held; nil if no other instance is asked.
 	Observers func() []cwport.Observer
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -14,6 +14,8 @@
 type Member struct {
 	cwport.ListedTarget
 	Pool *cwtargetpool.Pool
+	// leavingSince is when this proxy learnt that the member is leaving; zero if it stays.
+	leavingSince time.Time
 }
 
 // SetMembers replaces the targets of the group. The group has size members, or
@@ -106,6 +108,9 @@
 		g.members[l.ID] = m
 		g.logProgress[l.ID] = &logProgress{}
 	}
+	if l.Draining && !m.Draining {
+		m.leavingSince = g.cfg.Clock.Now()
+	}
 	m.ListedTarget = l
 	m.Pool.SetMaxConnections(ceiling)
 	m.Pool.SetSlots(l.Slots)
@@ -114,6 +119,15 @@
 	}
 }
 
+// servesNoLonger reports whether a member has been leaving for so long that it gets no more
+// statements.
+//
+// It is replaced as the primary long before that, unless no other member has its records, or
+// it was promoted for that reason. The others then receive them from it.
+func (g *Group) servesNoLonger(m *Member, now time.Time) bool {
+	return m.Draining && g.cfg.LeavingServes > 0 && now.Sub(m.leavingSince) >= g.cfg.LeavingServes
+}
+
 // Member returns the member with the given id.
 func (g *Group) Member(id cwgroup.MemberID) (Member, bool) {
 	g.mu.Lock()
--- a/internal/proxy/cwleadership/member_test.go
+++ b/internal/proxy/cwleadership/member_test.go
@@ -1,6 +1,7 @@
 package cwleadership
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -112,3 +113,25 @@
 	b.reportHealthAt("d", cwgroup.RoleReplica, 2, cwgroup.LogPosition{Term: 2, Index: 120})
 	b.assertPrimary("a")
 }
+
+// Guards against statements that reach a database after the time in which it may get them,
+// since no other one has its records and it goes on leading.
+func TestLeavingPrimaryServesForALimitedTime(t *testing.T) {
+	b := newTestGroup(t)
+	b.cfg.LeavingServes = cwgroup.PropagationTime + time.Second
+	b.listChange([]cwgroup.MemberID{"b", "c", "d"}, []cwgroup.MemberID{"a"})
+	answer := func() {
+		b.reportHealth("a", cwgroup.RolePrimary, 1, 100)
+		b.reportHealth("b", cwgroup.RoleReplica, 1, 100)
+		b.reportHealth("c", cwgroup.RoleReplica, 1, 100)
+	}
+	answer()
+	b.assertPrimary("a")
+	b.clock.Advance(time.Second)
+	answer()
+	b.assertPrimary("")
+	now := b.clock.Now()
+	place, err := b.PlaceRead(context.Background(), Read{ArrivedAt: now, MaxAge: 10 * time.Millisecond}, now)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, place.ID, qt.Not(qt.Equals), cwgroup.MemberID("a"))
+}
--- a/internal/proxy/cwleadership/place.go
+++ b/internal/proxy/cwleadership/place.go
@@ -80,6 +80,9 @@
 	if !ok {
 		return refuse(string(p.Member) + " is gone")
 	}
+	if g.servesNoLonger(m, now) {
+		return refuse(string(p.Member) + " is leaving")
+	}
 	if g.isRemote(m) && g.cfg.RemotePath.Down(now) {
 		return Member{}, cwgroup.Report{}, g.pathDownError(now, true)
 	}
--- a/internal/proxy/cwleadership/place_read.go
+++ b/internal/proxy/cwleadership/place_read.go
@@ -165,7 +165,7 @@
 	var options, ejected []cwroute.ReadTarget
 	for id, m := range g.members {
 		rep, known := v.Report(id)
-		if m.Draining && id != primary.Member || slices.Contains(rd.RefusedBy, id) {
+		if m.Draining && (id != primary.Member || g.servesNoLonger(m, now)) || slices.Contains(rd.RefusedBy, id) {
 			continue
 		}
 		o := g.readTarget(m, id == primary.Member)
