cwgroup: a proxy that starts in a change of the members does not guess the earlier ones

Cause: an instance that starts finds five members and took all five for those of before, of which three fenced ones have one in common with every majority. The earlier ones were three, of which two had acknowledged; the two were not fenced. Nothing changes where as many are listed as the group has. The drawn schedules of members that leave and come have all other faults beside them now, starts of proxies too.

--- a/internal/core/cwgroup/configuration.go
+++ b/internal/core/cwgroup/configuration.go
@@ -26,6 +26,9 @@
 	// Ended is the number of members that have ended for good and are not in Members. It
 	// is zero in the configuration in force.
 	Ended int
+	// Any, if it is not zero, tells that the configuration had that many of the members, and
+	// that nobody here knows which.
+	Any int
 }
 
 // Size returns the number of members, listed or not.
@@ -37,15 +40,23 @@
 // HasMajority reports whether the set has a majority of the members, or all of those that
 // have not ended.
 func (c Configuration) HasMajority(in MemberSet) bool {
-	n := c.count(in)
-	return n > 0 && (n >= Majority(c.Size()) || n+c.Ended >= c.Size())
+	n, k := c.count(in), c.deciding()
+	return n > 0 && (c.Size()-n <= k-Majority(k) || n+c.Ended >= c.Size())
 }
 
 // Intersects reports whether the set has a member in common with every majority of the
 // configuration that is not made up of members that have ended.
 func (c Configuration) Intersects(in MemberSet) bool {
 	n := c.count(in)
-	return c.Size()-n < Majority(c.Size()) || n+c.Ended >= c.Size()
+	return c.Size()-n < Majority(c.deciding()) || n+c.Ended >= c.Size()
+}
+
+// deciding returns the number of members of which a majority decided.
+func (c Configuration) deciding() int {
+	if c.Any > 0 {
+		return c.Any
+	}
+	return c.Size()
 }
 
 // lacksOne reports whether the set has all members, or all but one of several.
@@ -66,10 +77,9 @@
 	return n
 }
 
-// Equal reports whether two configurations have the same members, size and number of ended
-// members.
+// Equal reports whether two configurations have the same members and numbers.
 func (c Configuration) Equal(o Configuration) bool {
-	return c.Size() == o.Size() && c.Ended == o.Ended && slices.Equal(c.Members, o.Members)
+	return c.Size() == o.Size() && c.Ended == o.Ended && c.Any == o.Any && slices.Equal(c.Members, o.Members)
 }
 
 // Quorums tells which sets of members suffice for what, while the members of the group
--- a/internal/core/cwgroup/reconfiguration.go
+++ b/internal/core/cwgroup/reconfiguration.go
@@ -50,11 +50,10 @@
 	r.leaving = slices.Clone(leaving)
 	before := r.current
 	r.current = newConfiguration(slices.Concat(staying, r.absent), size)
-	if before.Size() == 0 && len(leaving) > 0 {
-		// A proxy that begins in the middle of a change has not seen the members before it.
-		before = newConfiguration(listed, size)
-	}
 	former := slices.Clone(r.former)
+	if !before.canDecide() && len(former) == 0 {
+		before = r.unknownBefore(listed, size)
+	}
 	if before.canDecide() {
 		former = append(former, formerConfiguration{Configuration: before, replacedAt: now, decidesUntil: now.Add(PropagationTime)})
 	}
@@ -74,6 +73,17 @@
 	return r
 }
 
+// unknownBefore returns the configuration before the first one that this proxy knows. If more
+// members are listed than the group has, it began in the middle of a change and has not seen
+// which of them there were.
+func (r Reconfiguration) unknownBefore(listed []MemberID, size int) Configuration {
+	c := newConfiguration(slices.Concat(listed, r.absent), 0)
+	if size > 0 && size < c.Size() {
+		c.Any = size
+	}
+	return c
+}
+
 // stillAbsent returns the members of the present configuration that are not listed and have
 // not announced their leaving: the n most recent ones, since new members take the places of
 // the others.
--- a/internal/core/cwgroup/reconfiguration_test.go
+++ b/internal/core/cwgroup/reconfiguration_test.go
@@ -180,3 +180,28 @@
 	qt.Assert(t, replaced.Current().Members, qt.DeepEquals, []MemberID{"a", "c", "d"})
 	qt.Assert(t, replaced.Quorums(start).Fences(SetOf("c", "d")), qt.IsFalse)
 }
+
+// Guards against records lost by a proxy that starts while members leave and come: it takes
+// those that it finds for the members of before.
+func TestStartInTheMiddleOfAChange(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := Reconfiguration{}.WithMembers([]MemberID{"p", "n", "o"}, []MemberID{"r", "s"}, 3, start)
+	for _, tc := range []struct {
+		name string
+		set  []MemberID
+		want bool
+	}{
+		{"all but two, which may have acknowledged by themselves", []MemberID{"n", "o", "r"}, false},
+		{"all but one", []MemberID{"n", "o", "r", "s"}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Assert(t, r.Quorums(start).Fences(SetOf(tc.set...)), qt.Equals, tc.want)
+			qt.Assert(t, r.Quorums(start).Decides(SetOf(tc.set...)), qt.Equals, tc.want)
+		})
+	}
+	t.Run("no more are listed than the group has", func(t *testing.T) {
+		q := Reconfiguration{}.WithMembers([]MemberID{"p", "r", "s"}, nil, 3, start).Quorums(start)
+		qt.Assert(t, q.Unsettled, qt.HasLen, 0)
+		qt.Assert(t, q.Fences(SetOf("r", "s")), qt.IsTrue)
+	})
+}
--- a/internal/core/cwsimulation/faults_test.go
+++ b/internal/core/cwsimulation/faults_test.go
@@ -87,7 +87,7 @@
 
 // drawMembershipFaults draws a schedule in which members leave and come, and 1 to most faults.
 func drawMembershipFaults(t *rapid.T, most int) []fault {
-	return append(drawFaultsOf(t, 3, replaceTarget, replacePrimary+1), drawFaultsOf(t, most, killPrimary, membershipFaultKinds)...)
+	return append(drawFaultsOf(t, 3, replaceTarget, replacePrimary+1), drawFaultsOf(t, most, 0, membershipFaultKinds)...)
 }
 
 // drawFaultsOf draws 1 to most faults of the kinds from first up to but not including last.
