--- a/cmd/cicadasoak/soak_test.go
+++ b/cmd/cicadasoak/soak_test.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// Guards against records lost, and reads that miss them, while databases are replaced, data
+// centres are cut off, replicas receive nothing and primaries crash.
+func TestSoakWithReplacements(t *testing.T) {
+	program := buildProgram(t)
+	for _, tc := range []struct {
+		seed string
+		args []string
+	}{
+		// All instances were killed while two databases were leaving.
+		{"52001", []string{"--synchronous"}},
+		// Reads missed records of databases that were leaving.
+		{"52003", nil},
+	} {
+		t.Run("seed "+tc.seed, func(t *testing.T) {
+			assertNothingBroken(t, append([]string{
+				"--program", program, "--first-seed", tc.seed, "--instances", "7", "--callers", "12", "--duration", "18s",
+				"--keyless", "--replacements",
+			}, tc.args...))
+		})
+	}
+}
+
 // Guards against a planned stop that leaves a statement, which the instance has read or
 // forwarded, without an answer.
 func TestStopAnswersWhatWasRead(t *testing.T) {
--- a/internal/standin/cwreplicaset/conn.go
+++ b/internal/standin/cwreplicaset/conn.go
@@ -60,7 +60,11 @@
 	}
 	cmd := c.queue[0]
 	c.queue = c.queue[1:]
+	before := c.member.lastReceived()
 	a := c.run(cmd)
+	if c.group.synchronous && c.member.lastReceived() != before && !c.awaitReplica() {
+		return cwstatement.Response{}, errLost
+	}
 	c.spendWorkTime(cmd)
 	if c.member.loseAnswers {
 		return cwstatement.Response{}, errLost
@@ -88,6 +92,19 @@
 	}
 }
 
+// awaitReplica waits until a replica has received what the member has committed. It returns
+// false if none has within the timeout, or if the connection has broken. The caller holds
+// the group's lock, which is released meanwhile.
+func (c *conn) awaitReplica() bool {
+	for waited := time.Duration(0); !c.group.hasReplica(c.member); waited += cutPollInterval {
+		if waited > c.timeout || c.checkPath() != nil {
+			return false
+		}
+		c.sleep(cutPollInterval)
+	}
+	return true
+}
+
 // spendWorkTime waits for as long as the member takes for a caller's command, which has
 // run. The caller holds the group's lock, which is released meanwhile.
 func (c *conn) spendWorkTime(cmd cwstatement.Command) {
--- a/internal/standin/cwreplicaset/group.go
+++ b/internal/standin/cwreplicaset/group.go
@@ -65,9 +65,9 @@
 	lostFences, busyFences int
 	connections            int
 	// incarnation is incremented when the member goes down; down is true until it
-	// starts again.
+	// starts again, which it does not once it has ended.
 	incarnation int
-	down        bool
+	down, ended bool
 	// steppingDown is true while a replaced primary that can reach the new one
 	// waits for stepDownDelay before it becomes a replica.
 	steppingDown bool
@@ -100,6 +100,8 @@
 	// clock is the clock given last to a method that sets a delay or a fault; nil
 	// if none was given.
 	clock clockwork.Clock
+	// synchronous makes a primary answer a commit only once a replica has received it.
+	synchronous bool
 	// stepDownDelay is how long a replaced primary remains a primary once it can
 	// reach the new one.
 	stepDownDelay time.Duration
@@ -151,6 +153,33 @@
 	return m.role, !m.down
 }
 
+// SetSynchronous makes primaries answer a commit only once a replica has received it, by the
+// clock.
+func (g *Group) SetSynchronous(clock clockwork.Clock) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.synchronous, g.clock = true, clock
+}
+
+// Add adds a member with an empty log, which receives that of its primary.
+func (g *Group) Add(id cwgroup.MemberID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[id] = &Member{id: id, term: 1}
+	g.memberOrder = append(slices.Clone(g.memberOrder), id)
+	g.replicate()
+}
+
+// End stops a member for good and breaks all connections to it.
+func (g *Group) End(id cwgroup.MemberID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	m.incarnation++
+	m.down, m.ended, m.role = true, true, cwgroup.RoleReplica
+	g.replicate()
+}
+
 // HangOnCuts makes connections over a cut path wait, by the clock, until the path
 // is restored, instead of failing at once.
 func (g *Group) HangOnCuts(clock clockwork.Clock) {
--- a/internal/standin/cwreplicaset/replicate.go
+++ b/internal/standin/cwreplicaset/replicate.go
@@ -37,6 +37,9 @@
 	clock.Sleep(after)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if m.ended {
+		return
+	}
 	m.down, m.fenceTerm = false, 0
 	if p := g.newestPrimary(); p != nil && p != m && p.term > m.term {
 		m.role = cwgroup.RoleReplica
@@ -187,3 +190,15 @@
 	m.appendRecord(writes, g.now())
 	g.replicate()
 }
+
+// hasReplica reports whether a running replica has received the member's log up to its
+// present end.
+func (g *Group) hasReplica(m *Member) bool {
+	end := m.lastReceived()
+	for _, o := range g.members {
+		if o != m && !o.down && containsPosition(o.log, end) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/tool/cwcommand/soak.go
+++ b/internal/tool/cwcommand/soak.go
@@ -26,6 +26,7 @@
 	duration                   time.Duration
 	instances, groups, callers int
 	keyless, stops, verbose    bool
+	replacements, synchronous  bool
 }
 
 // SoakCommand returns the root command of the program cicadasoak.
@@ -56,6 +57,8 @@
 	fs.IntVar(&f.groups, "groups", 2, "number of groups of three databases")
 	fs.IntVar(&f.callers, "callers", 24, "number of concurrent callers")
 	fs.BoolVar(&f.keyless, "keyless", false, "run without keys and quotas, and also cut paths between single proxies and databases")
+	fs.BoolVar(&f.replacements, "replacements", false, "also replace databases as planned, cut data centres off, let replicas receive nothing and primaries crash; with keys, single proxies are not cut off from databases")
+	fs.BoolVar(&f.synchronous, "synchronous", false, "let primaries answer a commit only once a replica has received it")
 	fs.BoolVar(&f.stops, "stops", false, "inject planned stops only, before callers that go on coming and databases that take their time")
 	fs.BoolVar(&f.verbose, "verbose", false, "log each fault")
 	return cmd
@@ -103,7 +106,7 @@
 	}
 	r, err := cwsoak.Run(cmd.Context(), cwsoak.Config{
 		Seed: seed, Duration: f.duration, Instances: f.instances, Groups: f.groups, Callers: f.callers,
-		Keyless: f.keyless, Stops: f.stops, Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
+		Keyless: f.keyless, Stops: f.stops, Replacements: f.replacements, Synchronous: f.synchronous, Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/tool/cwsoak/entries.go
+++ b/internal/tool/cwsoak/entries.go
@@ -11,9 +11,11 @@
 // roleReportInterval is the interval at which targets report a change of their role.
 const roleReportInterval = 50 * time.Millisecond
 
-// entry is a target's entry in the store. It is guarded by environment.mu.
+// entry is a target's entry in the store. It is guarded by environment.mu, but for ended.
 type entry struct {
 	listing cwport.ListedTarget
+	// ended is true once the target has ended for good. It is guarded by group.mu.
+	ended bool
 	// lapsed is true while the entry is missing from the store although the target
 	// may be running.
 	lapsed bool
@@ -27,7 +29,7 @@
 		now = cwport.RolePrimary
 	}
 	env.mu.Lock()
-	e := g.entries[id]
+	e := g.entry(id)
 	changed := up && !e.lapsed && e.listing.Role != now
 	if changed {
 		e.listing.Role = now
@@ -44,7 +46,7 @@
 func (env *environment) runRoleReports(ctx context.Context) {
 	for sleep(ctx, roleReportInterval) {
 		for _, g := range env.groups {
-			for _, id := range g.ids {
+			for _, id := range g.allTargets() {
 				if err := env.reportRole(g, id); err != nil {
 					env.cfg.Log.Error("entryNotWritten", "target", id, "cause", err)
 				}
@@ -66,6 +68,28 @@
 func (env *environment) setLapsed(g *group, id cwgroup.MemberID, lapsed bool) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	e := g.entries[id]
+	e := g.entry(id)
 	e.lapsed, e.listing.Role = lapsed, cwport.RoleUnknown
 }
+
+// announceLeaving writes that a target is leaving.
+func (env *environment) announceLeaving(g *group, id cwgroup.MemberID) {
+	env.mu.Lock()
+	e := g.entry(id)
+	e.listing.Draining = true
+	l, lapsed := e.listing, e.lapsed
+	env.mu.Unlock()
+	if lapsed {
+		return
+	}
+	if err := env.store.PutEntry(l); err != nil {
+		env.cfg.Log.Error("entryNotWritten", "target", id, "cause", err)
+	}
+}
+
+// dataCentreOf returns the data centre of a target.
+func (env *environment) dataCentreOf(g *group, id cwgroup.MemberID) string {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return g.entry(id).listing.DataCentre
+}
--- a/internal/tool/cwsoak/environment.go
+++ b/internal/tool/cwsoak/environment.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,11 +59,44 @@
 // store.
 type group struct {
 	*cwreplicaset.Group
+
+	mu sync.Mutex
+	// ids are the targets that are running and not leaving, and added is the number of all
+	// so far. Links and entries are kept.
 	ids     []cwgroup.MemberID
+	added   int
 	links   map[cwgroup.MemberID]*cwlink.Link
 	entries map[cwgroup.MemberID]*entry
 }
 
+// targets returns the targets that are running and not leaving.
+func (g *group) targets() []cwgroup.MemberID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.ids)
+}
+
+// link returns the network path to a target.
+func (g *group) link(id cwgroup.MemberID) *cwlink.Link {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.links[id]
+}
+
+// entry returns the entry of a target.
+func (g *group) entry(id cwgroup.MemberID) *entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entries[id]
+}
+
+// allTargets returns all targets so far, also those that have ended.
+func (g *group) allTargets() []cwgroup.MemberID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.entries))
+}
+
 // environment is the proxies, their targets and store, the network paths between them,
 // and the records of what callers were told.
 type environment struct {
@@ -165,21 +200,11 @@
 	if env.cfg.Stops {
 		g.SetWorkTime(env.workTime, clock)
 	}
+	if env.cfg.Synchronous {
+		g.SetSynchronous(clock)
+	}
 	for i, id := range g.ids {
-		g.LimitConnections(id, connectionsPerTarget)
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		go env.serveTarget(ln, id, g.DialerFrom(""))
-		l, err := cwlink.Start("127.0.0.1:0", ln.Addr().String())
-		if err != nil {
-			return err
-		}
-		env.cleanups = append(env.cleanups, func() { _ = ln.Close() }, l.Stop)
-		g.links[id] = l
-		g.entries[id] = &entry{listing: cwport.ListedTarget{ID: id, Service: name, Address: l.Addr(), DataCentre: dataCentreName(i), Slots: slotsPerTarget}}
-		if err := env.reportRole(g, id); err != nil {
+		if err := env.serve(g, id, dataCentreName(i)); err != nil {
 			return err
 		}
 	}
@@ -187,6 +212,29 @@
 	return nil
 }
 
+// serve starts to serve a target of a group and writes its entry.
+func (env *environment) serve(g *group, id cwgroup.MemberID, dataCentre string) error {
+	g.LimitConnections(id, connectionsPerTarget)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go env.serveTarget(ln, id, g.DialerFrom(""))
+	l, err := cwlink.Start("127.0.0.1:0", ln.Addr().String())
+	if err != nil {
+		return err
+	}
+	env.mu.Lock()
+	env.cleanups = append(env.cleanups, func() { _ = ln.Close() }, l.Stop)
+	env.mu.Unlock()
+	g.mu.Lock()
+	g.added++
+	g.links[id] = l
+	g.entries[id] = &entry{listing: cwport.ListedTarget{ID: id, Service: g.Service, Address: l.Addr(), DataCentre: dataCentre, Slots: slotsPerTarget}}
+	g.mu.Unlock()
+	return env.reportRole(g, id)
+}
+
 func dataCentreName(i int) string { return fmt.Sprintf("dc%d", i%membersPerGroup) }
 
 // DataCentres returns the names of the data centres of a soak.
--- a/internal/tool/cwsoak/faults.go
+++ b/internal/tool/cwsoak/faults.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/standin/cwlink"
 )
 
@@ -183,11 +184,16 @@
 		return f.env.storeLinks[f.rand.IntN(len(f.env.storeLinks))]
 	}
 	g := f.randomGroup()
-	return g.links[g.ids[f.rand.IntN(len(g.ids))]]
+	return g.link(f.randomTarget(g))
 }
 
 func (f *faultInjector) randomGroup() *group { return f.env.groups[f.rand.IntN(len(f.env.groups))] }
 
+func (f *faultInjector) randomTarget(g *group) cwgroup.MemberID {
+	ids := g.targets()
+	return ids[f.rand.IntN(len(ids))]
+}
+
 func (f *faultInjector) linkFaults() []fault {
 	set := func(faults cwlink.Faults) func() (string, func()) {
 		return func() (string, func()) {
@@ -231,25 +237,25 @@
 	return []fault{
 		{name: "primaryDark", begin: func() (string, func()) {
 			g := f.randomGroup()
-			id := cmp.Or(g.Primary(), g.ids[0])
+			id := cmp.Or(g.Primary(), g.targets()[0])
 			g.SetUnresponsive(id, true, clockwork.NewRealClock())
 			return "dark " + string(id), func() { g.SetUnresponsive(id, false, clockwork.NewRealClock()) }
 		}},
 		{name: "targetDark", begin: func() (string, func()) {
 			g := f.randomGroup()
-			id := g.ids[f.rand.IntN(len(g.ids))]
+			id := f.randomTarget(g)
 			g.SetUnresponsive(id, true, clockwork.NewRealClock())
 			return "dark " + string(id), func() { g.SetUnresponsive(id, false, clockwork.NewRealClock()) }
 		}},
 		{name: "targetDeaf", begin: func() (string, func()) {
 			g := f.randomGroup()
-			id := g.ids[f.rand.IntN(len(g.ids))]
+			id := f.randomTarget(g)
 			g.SetReceiveStopped(id, true)
 			return "deaf " + string(id), func() { g.SetReceiveStopped(id, false) }
 		}},
 		{name: "answersLost", begin: func() (string, func()) {
 			g := f.randomGroup()
-			id := g.ids[f.rand.IntN(len(g.ids))]
+			id := f.randomTarget(g)
 			g.LoseAnswers(id, true)
 			return "answers " + string(id), func() { g.LoseAnswers(id, false) }
 		}},
--- a/internal/tool/cwsoak/members.go
+++ b/internal/tool/cwsoak/members.go
@@ -85,7 +85,8 @@
 
 func (f *faultInjector) randomMember() (*group, cwgroup.MemberID) {
 	g := f.env.groups[f.memberRand.IntN(len(f.env.groups))]
-	return g, g.ids[f.memberRand.IntN(len(g.ids))]
+	ids := g.targets()
+	return g, ids[f.memberRand.IntN(len(ids))]
 }
 
 // path is the two ends of a network path: names of instances or members.
@@ -106,7 +107,7 @@
 // pathsToOthers returns the paths between a member and the other members.
 func (f *faultInjector) pathsToOthers(g *group, id cwgroup.MemberID) []path {
 	var out []path
-	for _, other := range g.ids {
+	for _, other := range g.targets() {
 		if other != id {
 			out = append(out, path{string(id), string(other)})
 		}
@@ -121,7 +122,7 @@
 	var out []path
 	for _, p := range f.env.instances {
 		near := f.memberRand.IntN(2) == 0
-		for _, m := range g.ids {
+		for _, m := range g.targets() {
 			if near != (m == id) {
 				out = append(out, path{p.name, string(m)})
 			}
--- a/internal/tool/cwsoak/soak.go
+++ b/internal/tool/cwsoak/soak.go
@@ -96,9 +96,13 @@
 	Program, Dir string
 	// Stops runs planned stops only, one after the other and at the same time, before
 	// callers that go on coming, and statements that take their time.
-	Stops    bool
-	Platform Platform
-	Log      *log.Logger
+	Stops bool
+	// Replacements also replaces targets as planned, cuts data centres off, makes replicas
+	// receive nothing, and lets primaries crash. Synchronous makes a primary answer a commit
+	// only once a replica has received it.
+	Replacements, Synchronous bool
+	Platform                  Platform
+	Log                       *log.Logger
 }
 
 // Report is the result of a run.
@@ -186,7 +190,13 @@
 		memberRand: rand.New(rand.NewPCG(seed, memberStream)), active: make(map[string]func()),
 	}
 	eg.Go(func() error { return f.run(ctx) })
-	eg.Go(func() error { return f.runRestores(ctx) })
+	if env.cfg.Replacements {
+		r := &replacer{faultInjector: f, rand: rand.New(rand.NewPCG(seed, replacementStream))}
+		eg.Go(func() error { return r.run(ctx) })
+	} else {
+		// A restore would bring back the entries of targets that have ended.
+		eg.Go(func() error { return f.runRestores(ctx) })
+	}
 	eg.Go(func() error { return f.runMemberFaults(ctx) })
 	eg.Go(func() error { return env.runDesiredStates(ctx) })
 	eg.Go(func() error { return env.takeSnapshots(ctx) })
