cwgroup: an instance that does not know a group's size yet has no earlier members

By reading: the list of an instance that starts before it knows how many members a group has was taken for a configuration that decides. Where one member was listed at first, it had to be fenced until the change was settled, and the group could not replace it if it was lost in those seconds. A case of TestStartInTheMiddleOfAChange failed before.

--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -96,7 +96,7 @@
 	})
 }
 
-// countedMembers returns how many listed members may contribute to the majority.
+// countedMembers returns how many members may contribute to the majority.
 func (k *Attempt) countedMembers() int {
 	n := len(k.plan.Members)
 	if k.plan.ExcludedPrimary != "" {
--- a/internal/core/cwgroup/reconfiguration.go
+++ b/internal/core/cwgroup/reconfiguration.go
@@ -51,7 +51,7 @@
 	before := r.current
 	r.current = newConfiguration(slices.Concat(staying, r.absent), size)
 	former := slices.Clone(r.former)
-	if !before.canDecide() && len(former) == 0 {
+	if !before.canDecide() && r.current.canDecide() && len(former) == 0 {
 		before = r.unknownBefore(listed, size)
 	}
 	if before.canDecide() {
@@ -77,7 +77,7 @@
 // members are listed than the group has, it began in the middle of a change and has not seen
 // which of them there were.
 func (r Reconfiguration) unknownBefore(listed []MemberID, size int) Configuration {
-	c := newConfiguration(slices.Concat(listed, r.absent), 0)
+	c := newConfiguration(slices.Concat(listed, r.absent), size)
 	if size > 0 && size < c.Size() {
 		c.Any = size
 	}
--- a/internal/core/cwgroup/reconfiguration_test.go
+++ b/internal/core/cwgroup/reconfiguration_test.go
@@ -199,6 +199,10 @@
 			qt.Assert(t, r.Quorums(start).Decides(SetOf(tc.set...)), qt.Equals, tc.want)
 		})
 	}
+	t.Run("the size of the group is not known at first", func(t *testing.T) {
+		q := Reconfiguration{}.WithMembers([]MemberID{"p"}, nil, 7, start).WithMembers([]MemberID{"p", "r", "s"}, nil, 3, start).Quorums(start)
+		qt.Assert(t, q.Unsettled, qt.HasLen, 0)
+	})
 	t.Run("no more are listed than the group has", func(t *testing.T) {
 		q := Reconfiguration{}.WithMembers([]MemberID{"p", "r", "s"}, nil, 3, start).Quorums(start)
 		qt.Assert(t, q.Unsettled, qt.HasLen, 0)
