--- a/internal/standin/cwreplicaset/group.go
+++ b/internal/standin/cwreplicaset/group.go
@@ -170,6 +170,13 @@
 	g.replicate()
 }
 
+// HasLogOf reports whether a member has the records up to the end of another one's log.
+func (g *Group) HasLogOf(id, other cwgroup.MemberID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[id].lastReceived().AtLeast(g.members[other].lastReceived())
+}
+
 // End stops a member for good and breaks all connections to it.
 func (g *Group) End(id cwgroup.MemberID) {
 	g.mu.Lock()
--- a/internal/tool/cwsoak/replacements.go
+++ b/internal/tool/cwsoak/replacements.go
@@ -134,7 +134,7 @@
 	g.mu.Lock()
 	g.ids = append(g.ids, next)
 	g.mu.Unlock()
-	time.AfterFunc(joinDuration, func() { r.leave(g, old, drain) })
+	time.AfterFunc(joinDuration, func() { r.leave(g, old, next, drain) })
 	return string(old) + " by " + string(next)
 }
 
@@ -149,13 +149,17 @@
 	return n
 }
 
-// leave makes a target announce its leaving, and end after the given time.
-func (r *replacer) leave(g *group, id cwgroup.MemberID, drain time.Duration) {
+// leave makes a target announce its leaving, and end after the given time, but not before the
+// one that replaces it has its log.
+func (r *replacer) leave(g *group, id, next cwgroup.MemberID, drain time.Duration) {
 	g.mu.Lock()
 	g.ids = slices.DeleteFunc(slices.Clone(g.ids), func(o cwgroup.MemberID) bool { return o == id })
 	g.mu.Unlock()
 	r.env.announceLeaving(g, id)
 	time.AfterFunc(drain, func() {
+		for !g.HasLogOf(next, id) {
+			time.Sleep(roleReportInterval)
+		}
 		g.End(id)
 		g.mu.Lock()
 		g.entries[id].ended = true
