cwgroup: what a start takes for the earlier members counts for 8 s at most

Change: it ends after 8 s, which leaves the time for a change of primary within the 12 s in which a group has to be back.

--- a/internal/core/cwgroup/reconfiguration.go
+++ b/internal/core/cwgroup/reconfiguration.go
@@ -9,6 +9,11 @@
 // the listed members, plus a margin.
 const PropagationTime = 4 * time.Second
 
+// guessLifetime is how long an instance that starts in the middle of a change relies on what
+// it takes for the earlier members. After a loss of all instances a group has to be served
+// again within some 12 s, a change of primary included.
+const guessLifetime = 2 * PropagationTime
+
 // Reconfiguration follows how the members of a group change, for one proxy. It is
 // immutable. The zero Reconfiguration is that of a group that was never listed.
 //
@@ -42,6 +47,13 @@
 	leaving      bool
 }
 
+// outdatedGuess reports whether a configuration of which it is not known which members it had
+// need no longer be fenced: guessLifetime after it was found. A member that ended unseen would
+// otherwise keep the group from a primary for good.
+func (f formerConfiguration) outdatedGuess(now time.Time) bool {
+	return f.Any > 0 && now.Sub(f.replacedAt) >= guessLifetime
+}
+
 // WithMembers returns the reconfiguration after exactly these members are listed. The group
 // has size members, or len(staying) if that is more.
 func (r Reconfiguration) WithMembers(staying, leaving []MemberID, size int, now time.Time) Reconfiguration {
@@ -66,7 +78,7 @@
 			f.decidesUntil = now
 		}
 		replaced := slices.ContainsFunc(former[i+1:], func(o formerConfiguration) bool { return o.Equal(f.Configuration) })
-		if len(f.Members) > 0 && !f.Equal(r.current) && !replaced {
+		if len(f.Members) > 0 && !f.Equal(r.current) && !replaced && !f.outdatedGuess(now) {
 			r.former = append(r.former, f)
 		}
 	}
--- a/internal/core/cwgroup/reconfiguration_test.go
+++ b/internal/core/cwgroup/reconfiguration_test.go
@@ -199,6 +199,10 @@
 			qt.Assert(t, r.Quorums(start).Decides(SetOf(tc.set...)), qt.Equals, tc.want)
 		})
 	}
+	t.Run("members that ended unseen do not count for good", func(t *testing.T) {
+		later := r.WithMembers([]MemberID{"p", "n", "o"}, []MemberID{"r", "s"}, 3, start.Add(guessLifetime))
+		qt.Assert(t, later.Quorums(start.Add(guessLifetime)).Fences(SetOf("n", "o")), qt.IsTrue)
+	})
 	t.Run("the size of the group is not known at first", func(t *testing.T) {
 		q := Reconfiguration{}.WithMembers([]MemberID{"p"}, nil, 7, start).WithMembers([]MemberID{"p", "r", "s"}, nil, 3, start).Quorums(start)
 		qt.Assert(t, q.Unsettled, qt.HasLen, 0)
