cwpgproxy: the test of an unacknowledged write does not race with its fault

Traced: it stopped two replicas and then wrote, and a proxy that has found the replicas gone refuses the write before it runs, which is right. On, ten processes of the test at once: 45 of 120 the same. The write has to run for what the test is about, so replication stops at the primary now, and the replicas still answer; the answer wanted is the same. 0 of 120.

--- a/internal/proxy/cwpgproxy/operator_test.go
+++ b/internal/proxy/cwpgproxy/operator_test.go
@@ -13,6 +13,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/standin/cwdatabase"
 	"cicadawalk.example/cicadawalk/internal/standin/cwplatformserver"
 	"cicadawalk.example/cicadawalk/internal/tool/cwdemo"
 	"cicadawalk.example/cicadawalk/internal/wire/cwcataloguestore"
@@ -194,8 +195,8 @@
 	c, b := newTestCluster(t, cwdemo.Options{DrainTimeout: 300 * time.Millisecond})
 	conn := b.connect(c, 1)
 	exec(c, conn, "CREATE TABLE ronda (id bigint)")
-	b.Databases[1].Stop()
-	b.Databases[2].Stop()
+	// Replicas that are found to be gone would have the write refused before it runs.
+	b.Databases[0].SetFaults(cwdatabase.Faults{NoReplication: true})
 	answer := make(chan error, 1)
 	go func() {
 		_, err := conn.Exec(background, "INSERT INTO ronda VALUES (1)")
