--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -84,6 +84,8 @@
 	Planned bool
 	// Duration is the duration of the attempt.
 	Duration time.Duration
+	// Fenced are the members that were fenced, NotFenced those that failed to be.
+	Fenced, NotFenced []cwgroup.MemberID
 }
 
 // Changed reports whether the change led to a new primary.
@@ -374,6 +376,7 @@
 	s.retryAt = now.Add(RetryDelay + time.Duration(in.Rank)*RankDelay)
 	return Result{
 		Plan: k.plan, OldPrimary: s.oldPrimary, NewPrimary: k.newPrimary, Reason: k.reason, Planned: s.planned, Duration: now.Sub(s.attemptStartedAt),
+		Fenced: slices.Sorted(maps.Keys(k.fenced)), NotFenced: slices.Sorted(maps.Keys(k.fenceFailed)),
 	}, true
 }
 
--- a/internal/core/cwgroup/configuration.go
+++ b/internal/core/cwgroup/configuration.go
@@ -1,6 +1,10 @@
 package cwgroup
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // MemberSet is a set of members, as a predicate.
 type MemberSet func(MemberID) bool
@@ -34,6 +38,22 @@
 // Size returns the number of members, listed or not.
 func (c Configuration) Size() int { return max(c.MinSize, len(c.Members)+c.Ended) }
 
+// String describes the configuration for logs: its members and, where they are not zero, its
+// size, the members that have ended, and how many of the members it had.
+func (c Configuration) String() string {
+	b := strings.Builder{}
+	fmt.Fprint(&b, c.Members)
+	for _, n := range []struct {
+		name  string
+		value int
+	}{{"size", c.MinSize}, {"ended", c.Ended}, {"any", c.Any}} {
+		if n.value > 0 {
+			fmt.Fprintf(&b, " %s %d", n.name, n.value)
+		}
+	}
+	return b.String()
+}
+
 // Listed reports whether the member is one of the listed ones.
 func (c Configuration) Listed(id MemberID) bool { return slices.Contains(c.Members, id) }
 
@@ -100,6 +120,11 @@
 	Unsettled []Configuration
 }
 
+// String describes the quorums for logs.
+func (q Quorums) String() string {
+	return fmt.Sprintf("current %v recent %v unsettled %v", q.Current, q.Recent, q.Unsettled)
+}
+
 // Decides reports whether the members of the set may acknowledge a record or confirm the
 // primary: they are a majority of every configuration that any proxy may have in force.
 func (q Quorums) Decides(in MemberSet) bool {
