cwleadership: members are fenced above the term of a promotion out of sight

A leaving primary was replaced as planned, and the data centre of the new one was cut off within a second. On the other side each attempt failed: every member "was not fenced".

Cause: the term to fence for was one above that of the member's log and of the known primary. The promotion took effect behind the cut, so the members' newest term was already that one, and a PAUSE works only "with a term above the newest term". No later attempt asked for more, since nothing that a proxy could see had changed.

Change: a member that refuses a fence is asked for the next terms, up to four more; what it accepted is remembered for the others, and the term below it counts as replaced. Members fenced for a lower term than another one are fenced again before they count: the primary in between still reaches them. A number that is too high would leave replicas fenced in the next term, so it grows by one at a time.

--- a/internal/core/cwfailover/attempt_test.go
+++ b/internal/core/cwfailover/attempt_test.go
@@ -326,3 +326,23 @@
 		assertCommands(t, k.Handle(Response{Kind: RecordReplacedTerm, RowOutcome: RowConfirmed}, start))
 	})
 }
+
+// fencedFor returns a member's response that it is fenced for a term of the members' own.
+func fencedFor(id cwgroup.MemberID, t cwgroup.Term) Response {
+	r := adoptResponse(id, logPosition(3, 7))
+	r.Status.FencedTerm = t
+	return r
+}
+
+// Guards against lost records: a member that was fenced for a lower term than another one can
+// still acknowledge for a primary that was promoted in between.
+func TestMembersAreFencedForOneTerm(t *testing.T) {
+	k := fencingAttempt(t, testPlan())
+	assertCommands(t, k.Handle(fencedFor("a", 4), start))
+	assertCommands(t, k.Handle(fencedFor("b", 5), start), "adopt a")
+	assertCommands(t, k.Tick(start.Add(FenceGracePeriod)))
+	assertCommands(t, k.Handle(fencedFor("a", 5), start))
+	assertCommands(t, k.Handle(fencedFor("c", 4), start), "adopt c")
+	assertCommands(t, k.Tick(start.Add(FenceGracePeriod)), "promote a")
+}
+
--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -41,6 +41,9 @@
 		k.fenced[resp.Member] = resp.Status
 		k.highestPriorTerm = max(k.highestPriorTerm, resp.Status.PriorTerm)
 	}
+	if again := k.fenceAgain(); len(again) > 0 {
+		return k.afterReadBack(again)
+	}
 	if !k.majorityPossible() {
 		k.abandon(ReasonNoMajority)
 		return nil
@@ -59,6 +62,30 @@
 	return nil
 }
 
+// fenceAgain returns the commands that fence those members once more that are fenced for a
+// lower term than another one, and no longer counts them.
+//
+// It prevents counting a member that a primary of the term in between still reaches: one that
+// was promoted out of sight of this proxy, for which some members refuse a fence that is not
+// above its term. The other members would go on to acknowledge its records.
+func (k *Attempt) fenceAgain() []Command {
+	var newest cwgroup.Term
+	for _, s := range k.fenced {
+		newest = max(newest, s.FencedTerm)
+	}
+	var commands []Command
+	for _, m := range k.plan.Members {
+		if s, ok := k.fenced[m]; ok && s.FencedTerm < newest {
+			delete(k.fenced, m)
+			commands = append(commands, k.newCommand(AdoptTerm, m))
+		}
+	}
+	if !k.plan.Quorums.Fences(k.isFenced) {
+		k.majorityFencedAt = time.Time{}
+	}
+	return commands
+}
+
 // MemberRestarted records that a member has restarted and lost its fence.
 //
 // It prevents counting a majority that includes a member which has restarted since
--- a/internal/core/cwgroup/group.go
+++ b/internal/core/cwgroup/group.go
@@ -124,6 +124,9 @@
 	// PriorTerm is the term that the member was in when it adopted AdoptedTerm;
 	// zero if it was not read.
 	PriorTerm Term
+	// FencedTerm is the term for which the member is fenced, in the members' own numbers, if
+	// those differ from the ones of claims; otherwise it is zero.
+	FencedTerm Term
 	// Claim is the claim for which AdoptedTerm was adopted.
 	Claim ClaimID
 	// Durable is the position of the last record stored durably in the member's
--- a/internal/proxy/cwleadership/command.go
+++ b/internal/proxy/cwleadership/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -50,7 +51,7 @@
 	}
 	resp.Failed = err != nil
 	g.cfg.Log.Info("order", "group", g.cfg.Service, "order", cmd.Kind, "target", cmd.Member, "term", cmd.Term, "claim", cmd.Claim,
-		"position", resp.Status.Durable, "cause", err)
+		"position", resp.Status.Durable, "fenced", resp.Status.FencedTerm, "cause", err)
 	return resp
 }
 
@@ -141,32 +142,79 @@
 func (g *Group) nextTerm(t cwgroup.Term) cwgroup.Term {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(t, g.term) + 1
+	return max(t, g.term, g.refusedTerm) + 1
 }
 
-// NotFencedError reports a member that accepted the command to fence but still receives
-// records of an earlier term.
-type NotFencedError struct{ Member cwgroup.MemberID }
+// maxUnseenTerms is how many terms in a row a member may refuse to be fenced for before the
+// attempt is given up. Each is one promotion that this proxy has not seen.
+const maxUnseenTerms = 4
 
-func (e *NotFencedError) Error() string { return string(e.Member) + " was not fenced" }
+// fence stops a replica from receiving records of a primary of an earlier term, and returns the
+// term for which it asked in the end. term is that of the replica's log. The error is a
+// *NotFencedError if the replica goes on receiving.
+//
+// A member refuses a fence that is not above the newest term in which any member was promoted,
+// and a primary in a data centre that is cut off shows in no log on this side. The term of the
+// log then stays behind, and each attempt would ask for the same term in vain, so the next ones
+// are tried.
+func (g *Group) fence(id cwgroup.MemberID, t cwport.TargetConn, term cwgroup.Term) (cwstatement.Health, cwgroup.Term, error) {
+	first := g.nextTerm(term)
+	for next := first; ; next++ {
+		h, err := t.Fence(next)
+		if err != nil {
+			return h, next, err
+		}
+		if h.FencedTerm >= next {
+			g.recordRefusedTerms(first, next)
+			return h, next, nil
+		}
+		if next-first == maxUnseenTerms {
+			return h, next, &NotFencedError{Member: id, Term: next, Status: h}
+		}
+	}
+}
+
+// recordRefusedTerms records that a member refused to be fenced for the terms from first on, and
+// was fenced for the given one.
+func (g *Group) recordRefusedTerms(first, fenced cwgroup.Term) {
+	if fenced == first {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refusedTerm = max(g.refusedTerm, fenced-1)
+	g.cfg.Log.Info("unseenTerm", "group", g.cfg.Service, "known", g.term, "refused", fenced-1)
+	g.observeTerm(fenced-1, g.cfg.Clock.Now())
+}
+
+// NotFencedError reports a member that accepted the command to fence for a term but still
+// receives records of an earlier term. Status is its answer.
+type NotFencedError struct {
+	Member cwgroup.MemberID
+	Term   cwgroup.Term
+	Status cwstatement.Health
+}
+
+func (e *NotFencedError) Error() string {
+	return fmt.Sprintf("%s was not fenced for term %d: it is a %v in term %d at %v, fenced for %d",
+		e.Member, e.Term, e.Status.Role, e.Status.Term, e.Status.LogEnd, e.Status.FencedTerm)
+}
 
 // adopt stops a member from receiving records of a primary of an earlier term: a
 // replica is fenced, a primary is demoted to a replica.
 func (g *Group) adopt(cmd cwfailover.Command) (cwgroup.Status, error) {
-	var before cwgroup.Term
+	var before, fenced cwgroup.Term
 	h, err := g.sendWithRetry(cmd.Member, func(t cwport.TargetConn) (cwstatement.Health, error) {
 		h, err := t.Health()
 		if err != nil {
 			return h, err
 		}
 		before = h.Term
-		next := g.nextTerm(h.Term)
 		if h.Role == cwgroup.RolePrimary {
-			return t.Demote(next)
-		}
-		if h, err = t.Fence(next); err == nil && h.FencedTerm < next {
-			return h, &NotFencedError{Member: cmd.Member}
+			fenced = g.nextTerm(h.Term)
+			return t.Demote(fenced)
 		}
+		h, fenced, err = g.fence(cmd.Member, t, h.Term)
 		return h, err
 	})
 	if err == nil {
@@ -175,7 +223,9 @@
 	if err != nil {
 		return cwgroup.Status{}, err
 	}
-	return cwgroup.Status{Member: cmd.Member, AdoptedTerm: cmd.Term, PriorTerm: before, Claim: cmd.Claim, Durable: h.LogEnd}, nil
+	return cwgroup.Status{
+		Member: cmd.Member, AdoptedTerm: cmd.Term, PriorTerm: before, FencedTerm: fenced, Claim: cmd.Claim, Durable: h.LogEnd,
+	}, nil
 }
 
 func (g *Group) promote(ctx context.Context, cmd cwfailover.Command) error {
--- a/internal/proxy/cwleadership/group.go
+++ b/internal/proxy/cwleadership/group.go
@@ -155,6 +155,9 @@
 	term         cwgroup.Term
 	termLearntAt time.Time
 	termStart    cwgroup.LogPosition
+	// refusedTerm is the newest term for which a member refused to be fenced since some member
+	// had been promoted in it, out of sight of this proxy.
+	refusedTerm cwgroup.Term
 	// nextConfirmAt is the earliest time of the next request for a confirmation.
 	nextConfirmAt time.Time
 	// confirmedAt is when a majority was last known to be in term, and lastUsedAt when
--- a/internal/standin/cwreplicaset/conn.go
+++ b/internal/standin/cwreplicaset/conn.go
@@ -280,12 +280,17 @@
 	return c.withMember(func(*Member) { c.group.healthChecks++ })
 }
 
-// Fence implements cwport.TargetConn.
+// Fence implements cwport.TargetConn. It changes nothing unless the term is above the newest
+// one.
 func (c *conn) Fence(t cwgroup.Term) (cwstatement.Health, error) {
 	if err := c.fenceFault(); err != nil {
 		return cwstatement.Health{}, err
 	}
-	return c.withMember(func(m *Member) { m.fenceTerm = max(m.fenceTerm, t) })
+	return c.withMember(func(m *Member) {
+		if t > c.group.newestTerm() {
+			m.fenceTerm = max(m.fenceTerm, t)
+		}
+	})
 }
 
 // fenceFault returns the error that the next fence order is to fail with; nil if
--- a/internal/standin/cwreplicaset/replicate.go
+++ b/internal/standin/cwreplicaset/replicate.go
@@ -76,21 +76,32 @@
 	}
 }
 
-// makePrimary makes a member the primary of the next term and removes its fence. It
-// does nothing if the member is already a primary.
+// makePrimary makes a member the primary of the next term and removes the fences that are not
+// above it, also of members that can't reach it. It does nothing if the member is already a
+// primary.
 func (g *Group) makePrimary(m *Member) {
 	if m.role == cwgroup.RolePrimary {
 		return
 	}
-	next := cwgroup.Term(0)
+	m.role, m.term, m.fenceTerm = cwgroup.RolePrimary, g.newestTerm()+1, 0
 	for _, o := range g.members {
-		next = max(next, o.term)
+		if o.fenceTerm <= m.term {
+			o.fenceTerm = 0
+		}
 	}
-	m.role, m.term, m.fenceTerm = cwgroup.RolePrimary, next+1, 0
 	m.applyDue(g.now())
 	g.replicate()
 }
 
+// newestTerm returns the newest term in which a member was promoted.
+func (g *Group) newestTerm() cwgroup.Term {
+	t := cwgroup.Term(0)
+	for _, m := range g.members {
+		t = max(t, m.term)
+	}
+	return t
+}
+
 // newestPrimary returns the primary with the highest term; nil if there is none.
 func (g *Group) newestPrimary() *Member {
 	var best *Member
