cwfailover: an attempt goes by the quorums in force until it selects a member

Change: the quorums follow the list until a member is selected for promotion. They are those that an attempt which begins at that moment would use, so the invariant of PROOFS.md holds alike. TestMemberThatEndsDuringTheChangeIsNotNeeded does not build without the change, and gets no promotion with SetQuorums emptied.

--- a/internal/core/cwfailover/attempt.go
+++ b/internal/core/cwfailover/attempt.go
@@ -76,6 +76,9 @@
 	// startedAt is when Start was called; nothing is sent after
 	// startedAt+ClaimTTL.
 	startedAt time.Time
+	// quorums are those in force now. They are not changed any more once a member has been
+	// selected for promotion.
+	quorums cwgroup.Quorums
 	// fenced holds the status of each member that adopted the term.
 	fenced map[cwgroup.MemberID]cwgroup.Status
 	// majorityFencedAt is when the number of fenced members reached a majority.
@@ -107,6 +110,7 @@
 func NewAttempt(p Plan) *Attempt {
 	return &Attempt{
 		plan:        p,
+		quorums:     p.Quorums,
 		fenced:      make(map[cwgroup.MemberID]cwgroup.Status),
 		fenceFailed: make(map[cwgroup.MemberID]bool),
 	}
--- a/internal/core/cwfailover/attempt_test.go
+++ b/internal/core/cwfailover/attempt_test.go
@@ -346,3 +346,13 @@
 	assertCommands(t, k.Tick(start.Add(FenceGracePeriod)), "promote a")
 }
 
+// Guards against a group without a primary: a member ends while a leaving primary has already
+// been demoted for the change.
+func TestMemberThatEndsDuringTheChangeIsNotNeeded(t *testing.T) {
+	k := fencingAttempt(t, testPlan())
+	k.Handle(adoptResponse("a", logPosition(3, 7)), start)
+	k.SetQuorums(cwgroup.Quorums{Current: cwgroup.Configuration{Members: []cwgroup.MemberID{"a"}}})
+	k.Handle(Response{Kind: AdoptTerm, Member: "b", Failed: true}, start)
+	assertCommands(t, k.Handle(Response{Kind: AdoptTerm, Member: "c", Failed: true}, start), "promote a")
+}
+
--- a/internal/core/cwfailover/command.go
+++ b/internal/core/cwfailover/command.go
@@ -96,8 +96,8 @@
 type Plan struct {
 	Group   string
 	Members []cwgroup.MemberID
-	// Quorums tells how many of the members must be fenced. Members may include some that
-	// do not count by themselves because they are leaving.
+	// Quorums tells how many of the members must be fenced when the attempt begins. Members
+	// may include some that do not count by themselves because they are leaving.
 	Quorums cwgroup.Quorums
 	// StableSize is the number of members of the group without those that are being
 	// exchanged; zero if it is not known.
--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -48,7 +48,7 @@
 		k.abandon(ReasonNoMajority)
 		return nil
 	}
-	if k.plan.Quorums.Fences(k.isFenced) && k.majorityFencedAt.IsZero() {
+	if k.quorums.Fences(k.isFenced) && k.majorityFencedAt.IsZero() {
 		k.majorityFencedAt = now
 	}
 	if resp.Member == k.plan.LeavingPrimary && len(k.deferredAdopts) > 0 {
@@ -80,12 +80,22 @@
 			commands = append(commands, k.newCommand(AdoptTerm, m))
 		}
 	}
-	if !k.plan.Quorums.Fences(k.isFenced) {
+	if !k.quorums.Fences(k.isFenced) {
 		k.majorityFencedAt = time.Time{}
 	}
 	return commands
 }
 
+// SetQuorums sets the quorums that are in force now, until a member is selected for promotion.
+//
+// It prevents an attempt from failing, after it has demoted a leaving primary, because another
+// member ends meanwhile that the quorums of its beginning still want.
+func (k *Attempt) SetQuorums(q cwgroup.Quorums) {
+	if k.phase <= PhaseFencing {
+		k.quorums = q
+	}
+}
+
 // MemberRestarted records that a member has restarted and lost its fence.
 //
 // It prevents counting a majority that includes a member which has restarted since
@@ -100,7 +110,7 @@
 	case k.phase == PhaseFencing:
 		delete(k.fenced, m)
 		k.fenceFailed[m] = true
-		if !k.plan.Quorums.Fences(k.isFenced) {
+		if !k.quorums.Fences(k.isFenced) {
 			k.majorityFencedAt = time.Time{}
 		}
 		if !k.majorityPossible() {
@@ -118,7 +128,7 @@
 
 // majorityPossible reports whether enough members can still be fenced.
 func (k *Attempt) majorityPossible() bool {
-	return k.plan.Quorums.Fences(func(id cwgroup.MemberID) bool {
+	return k.quorums.Fences(func(id cwgroup.MemberID) bool {
 		return slices.Contains(k.plan.Members, id) && !k.fenceFailed[id] && id != k.plan.ExcludedPrimary
 	})
 }
@@ -159,7 +169,7 @@
 // acknowledged record, also if the log of one that is leaving is longer.
 func (k *Attempt) candidates() cwgroup.MemberSet {
 	staying := func(id cwgroup.MemberID) bool { return k.isFenced(id) && !k.isLeaving(id) }
-	if k.plan.Quorums.Fences(staying) {
+	if k.quorums.Fences(staying) {
 		return staying
 	}
 	return k.isFenced
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -194,6 +194,9 @@
 // SetMembers sets the listed members of the group and the quorums by which they decide.
 func (s *Supervisor) SetMembers(ids []cwgroup.MemberID, q cwgroup.Quorums) {
 	s.view = s.view.WithMembers(ids, q)
+	if s.attempt != nil {
+		s.attempt.SetQuorums(q)
+	}
 }
 
 // Suspects reports whether this proxy suspects the primary.
