--- a/internal/core/cwfailover/attempt_test.go
+++ b/internal/core/cwfailover/attempt_test.go
@@ -356,3 +356,25 @@
 	assertCommands(t, k.Handle(Response{Kind: AdoptTerm, Member: "c", Failed: true}, start), "promote a")
 }
 
+// Guards against a group without a primary: a leaving primary is demoted although too few of the
+// other members can be fenced, since a data centre has just been cut off.
+func TestPlannedChangeWaitsForEnoughMembers(t *testing.T) {
+	s := NewSupervisor("p", "s", "g", members)
+	report := func(id cwgroup.MemberID, r cwgroup.Role, at time.Time) {
+		s.AddReport(cwgroup.Report{Status: cwgroup.Status{
+			Member: id, Role: r, AdoptedTerm: 1, Durable: logPosition(1, 5), Applied: logPosition(1, 5),
+		}, At: at, Reachable: true}, "a", at)
+	}
+	report("a", cwgroup.RolePrimary, start)
+	s.SetStopping([]cwgroup.MemberID{"a"}, start)
+	s.SetMembers(members, cwgroup.Quorums{Current: cwgroup.Configuration{Members: []cwgroup.MemberID{"b", "c"}}})
+	later := start.Add(StopPropagationTime)
+	inputs := TickInputs{ListedProxies: 1, MembersCheckTerm: true, WithoutTable: true}
+	report("a", cwgroup.RolePrimary, later)
+	report("b", cwgroup.RoleReplica, later)
+	s.Tick(later, inputs)
+	qt.Assert(t, s.ChangingPrimary(), qt.IsFalse)
+	report("c", cwgroup.RoleReplica, later)
+	s.Tick(later, inputs)
+	qt.Assert(t, s.ChangingPrimary(), qt.IsTrue)
+}
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -324,8 +324,8 @@
 
 // readyForPlannedChange reports whether a stopping primary can be replaced without
 // interrupting any transaction: every proxy has known of the stop long enough not
-// to begin new transactions there, no write transaction is open, and a member that
-// is not stopping has the complete log.
+// to begin new transactions there, no write transaction is open, enough members to
+// fence answer, and one that is not stopping has the complete log.
 func (s *Supervisor) readyForPlannedChange(now time.Time, in TickInputs) bool {
 	p, ok := s.view.Primary()
 	knownSince, isStopping := s.stoppingSince[p.Member]
@@ -335,6 +335,11 @@
 	if p.OpenWrites > 0 || !p.Reachable || now.Sub(p.At) > drainReportMaxAge {
 		return false
 	}
+	if !majorityReachable(s.view, now.Add(-drainReportMaxAge), now) {
+		// The primary is demoted first; if the others could not be fenced then, the group
+		// would be left without a primary.
+		return false
+	}
 	for _, r := range s.view.Reports() {
 		fresh := r.Reachable && now.Sub(r.At) <= drainReportMaxAge
 		if r.Member != p.Member && fresh && !s.Stopping(r.Member) && r.Durable.AtLeast(p.Durable) {
