cwfailover: a member without acknowledged records is not promoted

Change: a proxy remembers the newest position that it has acknowledged in a group and promotes no member whose log lacks it. The group stays without a primary, and each attempt logs primaryNotChanged with reason "the members that were fenced lack acknowledged records" and its quorums, for the operator. Where no proxy is left that acknowledged anything, nothing is known to be missing, and the group is served.

TestMemberWithoutAcknowledgedRecordsIsNotPromoted does not build without the change, and an empty member is promoted with the comparison taken out.

--- a/internal/core/cwack/ack.go
+++ b/internal/core/cwack/ack.go
@@ -71,8 +71,13 @@
 // not safe for concurrent use; the caller must hold a lock.
 type Tracker struct {
 	waits []PendingWrite
+	// newest is the newest position that was acknowledged.
+	newest cwgroup.LogPosition
 }
 
+// Newest returns the newest position that was acknowledged; zero if none was.
+func (t *Tracker) Newest() cwgroup.LogPosition { return t.newest }
+
 // Add adds a waiting write.
 func (t *Tracker) Add(w PendingWrite) { t.waits = append(t.waits, w) }
 
@@ -84,7 +89,11 @@
 func (t *Tracker) Update(v cwgroup.View, now time.Time) {
 	remaining := t.waits[:0]
 	for _, w := range t.waits {
-		if o := OutcomeOf(v, w.Position, w.Deadline, now); o != Pending {
+		o := OutcomeOf(v, w.Position, w.Deadline, now)
+		if o == Acknowledged && w.Position.AtLeast(t.newest) {
+			t.newest = w.Position
+		}
+		if o != Pending {
 			w.Notify(o)
 			continue
 		}
--- a/internal/core/cwfailover/attempt.go
+++ b/internal/core/cwfailover/attempt.go
@@ -62,6 +62,7 @@
 	ReasonClaimExpired     Reason = "the claim ran out, perhaps while this proxy was paused"
 	ReasonPromotionFailed  Reason = "the member to be promoted did not answer"
 	ReasonMemberRestarted  Reason = "a member has started again since it was fenced"
+	ReasonRecordsMissing   Reason = "the members that were fenced lack acknowledged records"
 )
 
 // NextTerm returns the term that the next change of primary would move to.
--- a/internal/core/cwfailover/attempt_test.go
+++ b/internal/core/cwfailover/attempt_test.go
@@ -356,6 +356,18 @@
 	assertCommands(t, k.Handle(Response{Kind: AdoptTerm, Member: "c", Failed: true}, start), "promote a")
 }
 
+// Guards against records lost for good: those that had them have ended, and an empty member is
+// promoted.
+func TestMemberWithoutAcknowledgedRecordsIsNotPromoted(t *testing.T) {
+	p := testPlan()
+	p.Acknowledged = logPosition(3, 8)
+	k := fencingAttempt(t, p)
+	for _, id := range members {
+		assertCommands(t, k.Handle(adoptResponse(id, logPosition(3, 7)), start))
+	}
+	qt.Assert(t, k.Reason(), qt.Equals, ReasonRecordsMissing)
+}
+
 // Guards against a group without a primary: a leaving primary is demoted although too few of the
 // other members can be fenced, since a data centre has just been cut off.
 func TestPlannedChangeWaitsForEnoughMembers(t *testing.T) {
--- a/internal/core/cwfailover/command.go
+++ b/internal/core/cwfailover/command.go
@@ -99,6 +99,9 @@
 	// Quorums tells how many of the members must be fenced when the attempt begins. Members
 	// may include some that do not count by themselves because they are leaving.
 	Quorums cwgroup.Quorums
+	// Acknowledged is the newest position that this proxy knows to be acknowledged. No member
+	// is promoted whose log lacks it.
+	Acknowledged cwgroup.LogPosition
 	// StableSize is the number of members of the group without those that are being
 	// exchanged; zero if it is not known.
 	StableSize int
--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -151,6 +151,11 @@
 }
 
 // startPromotion selects the most advanced of the candidates.
+//
+// Members that had the records can have ended unseen, so that those fenced are all that is
+// left and still lack records that this proxy has acknowledged or read as such. Promoting one
+// would drop these records for good, so the group stays without a primary, and the log says
+// which position is missing.
 func (k *Attempt) startPromotion() []Command {
 	k.phase = PhasePromoting
 	candidate := k.candidates()
@@ -160,6 +165,10 @@
 			best = s
 		}
 	}
+	if !best.Durable.AtLeast(k.plan.Acknowledged) {
+		k.abandon(ReasonRecordsMissing)
+		return nil
+	}
 	k.newPrimary = best.Member
 	return k.recordReplacedTerm([]Command{k.newCommand(Promote, k.newPrimary)})
 }
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -46,6 +46,8 @@
 	// RowTerm is the term of the group's row as last known to this proxy. A claim
 	// must be for a later term.
 	RowTerm cwgroup.Term
+	// Acknowledged is the newest position that this proxy knows to be acknowledged.
+	Acknowledged cwgroup.LogPosition
 	// OtherChangePending is true while another proxy's change of primary is known
 	// from the table but its result has not been observed yet.
 	OtherChangePending bool
@@ -306,6 +308,7 @@
 		Members:          s.view.Members(),
 		Quorums:          s.view.Quorums(),
 		StableSize:       s.view.StableSize(),
+		Acknowledged:     in.Acknowledged,
 		Leaving:          slices.Sorted(maps.Keys(s.stoppingSince)),
 		ReplacedTerm:     max(s.view.Term(), s.view.ReplacedTerm()),
 		Term:             max(NextTerm(s.view), in.RowTerm+1),
--- a/internal/proxy/cwleadership/loop.go
+++ b/internal/proxy/cwleadership/loop.go
@@ -117,7 +117,7 @@
 	}
 	g.resolveAckWaits(now)
 	c := cwfailover.TickInputs{
-		ListedProxies: assumedWatchers, Rank: g.rank, RowTerm: g.row.Term,
+		ListedProxies: assumedWatchers, Rank: g.rank, RowTerm: g.row.Term, Acknowledged: g.tracker.Newest(),
 		OtherChangePending: g.promotionPending(now) || g.rowMayBeLost(now) || g.claimInProgress(now) && !g.sup.ChangingPrimary(),
 	}
 	commands := g.sup.Tick(now, c)
--- a/internal/proxy/cwmonitor/group.go
+++ b/internal/proxy/cwmonitor/group.go
@@ -168,7 +168,7 @@
 	now := g.cfg.Clock.Now()
 	c := g.tickInputs()
 	g.mu.Lock()
-	c.OpenWrites = g.openWrites
+	c.OpenWrites, c.Acknowledged = g.openWrites, g.tracker.Newest()
 	c.MembersCheckTerm, c.WithoutTable = g.contract.ChecksTerm, g.contract.FailoverWithoutTable
 	g.updateMembers(now)
 	g.tracker.Update(g.sup.View(), now)
