platform: a message to a database is at most 1 MiB, and what is longer is refused as not run

Callers saw INDOUBT for an EXECUTE close to the limit: its message to a database has the proxy's name of the prepared statement, which is longer than the caller's, as is a read with the position it must see. The database ended the connection at more than 1 MiB ("a message ... is at most 1 MiB"), the proxy took that for a lost answer, probed the target and could not tell whether a write had run. A message with a terminator in a field was kept from the wire, but handled in the same way.

Change: Flush returns an UnsendableError for both, sends nothing of what was buffered, and leaves the connection as it was; the statement is answered MALFORMED, which is true: nothing ran, and nobody would run it.

Evidence: TestStatementOfTheGreatestLength got "ERROR INDOUBT the database's answer was lost" before.

--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -89,7 +89,7 @@
 	}
 	c.Send(w.command)
 	if r.err = c.Flush(); r.err != nil {
-		return r
+		return s.refuseUnsendable(r, w)
 	}
 	if preparing {
 		if _, r.err = c.Receive(); r.err != nil {
@@ -106,6 +106,22 @@
 	return r
 }
 
+// refuseUnsendable returns the result of a command that could not be flushed. If it is no message
+// of the target's protocol, nothing was sent and no other target would get it: it is refused, and
+// the connection stays.
+func (s *session) refuseUnsendable(r exchangeResult, w work) exchangeResult {
+	var unsendable *cwport.UnsendableError
+	if !errors.As(r.err, &unsendable) {
+		return r
+	}
+	state := cwstatement.Idle
+	if s.tx != nil || w.command.Verb == cwstatement.Commit {
+		state = cwstatement.InTransaction
+	}
+	r.answer, r.err = cwstatement.Failure(cwstatement.Malformed, unsendable.Error()).WithState(state), nil
+	return r
+}
+
 // applySettings makes the settings of a connection equal to those of the session.
 //
 // It prevents a statement from running with settings that another caller left on the
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -74,7 +74,8 @@
 type TargetConn interface {
 	// Send buffers a command. An error is reported by Flush.
 	Send(cwstatement.Command)
-	// Flush sends the buffered commands.
+	// Flush sends the buffered commands. The error is an *UnsendableError if one of them can't
+	// be sent; then none of them is.
 	Flush() error
 	// Receive reads the answer to the oldest command that has none yet.
 	Receive() (cwstatement.Response, error)
@@ -115,6 +116,15 @@
 	return "refused by the target: " + e.Code.String() + " " + e.Detail
 }
 
+// UnsendableError reports a command that is no message of the target's protocol, for example
+// because it is too long. Neither it nor the commands that were buffered with it were sent, and
+// the connection can be used as before.
+type UnsendableError struct{ Cause error }
+
+func (e *UnsendableError) Error() string { return "not sent to the database: " + e.Cause.Error() }
+
+func (e *UnsendableError) Unwrap() error { return e.Cause }
+
 // Promotion is a request to make a target the primary of the next term.
 type Promotion struct {
 	Service string
