cwforward: long statements of some callers do not end the connection of all

Found by reading, in the search along the limit of 1 MiB, and shown by a test: an instance takes 4 MiB on a connection without an answer in between, a statement of 1 MiB that is not UTF-8 is 1.4 MB in base64, and statements of all callers share the connection. Three such at once ended it ("message is too long"), and every other statement on it was answered as of unknown outcome.

Change: the statements that wait for their answer on a connection have at most 3.75 MiB together, by an upper bound of their encoded length. One that does not fit is not sent, so that another holder or the caller's own instance runs it. Short statements weigh some 2 KiB, so some 1,900 may wait.

Evidence: TestLongStatementsTogetherKeepTheConnection failed before: "no answer from holder holder: jsonrpc2: connection is closed".

--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/semaphore"
 
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwlisten"
@@ -17,6 +19,9 @@
 	// maxMessage is the largest message, in bytes. It exceeds the limit of a
 	// statement, which is 1 MB.
 	maxMessage = 4 << 20
+	// maxUnanswered is the greatest length of all statements together that wait for their answer
+	// on one connection, in bytes. The rest of maxMessage is for requests of other kinds.
+	maxUnanswered = maxMessage - 256<<10
 	// idleTimeout closes a connection on which the client sends nothing. Clients
 	// send pings far more often.
 	idleTimeout = time.Minute
@@ -107,6 +112,20 @@
 type Conn struct {
 	name string
 	rpc  *jsonrpc2.Conn
+	// statements bounds the length of the statements that wait for their answer.
+	//
+	// It prevents the long statements of some callers from ending those of all others on the
+	// connection: the other instance takes more than maxMessage bytes without an answer in
+	// between for one message, and closes.
+	statements *semaphore.Weighted
+}
+
+// TooManyBytesError reports a statement that does not fit beside those that wait for their answer
+// on a connection. Length is the greatest length of its message in bytes.
+type TooManyBytesError struct{ Length int64 }
+
+func (e *TooManyBytesError) Error() string {
+	return fmt.Sprintf("a statement of up to %d bytes does not fit beside those without an answer", e.Length)
 }
 
 // discardHandler ignores requests on the client side of a connection. Servers send
@@ -127,7 +146,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{name: name, rpc: jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(nc), discardHandler{})}
+	c := &Conn{name: name, statements: semaphore.NewWeighted(maxUnanswered), rpc: jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(nc), discardHandler{})}
 	if err := c.Ping(ctx); err != nil {
 		_ = c.Close()
 		return nil, err
@@ -136,8 +155,14 @@
 }
 
 // Forward forwards a statement to the holder and returns its answer. Errors are of type
-// *cwport.NoResponseError.
+// *cwport.NoResponseError. A statement that does not fit beside those that wait for their answer
+// is not sent.
 func (c *Conn) Forward(ctx context.Context, h cwport.ForwardRequest) (cwport.ForwardResponse, error) {
+	n := maxEncodedLength(h)
+	if !c.statements.TryAcquire(n) {
+		return cwport.ForwardResponse{}, &cwport.NoResponseError{Instance: c.name, NotSent: true, Cause: &TooManyBytesError{Length: n}}
+	}
+	defer c.statements.Release(n)
 	var b resultBody
 	err := c.rpc.Call(ctx, methodForward, encodeStatement(h), &b)
 	var refused *jsonrpc2.Error
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -131,6 +131,29 @@
 
 // statementEncoding returns the encoding that carries the texts of a statement.
 func statementEncoding(h cwport.ForwardRequest) textEncoding {
+	return encodingFor(statementTexts(h)...)
+}
+
+// maxOtherFields bounds the length of a statement's message without the texts of its caller, in
+// bytes.
+const maxOtherFields = 2 << 10
+
+// maxEncodedLength returns an upper bound for the length of a statement's message in bytes.
+func maxEncodedLength(h cwport.ForwardRequest) int64 {
+	texts := statementTexts(h)
+	n := int64(maxOtherFields)
+	e := encodingFor(texts...)
+	for _, s := range texts {
+		n += int64(e.maxLength(s))
+	}
+	for _, s := range []string{h.Transaction, h.Workspace, h.Entry.Service, h.Entry.Groups[0].Name} {
+		n += int64(encodingPlain.maxLength(s))
+	}
+	return n
+}
+
+// statementTexts returns the texts of the caller that a statement's message carries.
+func statementTexts(h cwport.ForwardRequest) []string {
 	texts := []string{h.Statement.ID, h.Statement.Text, h.Statement.Name, h.Statement.Args}
 	for k, v := range h.Values {
 		texts = append(texts, k, v)
@@ -138,7 +161,7 @@
 	if h.Prepared != nil {
 		texts = append(texts, h.Prepared.Text)
 	}
-	return encodingFor(texts...)
+	return texts
 }
 
 // decodeStatement decodes and validates a forwarded statement.
--- a/internal/wire/cwforward/forward_test.go
+++ b/internal/wire/cwforward/forward_test.go
@@ -252,6 +252,42 @@
 	c.Assert(errors.As(err, &lost), qt.IsTrue)
 }
 
+// Guards against long statements that end the connection of two instances, and with it all other
+// statements on it: together they are longer than the other instance takes without an answer.
+func TestLongStatementsTogetherKeepTheConnection(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	h := &fakeHandler{closed: make(chan any, 1), answer: func(cwport.ForwardRequest) cwport.ForwardResponse {
+		<-release
+		return cwport.ForwardResponse{}
+	}}
+	conn, err := Dial(context.Background(), "holder", serve(c, h))
+	c.Assert(err, qt.IsNil)
+	long := exampleStatement()
+	long.Statement.Args = strings.Repeat("\xff", 1<<20)
+	const statements = 6
+	results := make(chan error, statements)
+	for range statements {
+		go func() {
+			_, err := conn.Forward(context.Background(), long)
+			results <- err
+		}()
+	}
+	var unsent int
+	for unsent < statements-2 {
+		var lost *cwport.NoResponseError
+		c.Assert(errors.As(<-results, &lost), qt.IsTrue)
+		c.Assert(lost.NotSent, qt.IsTrue, qt.Commentf("%v", lost))
+		unsent++
+	}
+	close(release)
+	for range statements - unsent {
+		c.Assert(<-results, qt.IsNil)
+	}
+	c.Assert(conn.Close(), qt.IsNil)
+	<-h.closed
+}
+
 // Guards against the loss of answers that are ready: a server that stopped closed its
 // connections while a request was being answered.
 func TestStoppingServerAnswersWhatItHasRead(t *testing.T) {
--- a/internal/wire/cwforward/text.go
+++ b/internal/wire/cwforward/text.go
@@ -36,6 +36,16 @@
 	return encodingPlain
 }
 
+// maxLength returns an upper bound for the length of a text in a body, quotes included.
+func (e textEncoding) maxLength(s string) int {
+	// maxEscape is the length of the longest escape of a byte in a JSON string.
+	const maxEscape = len(`\u0000`)
+	if e == encodingPlain {
+		return maxEscape*len(s) + len(`"":,`)
+	}
+	return base64.StdEncoding.EncodedLen(len(s)) + len(`"":,`)
+}
+
 func (e textEncoding) encode(s string) string {
 	if e == encodingPlain {
 		return s
