cwserver: a session can't change how its text is read, and literals do not depend on it

By reading, in the search for bytes that become a statement on the PostgreSQL side. A session could set standard_conforming_strings = off or another client_encoding. The proxy goes on reading text as UTF-8 with standard strings, so it took for one SELECT what the target ran as a SELECT and a DELETE, and its own literals (settings applied to a pooled connection, request keys) ended at a backslash: a value could run as a statement, also in the order in which another session's settings were applied.

Change: SET, SET LOCAL and a start-up parameter with other values of the two are refused, as another encoding was at the start; literals with a backslash are written as E'' with doubled backslashes, which reads the same either way.

Evidence: TestSettingsThatChangeHowTextIsReadAreUnsupported and TestLiteralsKeepTheirValues (drawn values, each parsed back) do not build before; with AllowedValue true for all and the plain literal they fail.

--- a/internal/proxy/cwserver/request_key.go
+++ b/internal/proxy/cwserver/request_key.go
@@ -10,6 +10,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwack"
 	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
 	"cicadawalk.example/cicadawalk/internal/core/cwrequestkey"
+	"cicadawalk.example/cicadawalk/internal/wire/cwsql"
 	"cicadawalk.example/cicadawalk/internal/wire/cwtarget"
 )
 
@@ -27,7 +28,7 @@
 func substituteArguments(query string, args ...string) string {
 	pairs := make([]string, 0, 2*len(args))
 	for i, a := range args {
-		pairs = append(pairs, fmt.Sprintf("$%d", i+1), quoteLiteral(a))
+		pairs = append(pairs, fmt.Sprintf("$%d", i+1), cwsql.QuoteLiteral(a))
 	}
 	return strings.NewReplacer(pairs...).Replace(query)
 }
--- a/internal/proxy/cwserver/settings.go
+++ b/internal/proxy/cwserver/settings.go
@@ -9,6 +9,7 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
 	"cicadawalk.example/cicadawalk/internal/core/cwrequestkey"
+	"cicadawalk.example/cicadawalk/internal/wire/cwsql"
 )
 
 // Names of the settings that the proxy itself handles, in lower case as the
@@ -70,7 +71,7 @@
 		if v, ok := applied[name]; ok && v == s.values[name] {
 			continue
 		}
-		b.WriteString("SET " + quoteIdentifier(name) + " = " + quoteLiteral(s.values[name]) + ";")
+		b.WriteString("SET " + quoteIdentifier(name) + " = " + cwsql.QuoteLiteral(s.values[name]) + ";")
 		applied[name] = s.values[name]
 	}
 	return b.String()
@@ -84,10 +85,6 @@
 	return strings.Join(parts, ".")
 }
 
-func quoteLiteral(v string) string {
-	return "'" + strings.ReplaceAll(v, "'", "''") + "'"
-}
-
 // proxySettings are the cicadawalk.* settings of a session, which the proxy
 // handles itself. The session token is kept apart from them.
 type proxySettings struct {
--- a/internal/proxy/cwserver/startup.go
+++ b/internal/proxy/cwserver/startup.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
+	"cicadawalk.example/cicadawalk/internal/wire/cwsql"
 	"cicadawalk.example/cicadawalk/internal/wire/cwtarget"
 )
 
@@ -89,10 +90,9 @@
 			if err := s.setProxySetting(lower, v); err != nil {
 				return err
 			}
+		case !cwsql.AllowedValue(lower, v):
+			return invalidSetting(k, v, "UTF8 as the encoding, and standard strings")
 		case lower == "client_encoding":
-			if !strings.EqualFold(strings.ReplaceAll(v, "-", ""), "utf8") {
-				return invalidSetting(k, v, "UTF8")
-			}
 		case lower == "options" && v != "", lower == "replication":
 			return cwrefusal.NotRun(cwrefusal.FeatureNotSupported, 0, "start-up parameter %q is not supported", k)
 		case len(v) > maxSettingBytes:
--- a/internal/wire/cwsql/statement.go
+++ b/internal/wire/cwsql/statement.go
@@ -11,6 +11,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 
@@ -58,8 +59,9 @@
 	Text string
 	// Name is the name of the setting for Set, SetLocal, Show and Reset, in lower
 	// case, and empty for RESET ALL. For Unsupported it describes the unsupported
-	// feature. Value is the new value of the setting.
-	Name, Value string
+	// feature. Value is the new value of the setting, and Literals the same as SQL string
+	// literals: those of a list, separated by commas.
+	Name, Value, Literals string
 	// Default is true for SET name TO DEFAULT.
 	Default bool
 	// ReadOnly is true for BEGIN READ ONLY and START TRANSACTION READ ONLY.
@@ -190,21 +192,53 @@
 		if ro {
 			value = "on"
 		}
-		return Statement{Kind: Set, Name: "default_transaction_read_only", Value: value}
+		return Statement{Kind: Set, Name: "default_transaction_read_only", Value: value, Literals: QuoteLiteral(value)}
 	}
-	kind := Set
+	s := Statement{Kind: Set, Name: name, Default: v.Kind == pgquery.VariableSetKind_VAR_SET_DEFAULT}
 	if v.IsLocal {
-		kind = SetLocal
+		s.Kind = SetLocal
 	}
-	return Statement{
-		Kind:    kind,
-		Name:    name,
-		Value:   setValue(v.Args),
-		Default: v.Kind == pgquery.VariableSetKind_VAR_SET_DEFAULT,
+	values := setValues(v.Args)
+	s.Value, s.Literals = strings.Join(values, ", "), QuoteLiterals(values...)
+	if !s.Default && !AllowedValue(name, s.Value) {
+		return Statement{Kind: Unsupported, Name: "SET " + name + " = " + s.Value}
 	}
+	return s
 }
 
-func setValue(args []*pgquery.Node) string {
+// AllowedValue reports whether a session may have a value of a setting. The settings that decide
+// how the target reads the text of a statement keep the values with which it is parsed here:
+// otherwise a part of a string would be a statement to the target, or the other way round.
+func AllowedValue(name, value string) bool {
+	switch name {
+	case "client_encoding":
+		return slices.Contains([]string{"utf8", "utf-8", "unicode"}, strings.ToLower(value))
+	case "standard_conforming_strings":
+		return slices.Contains([]string{"on", "true", "yes", "1"}, strings.ToLower(value))
+	}
+	return true
+}
+
+// QuoteLiterals returns string literals with the values, separated by commas.
+func QuoteLiterals(values ...string) string {
+	out := make([]string, 0, len(values))
+	for _, v := range values {
+		out = append(out, QuoteLiteral(v))
+	}
+	return strings.Join(out, ", ")
+}
+
+// QuoteLiteral returns a string literal with the value, for which it does not matter how the target
+// reads backslashes in literals.
+func QuoteLiteral(value string) string {
+	quoted := "'" + strings.ReplaceAll(value, "'", "''") + "'"
+	if !strings.Contains(value, `\`) {
+		return quoted
+	}
+	return "E" + strings.ReplaceAll(quoted, `\`, `\\`)
+}
+
+func setValues(args []*pgquery.Node) []string {
 	parts := make([]string, 0, len(args))
 	for _, a := range args {
 		c := a.GetAConst()
@@ -220,7 +254,7 @@
 			parts = append(parts, itoa(c.GetIval().GetIval()))
 		}
 	}
-	return strings.Join(parts, ", ")
+	return parts
 }
 
 // classifyTree classifies a SELECT or EXPLAIN by all nodes of its parse tree.
--- a/internal/wire/cwsql/statement_test.go
+++ b/internal/wire/cwsql/statement_test.go
@@ -1,9 +1,11 @@
 package cwsql
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
 func TestKinds(t *testing.T) {
@@ -60,7 +62,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		return out[0]
 	}
-	qt.Assert(t, parseOne("SET cicadawalk.requestKey = 'k1'"), qt.Equals, Statement{Kind: Set, Text: "SET cicadawalk.requestKey = 'k1'", Name: "cicadawalk.requestkey", Value: "k1"})
+	qt.Assert(t, parseOne("SET cicadawalk.requestKey = 'k1'"), qt.Equals, Statement{Kind: Set, Text: "SET cicadawalk.requestKey = 'k1'", Name: "cicadawalk.requestkey", Value: "k1", Literals: "'k1'"})
 	qt.Assert(t, parseOne("SET x TO on").Value, qt.Equals, "on")
 	qt.Assert(t, parseOne("SET x TO 5").Value, qt.Equals, "5")
 	qt.Assert(t, parseOne("SET x TO DEFAULT").Default, qt.IsTrue)
@@ -68,7 +70,52 @@
 	qt.Assert(t, parseOne("BEGIN READ WRITE").ReadWrite, qt.IsTrue)
 	qt.Assert(t, parseOne("COMMIT AND CHAIN").Chain, qt.IsTrue)
 	qt.Assert(t, parseOne("SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY"), qt.Equals,
-		Statement{Kind: Set, Text: "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY", Name: "default_transaction_read_only", Value: "on"})
+		Statement{Kind: Set, Text: "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY", Name: "default_transaction_read_only", Value: "on", Literals: "'on'"})
+}
+
+// Guards against a target that reads other statements in a text than the proxy, since the session
+// has changed how strings are read or in which encoding they are.
+func TestSettingsThatChangeHowTextIsReadAreUnsupported(t *testing.T) {
+	for text, want := range map[string]Kind{
+		"SET standard_conforming_strings = off":       Unsupported,
+		"SET LOCAL standard_conforming_strings = off": Unsupported,
+		"SET standard_conforming_strings TO 0":        Unsupported,
+		"SET standard_conforming_strings = on":        Set,
+		"SET client_encoding TO 'SJIS'":               Unsupported,
+		"SET NAMES 'latin1'":                          Unsupported,
+		"SET NAMES 'UTF8'":                            Set,
+		"RESET standard_conforming_strings":           Reset,
+		"SET standard_conforming_strings TO DEFAULT":  Set,
+	} {
+		t.Run(text, func(t *testing.T) {
+			out, err := Parse(text)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, out[0].Kind, qt.Equals, want)
+		})
+	}
+}
+
+// Guards against a value that ends its literal, or a list that becomes one element.
+func TestLiteralsKeepTheirValues(t *testing.T) {
+	parse := func(t rapid.TB, text string) Statement {
+		out, err := Parse(text)
+		if err != nil || len(out) != 1 {
+			t.Fatalf("%q: %d statements, %v", text, len(out), err)
+		}
+		return out[0]
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		values := rapid.SliceOfN(rapid.StringOf(rapid.SampledFrom([]rune("ab'\\\"; ,é\n$-"))), 1, 3).Draw(t, "values")
+		s := parse(t, "SET x = "+QuoteLiterals(values...))
+		if s.Kind != Set || s.Value != strings.Join(values, ", ") || s.Literals != QuoteLiterals(values...) {
+			t.Fatalf("%q: got %+v", values, s)
+		}
+		for _, v := range values {
+			if q := QuoteLiteral(v); strings.Contains(v, `\`) && !strings.HasPrefix(q, "E'") {
+				t.Fatalf("%q depends on how backslashes are read", q)
+			}
+		}
+	})
 }
 
 func TestSplit(t *testing.T) {
