cwserver: a list in SET stays a list when it is applied to another connection

By reading, in the same search: SET search_path = a, b was kept as the text "a, b" and applied to the next pooled connection as one literal, which is one schema of that name: the session's later statements ran without its search path. A start-up parameter search_path=a,b likewise.

Change: a session keeps the literals of its settings; the value of a start-up parameter that is a list of identifiers is split as the target splits it.

--- a/internal/proxy/cwserver/settings.go
+++ b/internal/proxy/cwserver/settings.go
@@ -35,15 +35,18 @@
 // settings are the session's settings that are applied to target connections,
 // by name. The value is immutable; the zero value has no settings.
 type settings struct {
+	// values holds the SQL string literals that SET takes. A list has several, separated by
+	// commas: as one literal it would be a single element.
 	values map[string]string
 }
 
-func (s settings) with(name, value string) settings {
+// with returns the settings with another value, given as SQL string literals.
+func (s settings) with(name, literals string) settings {
 	m := maps.Clone(s.values)
 	if m == nil {
 		m = make(map[string]string, 1)
 	}
-	m[name] = value
+	m[name] = literals
 	return settings{values: m}
 }
 
@@ -56,6 +59,59 @@
 	return settings{values: m}
 }
 
+// identifierLists are the settings whose value is a list of identifiers.
+var identifierLists = map[string]bool{"search_path": true, "temp_tablespaces": true, "local_preload_libraries": true, "session_preload_libraries": true}
+
+// startupLiterals returns the SQL string literals for the value of a start-up parameter. A target
+// would read a list of identifiers in it as in its configuration file, not as in SET.
+func startupLiterals(name, value string) string {
+	if !identifierLists[name] {
+		return cwsql.QuoteLiteral(value)
+	}
+	var elements []string
+	for value != "" {
+		var e string
+		e, value = cutIdentifier(value)
+		elements = append(elements, e)
+	}
+	if len(elements) == 0 {
+		elements = []string{""}
+	}
+	return cwsql.QuoteLiterals(elements...)
+}
+
+// cutIdentifier returns the first identifier of a list and the rest of the list. An identifier in
+// double quotes may contain commas and blanks and keeps its case.
+func cutIdentifier(list string) (id, rest string) {
+	var out []byte
+	// end is the length of out without trailing blanks.
+	quoted, end := false, 0
+	for i := 0; i < len(list); i++ {
+		switch c := list[i]; {
+		case c == '"' && quoted && strings.HasPrefix(list[i+1:], `"`):
+			out = append(out, c)
+			i++
+		case c == '"':
+			quoted = !quoted
+		case c == ',' && !quoted:
+			return string(out[:end]), list[i+1:]
+		case isBlank(c) && !quoted:
+			if end > 0 {
+				out = append(out, c)
+			}
+			continue
+		case 'A' <= c && c <= 'Z' && !quoted:
+			out = append(out, c-'A'+'a')
+		default:
+			out = append(out, c)
+		}
+		end = len(out)
+	}
+	return string(out[:end]), ""
+}
+
+func isBlank(c byte) bool { return strings.IndexByte(" \t\r\n", c) >= 0 }
+
 // diff returns the SET and RESET statements that change a connection's settings
 // from applied to s, and updates applied to match. It returns an empty string if
 // they are equal.
@@ -71,7 +127,7 @@
 		if v, ok := applied[name]; ok && v == s.values[name] {
 			continue
 		}
-		b.WriteString("SET " + quoteIdentifier(name) + " = " + cwsql.QuoteLiteral(s.values[name]) + ";")
+		b.WriteString("SET " + quoteIdentifier(name) + " = " + s.values[name] + ";")
 		applied[name] = s.values[name]
 	}
 	return b.String()
--- a/internal/proxy/cwserver/simple.go
+++ b/internal/proxy/cwserver/simple.go
@@ -67,7 +67,7 @@
 // defaultReadOnly reports whether the client has set
 // default_transaction_read_only.
 func (s *session) defaultReadOnly() bool {
-	switch strings.ToLower(s.settings.values[settingReadOnly]) {
+	switch strings.Trim(strings.ToLower(s.settings.values[settingReadOnly]), "'") {
 	case "on", "true", "yes", "1":
 		return true
 	}
@@ -97,8 +97,8 @@
 			set = set.without(st.Name)
 			delete(c.Settings, st.Name)
 		} else {
-			set = set.with(st.Name, st.Value)
-			c.Settings[st.Name] = st.Value
+			set = set.with(st.Name, st.Literals)
+			c.Settings[st.Name] = st.Literals
 		}
 		if s.tx != nil {
 			s.tx.pendingSettings = set
--- a/internal/proxy/cwserver/startup.go
+++ b/internal/proxy/cwserver/startup.go
@@ -98,7 +98,7 @@
 		case len(v) > maxSettingBytes:
 			return invalidSetting(k, "", "at most 1024 bytes")
 		case lower != "options":
-			s.settings = s.settings.with(lower, v)
+			s.settings = s.settings.with(lower, startupLiterals(lower, v))
 		}
 	}
 	return nil
