cwlog: what a caller sends neither ends a log line for some readers nor makes it endless

By reading, in the search for bytes that become a log line. logfmt quotes what ASCII has of line ends and control characters; U+0085, U+2028, U+2029, the C1 controls and the marks that turn the direction of text went out as they were, and some viewers end a line there. A database name of up to 1 MiB stood twice in a line, with escapes up to 12 MB: 2,000 such lines may wait in memory, and explain gives up on a file with a line of 1 MiB.

Change: these characters are replaced, and a line is cut off at 16 KiB, with whole characters, its quotation closed and cutOff=true at the end.

--- a/internal/proxy/cwlog/writer.go
+++ b/internal/proxy/cwlog/writer.go
@@ -13,6 +13,8 @@
 	"io"
 	"sync"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/jonboulle/clockwork"
 )
@@ -25,6 +27,9 @@
 	// maxLinesPerKind is the maximum number of lines of one kind in a second. Ten lines
 	// about failed requests show the problem; a hundred show nothing more.
 	maxLinesPerKind = 40
+	// maxLineBytes is the length from which a line is cut off. What a caller sends may be a
+	// thousand times as long, and readers of logs give up on such lines.
+	maxLineBytes = 16 << 10
 	// maxKinds is the number of kinds in a second from which all lines are dropped. Kinds
 	// are constants in the code, so there are fewer in practice.
 	maxKinds = 200
@@ -91,7 +96,7 @@
 		return len(line), nil
 	}
 	select {
-	case w.lines <- bytes.Clone(line):
+	case w.lines <- printable(line):
 		w.written[kind]++
 	default:
 		w.dropped[kind]++
@@ -99,6 +104,51 @@
 	return len(line), nil
 }
 
+// cutMark ends a line that was cut off.
+const cutMark = " cutOff=true\n"
+
+// printable returns a copy of a line of at most maxLineBytes, without the characters that end a
+// line, or change its order, for some readers only: logfmt escapes just those of ASCII.
+func printable(line []byte) []byte {
+	out := bytes.Map(func(r rune) rune {
+		if r >= 0x80 && (unicode.IsControl(r) || unicode.Is(unicode.Bidi_Control, r) || r == '\u2028' || r == '\u2029') {
+			return unicode.ReplacementChar
+		}
+		return r
+	}, line)
+	if len(out) <= maxLineBytes {
+		return out
+	}
+	return cutOff(out, maxLineBytes-len(cutMark)-len(`"`))
+}
+
+// cutOff returns a line without what is beyond the first n bytes. Only whole characters and
+// escapes stay, and an open quotation is closed.
+func cutOff(line []byte, n int) []byte {
+	quoted, end := false, 0
+	for end < n {
+		_, size := utf8.DecodeRune(line[end:])
+		switch {
+		case quoted && bytes.HasPrefix(line[end:], []byte(`\u`)):
+			size = len(`\u0000`)
+		case quoted && line[end] == '\\':
+			size = len(`\n`)
+		}
+		if end+size > n {
+			break
+		}
+		if line[end] == '"' {
+			quoted = !quoted
+		}
+		end += size
+	}
+	line = line[:end:end]
+	if quoted {
+		line = append(line, '"')
+	}
+	return append(line, cutMark...)
+}
+
 // startSecond starts a new second if the current one is over, and queues a line about
 // the dropped lines of each kind. The caller holds mu.
 func (w *Writer) startSecond() {
