cwgroup: the size of a group does not include a member that is leaving

Change: a listed member that has announced its leaving is no part of the size, which stays at least a majority of what it was, since members may leave before their replacements are listed.

--- a/internal/core/cwgroup/membership.go
+++ b/internal/core/cwgroup/membership.go
@@ -33,6 +33,8 @@
 	stableSize int
 	// listed are the members that are listed and not leaving, sorted.
 	listed []MemberID
+	// leaving is the number of listed members that have announced that they leave.
+	leaving int
 	// formingSince is when the first members were listed, if nothing was known of
 	// the group then; otherwise it is zero.
 	formingSince time.Time
@@ -74,6 +76,13 @@
 	return m
 }
 
+// WithLeaving returns the membership after n of the listed members have announced that they
+// leave. They are not among those passed to WithListed.
+func (m Membership) WithLeaving(n int) Membership {
+	m.leaving = n
+	return m
+}
+
 // WithRemoved returns the membership after a member is gone; announced is true if it
 // had announced that it leaves.
 func (m Membership) WithRemoved(id MemberID, announced bool) Membership {
@@ -82,6 +91,7 @@
 		m.absent = append(slices.Clone(m.absent), id)
 		return m
 	}
+	m.leaving = max(0, m.leaving-1)
 	if len(m.listed) < m.stableSize {
 		m.stableSize--
 	}
@@ -112,11 +122,21 @@
 // StableSize returns the number of members without those that may be part of an
 // exchange in progress, where both the old and the new member are listed. While the
 // size is unknown, it is so large that the listed members are no majority.
+//
+// A new member that is listed while the group forms counts as a further one, also if it
+// replaces one that leaves. The size must not include that one: if all instances
+// restart before it ends, the recorded size would be too large for as long as no member
+// is added. It is at least a majority of the size before, since the places of members
+// that leave may be taken later.
 func (m Membership) StableSize() int {
-	if m.sizeUnknownUntil.IsZero() {
+	if !m.sizeUnknownUntil.IsZero() {
+		return 2*max(m.stableSize, len(m.listed)) + 1
+	}
+	if m.leaving == 0 {
 		return m.stableSize
 	}
-	return 2*max(m.stableSize, len(m.listed)) + 1
+	staying := len(m.listed) + len(m.Absent())
+	return min(m.stableSize, max(staying, m.stableSize-m.leaving, Majority(m.stableSize)))
 }
 
 // ChangesWithTime reports whether the size may change as time passes, without any
--- a/internal/proxy/cwengine/listings.go
+++ b/internal/proxy/cwengine/listings.go
@@ -68,6 +68,17 @@
 	return out
 }
 
+// draining returns the number of targets of a service that have announced that they leave.
+func (l *targetList) draining(service string) int {
+	n := 0
+	for _, id := range l.byService[service] {
+		if l.byID[id].Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // anyActive reports whether a service has a target that is not draining and whose entry
 // is present.
 func (l *targetList) anyActive(service string) bool {
--- a/internal/proxy/cwengine/members_test.go
+++ b/internal/proxy/cwengine/members_test.go
@@ -161,3 +161,19 @@
 	env.c.Assert(e.Members()[testService].StableSize, qt.Equals, 3)
 	env.c.Assert(e.Members()[testService].Members, qt.HasLen, 3)
 }
+
+// Guards against a group that needs one member more than it has for good: it is recorded with one
+// that is leaving, which ends while all instances start again.
+func TestRecordedSizeLacksLeavingMembers(t *testing.T) {
+	env := newTestEnv(t, cwcatalogue.ReadLatest)
+	e := env.engine("x")
+	listing := func(id string, draining bool) cwport.ListedTarget {
+		return cwport.ListedTarget{ID: memberID(id), Service: testService, Address: id, DataCentre: "dc-" + id, Slots: 3, Draining: draining}
+	}
+	e.UpdateTargets([]cwport.ListedTarget{listing("d", false)}, nil)
+	env.c.Assert(e.Members()[testService].StableSize, qt.Equals, 4)
+	e.UpdateTargets([]cwport.ListedTarget{listing("c", true)}, nil)
+	env.c.Assert(e.Members()[testService].StableSize, qt.Equals, 3)
+	e.UpdateTargets(nil, []cwgroup.MemberID{"c"})
+	env.c.Assert(e.Members()[testService].StableSize, qt.Equals, 3)
+}
