--- a/internal/core/cwsimulation/faults_test.go
+++ b/internal/core/cwsimulation/faults_test.go
@@ -86,10 +86,40 @@
 func drawFaults(t *rapid.T, most int) []fault { return drawFaultsOf(t, most, 0, faultKinds) }
 
 // drawMembershipFaults draws a schedule in which members leave and come, and 1 to most faults.
+// In three of four schedules the replacements overlap, and the primary is lost soon after.
 func drawMembershipFaults(t *rapid.T, most int) []fault {
+	if rapid.IntRange(0, 3).Draw(t, "overlapping") > 0 {
+		return append(drawOverlappingReplacements(t), drawFaultsOf(t, 2, 0, membershipFaultKinds)...)
+	}
 	return append(drawFaultsOf(t, 3, replaceTarget, replacePrimary+1), drawFaultsOf(t, most, 0, membershipFaultKinds)...)
 }
 
+// drawOverlappingReplacements draws a schedule in which two or three members are replaced within a
+// second, the new ones often receive nothing, and the primary, or the data centre in which it is or
+// was, is lost while the old ones leave or right after they have ended.
+func drawOverlappingReplacements(t *rapid.T) []fault {
+	milliseconds := func(label string, from, to int) time.Duration {
+		return time.Duration(rapid.IntRange(from, to).Draw(t, label)) * time.Millisecond
+	}
+	first := milliseconds("at", 500, 2000)
+	target := rapid.IntRange(0, 2).Draw(t, "target")
+	var out []fault
+	for i := range rapid.IntRange(2, 3).Draw(t, "replaced") {
+		out = append(out, fault{kind: replaceTarget, at: first + milliseconds("apart", 0, 800), target: (target + i) % 3})
+	}
+	if rapid.IntRange(0, 3).Draw(t, "deaf") > 0 {
+		out = append(out, fault{
+			kind: deafenReplicas, at: first + milliseconds("deaf from", 0, 1500), lasts: milliseconds("deaf for", 3000, 9000),
+			target: rapid.IntRange(0, 2).Draw(t, "hears"), other: rapid.IntRange(1, 2).Draw(t, "which are deaf"),
+		})
+	}
+	return append(out, fault{
+		kind: rapid.SampledFrom([]faultKind{killPrimary, isolatePrimary, splitPrimary, cutPrimaryDataCentre, cutDataCentre}).Draw(t, "loss"),
+		at:   first + joinTime + milliseconds("loss at", 500, 9500), lasts: milliseconds("loss for", 2000, 6000),
+		target: rapid.IntRange(0, 2).Draw(t, "lost"), other: rapid.IntRange(1, 2).Draw(t, "other"),
+	})
+}
+
 // drawFaultsOf draws 1 to most faults of the kinds from first up to but not including last.
 func drawFaultsOf(t *rapid.T, most int, first, last faultKind) []fault {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
