--- a/internal/core/cwgroup/membership.go
+++ b/internal/core/cwgroup/membership.go
@@ -33,8 +33,9 @@
 	stableSize int
 	// listed are the members that are listed and not leaving, sorted.
 	listed []MemberID
-	// leaving is the number of listed members that have announced that they leave.
-	leaving int
+	// leaving is the number of listed members that have announced that they leave, and lapsed
+	// that of those which stay although their entries have expired.
+	leaving, lapsed int
 	// formingSince is when the first members were listed, if nothing was known of
 	// the group then; otherwise it is zero.
 	formingSince time.Time
@@ -76,10 +77,10 @@
 	return m
 }
 
-// WithLeaving returns the membership after n of the listed members have announced that they
-// leave. They are not among those passed to WithListed.
-func (m Membership) WithLeaving(n int) Membership {
-	m.leaving = n
+// WithLeaving returns the membership after some of the listed members have announced that they
+// leave, and the entries of others have lapsed. They are not among those passed to WithListed.
+func (m Membership) WithLeaving(leaving, lapsed int) Membership {
+	m.leaving, m.lapsed = leaving, lapsed
 	return m
 }
 
@@ -135,7 +136,7 @@
 	if m.leaving == 0 {
 		return m.stableSize
 	}
-	staying := len(m.listed) + len(m.Absent())
+	staying := len(m.listed) + m.lapsed + len(m.Absent())
 	return min(m.stableSize, max(staying, m.stableSize-m.leaving, Majority(m.stableSize)))
 }
 
--- a/internal/proxy/cwengine/listings.go
+++ b/internal/proxy/cwengine/listings.go
@@ -68,15 +68,18 @@
 	return out
 }
 
-// draining returns the number of targets of a service that have announced that they leave.
-func (l *targetList) draining(service string) int {
-	n := 0
+// inactive returns how many targets of a service are draining, and how many of the others have no
+// entry at present.
+func (l *targetList) inactive(service string) (draining, lapsed int) {
 	for _, id := range l.byService[service] {
-		if l.byID[id].Draining {
-			n++
+		switch t := l.byID[id]; {
+		case t.Draining:
+			draining++
+		case t.EntryMissing:
+			lapsed++
 		}
 	}
-	return n
+	return draining, lapsed
 }
 
 // anyActive reports whether a service has a target that is not draining and whose entry
--- a/internal/proxy/cwengine/membership.go
+++ b/internal/proxy/cwengine/membership.go
@@ -68,7 +68,7 @@
 	if !known && !e.cfg.FirstStart {
 		after = after.WithUnknownSize(now.Add(recordedSizeWait))
 	}
-	after = after.WithMinimumSize(atLeast).WithLeaving(e.listings.draining(service)).WithListed(ids, now)
+	after = after.WithMinimumSize(atLeast).WithLeaving(e.listings.inactive(service)).WithListed(ids, now)
 	e.memberships[service] = after
 	if after.Size() != before.Size() && (known || e.groups[service] != nil) {
 		e.cfg.Log.Info("groupSize", "group", service, "members", after.Size(), "before", before.Size(), "listed", len(ids), "known", after.SizeKnown())
