cwsoak: callers write and read any bytes

The soak's texts were numbers, so it could not see that a line feed ended a message or that bytes were changed between instances. Items and what is written to them now have drawn bytes, with those that have a meaning to a protocol on the way more often; they follow from the item and the number, so every text that is read, and every one in a log, is checked whole, and an item that no caller writes is a violation.

--- a/internal/tool/cwsoak/caller.go
+++ b/internal/tool/cwsoak/caller.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
@@ -57,7 +56,7 @@
 // that write may still run later and overwrite a newer number of the same item.
 func (c *caller) startItem() {
 	c.group = c.env.groups[c.rand.IntN(len(c.env.groups))]
-	c.item, c.lastNumber = fmt.Sprintf("i%d-%d", c.id, c.itemCount), 0
+	c.item, c.lastNumber = itemName(c.id, c.itemCount), 0
 	c.itemCount++
 	c.env.ledger.addItem(c.group.Service, c.item)
 }
@@ -238,19 +237,19 @@
 // value stands for 0.
 func (s *session) checkValue(name string, a cwstatement.Response, floor int) {
 	if len(a.Rows) != 1 {
-		s.caller.env.ledger.addViolation(MismatchedAnswer, "%d rows for item %s", len(a.Rows), name)
+		s.caller.env.ledger.addViolation(MismatchedAnswer, "%d rows for item %q", len(a.Rows), name)
 		return
 	}
 	n := 0
 	if a.Rows[0] != "" {
-		var err error
-		if n, err = strconv.Atoi(a.Rows[0]); err != nil {
-			s.caller.env.ledger.addViolation(MismatchedAnswer, "value %q for item %s", a.Rows[0], name)
+		var ok bool
+		if n, ok = writtenNumber(name, a.Rows[0]); !ok {
+			s.caller.env.ledger.addViolation(MismatchedAnswer, "value %q for item %q", a.Rows[0], name)
 			return
 		}
 	}
 	if n < floor {
-		s.caller.env.ledger.addViolation(StaleRead, "%s read of item %s at %s returned %d, must be at least %d", s.rule, name, s.process.name, n, floor)
+		s.caller.env.ledger.addViolation(StaleRead, "%s read of item %q at %s returned %d, must be at least %d", s.rule, name, s.process.name, n, floor)
 	}
 }
 
@@ -258,7 +257,7 @@
 func (s *session) write() bool {
 	c := s.caller
 	c.lastNumber++
-	a, id, ok := s.execute(cwstatement.Write, fmt.Sprintf("WRITE %s %d", c.item, c.lastNumber))
+	a, id, ok := s.execute(cwstatement.Write, "WRITE "+c.item+" "+writtenText(c.item, c.lastNumber))
 	if ok && a.Code == cwstatement.OK {
 		s.checkProof(a, id)
 	}
@@ -298,7 +297,7 @@
 		return ok
 	}
 	c.lastNumber++
-	a, id, ok := s.execute(cwstatement.Write, fmt.Sprintf("WRITE %s %d", c.item, c.lastNumber))
+	a, id, ok := s.execute(cwstatement.Write, "WRITE "+c.item+" "+writtenText(c.item, c.lastNumber))
 	if ok && a.Code == cwstatement.OK {
 		s.checkProof(a, id)
 		a, id, ok = s.execute(cwstatement.Read, "READ "+c.item)
--- a/internal/tool/cwsoak/environment.go
+++ b/internal/tool/cwsoak/environment.go
@@ -415,7 +415,7 @@
 	if t.SetTimeout(2*time.Second) != nil {
 		return false
 	}
-	a, err := roundTrip(t, cwstatement.Command{ID: "check", Verb: cwstatement.Write, Text: "WRITE check 0"})
+	a, err := roundTrip(t, cwstatement.Command{ID: "check", Verb: cwstatement.Write, Text: "WRITE " + probeItem + " " + writtenText(probeItem, 0)})
 	return err == nil && a.Code == cwstatement.OK
 }
 
--- a/internal/tool/cwsoak/ledger.go
+++ b/internal/tool/cwsoak/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -175,9 +174,9 @@
 	seen := make(map[string]map[int]int)
 	for _, writes := range g.Records() {
 		for name, value := range writes {
-			n, err := strconv.Atoi(value)
-			if err != nil {
-				l.addViolation(MismatchedAnswer, "item %s has value %q", name, value)
+			n, ok := writtenNumber(name, value)
+			if !ok {
+				l.addViolation(MismatchedAnswer, "item %q has value %q", name, value)
 				continue
 			}
 			if seen[name] == nil {
@@ -189,6 +188,11 @@
 	l.mu.Lock()
 	items := l.items
 	l.mu.Unlock()
+	for name := range seen {
+		if items[name] == nil && name != probeItem {
+			l.addViolation(MismatchedAnswer, "%s: no caller writes item %q", g.Service, name)
+		}
+	}
 	for name, i := range items {
 		if i.group == g.Service {
 			l.checkItem(name, i, seen[name])
@@ -202,15 +206,15 @@
 func (l *ledger) checkItem(name string, i *item, seen map[int]int) {
 	for _, a := range i.acked {
 		if seen[a.n] == 0 {
-			l.addViolation(LostRecord, "%s %s=%d", i.group, name, a.n)
+			l.addViolation(LostRecord, "%s %q=%d", i.group, name, a.n)
 		}
 	}
 	for n, times := range seen {
 		if times > 1 {
-			l.addViolation(DuplicateRecord, "%s %s=%d written %d times", i.group, name, n, times)
+			l.addViolation(DuplicateRecord, "%s %q=%d written %d times", i.group, name, n, times)
 		}
 		if i.notRun[n] {
-			l.addViolation(FalseNotRun, "%s %s=%d", i.group, name, n)
+			l.addViolation(FalseNotRun, "%s %q=%d", i.group, name, n)
 		}
 	}
 }
--- a/internal/tool/cwsoak/reads.go
+++ b/internal/tool/cwsoak/reads.go
@@ -103,7 +103,7 @@
 	lengths := make(map[itemWrite]int)
 	for i := range log.Len() {
 		for name, value := range log.Writes(i) {
-			if n, err := strconv.Atoi(value); err == nil {
+			if n, ok := writtenNumber(name, value); ok {
 				lengths[itemWrite{name, n}] = i + 1
 			}
 		}
