cwgroup: members that have ended decide nothing any more, also while others take long to leave

Cause: an earlier configuration is settled only once all its members that leave are gone, and on the platform that may take many seconds. In the next release another of its members was leaving, so the configurations of 15 s before still had to be fenced, with two members that had ended counting as if they could decide: what they had acknowledged together with the one that was cut off might have been nowhere else.

Change: once a majority of the members in force has everything that was acknowledged up to a time, a member of an earlier configuration that had ended by then is gone: what may still be decided by that configuration, by a proxy that knows of no change, needs a majority of all its members among those that are left. A configuration with too few left is dropped.

Evidence: TestEndedMembersAreSettledWhileAnotherOneLeaves; without the change its last case is not fenced.

--- a/internal/core/cwgroup/configuration.go
+++ b/internal/core/cwgroup/configuration.go
@@ -30,13 +30,17 @@
 	// Ended is the number of members that have ended for good and are not in Members. It
 	// is zero in the configuration in force.
 	Ended int
+	// Gone is the number of members that had ended before the records of an earlier
+	// configuration were settled, so that nothing has been decided on their account since. It
+	// is zero in the configuration in force.
+	Gone int
 	// Any, if it is not zero, tells that the configuration had that many of the members, and
 	// that nobody here knows which.
 	Any int
 }
 
 // Size returns the number of members, listed or not.
-func (c Configuration) Size() int { return max(c.MinSize, len(c.Members)+c.Ended) }
+func (c Configuration) Size() int { return max(c.MinSize, len(c.Members)+c.Ended+c.Gone) }
 
 // String describes the configuration for logs: its members and, where they are not zero, its
 // size, the members that have ended, and how many of the members it had.
@@ -46,7 +50,7 @@
 	for _, n := range []struct {
 		name  string
 		value int
-	}{{"size", c.MinSize}, {"ended", c.Ended}, {"any", c.Any}} {
+	}{{"size", c.MinSize}, {"ended", c.Ended}, {"gone", c.Gone}, {"any", c.Any}} {
 		if n.value > 0 {
 			fmt.Fprintf(&b, " %s %d", n.name, n.value)
 		}
@@ -65,12 +69,17 @@
 }
 
 // Intersects reports whether the set has a member in common with every majority of the
-// configuration that is not made up of members that have ended.
+// configuration that may have decided something that is not settled, and that is not made up of
+// members that have ended.
 func (c Configuration) Intersects(in MemberSet) bool {
-	n := c.count(in)
-	return c.Size()-n < Majority(c.deciding()) || n+c.Ended >= c.Size()
+	n, able := c.count(in), c.Size()-c.Gone
+	return able-n < Majority(c.deciding()) || n+c.Ended >= able
 }
 
+// mayHaveDecided reports whether enough members are left, or were when the records were settled,
+// for a majority.
+func (c Configuration) mayHaveDecided() bool { return c.Size()-c.Gone >= Majority(c.deciding()) }
+
 // deciding returns the number of members of which a majority decided.
 func (c Configuration) deciding() int {
 	if c.Any > 0 {
@@ -99,7 +108,7 @@
 
 // Equal reports whether two configurations have the same members and numbers.
 func (c Configuration) Equal(o Configuration) bool {
-	return c.Size() == o.Size() && c.Ended == o.Ended && c.Any == o.Any && slices.Equal(c.Members, o.Members)
+	return c.Size() == o.Size() && c.Ended == o.Ended && c.Gone == o.Gone && c.Any == o.Any && slices.Equal(c.Members, o.Members)
 }
 
 // Quorums tells which sets of members suffice for what, while the members of the group
--- a/internal/core/cwgroup/reconfiguration.go
+++ b/internal/core/cwgroup/reconfiguration.go
@@ -24,7 +24,9 @@
 // PropagationTime nothing is decided without a majority of the earlier members as well.
 // There is no log that orders the changes, so an earlier configuration ends only when its
 // leaving members are gone and a majority of the present one is known to have all that was
-// acknowledged before; see WithSettled.
+// acknowledged before; see WithSettled. Members that leave may stay listed for long. Until they
+// are gone, a proxy that knows of no change may go on deciding by the earlier configuration, but
+// only with members that have not ended.
 type Reconfiguration struct {
 	current Configuration
 	// former are the earlier configurations that have not been settled, the oldest first.
@@ -45,6 +47,17 @@
 	// members is leaving and still listed, which is when leaving is true.
 	decidesUntil time.Time
 	leaving      bool
+	// endedAt has, for each member that has ended and is not gone, when this proxy learnt of it.
+	endedAt []time.Time
+}
+
+// withGone returns the configuration after everything that was acknowledged until then is settled.
+func (f formerConfiguration) withGone(then time.Time) formerConfiguration {
+	left := slices.DeleteFunc(slices.Clone(f.endedAt), func(at time.Time) bool { return !at.After(then) })
+	f.Gone += len(f.endedAt) - len(left)
+	f.Ended -= len(f.endedAt) - len(left)
+	f.endedAt = left
+	return f
 }
 
 // outdatedGuess reports whether a configuration of which it is not known which members it had
@@ -72,7 +85,9 @@
 	r.former = nil
 	present := SetOf(slices.Concat(listed, r.absent)...)
 	for i, f := range former {
+		listedBefore := len(f.Members)
 		f.Configuration = f.withPresent(present)
+		f.endedAt = slices.Concat(f.endedAt, slices.Repeat([]time.Time{now}, listedBefore-len(f.Members)))
 		f.leaving = slices.ContainsFunc(leaving, f.Listed)
 		if f.leaving && now.After(f.decidesUntil) {
 			f.decidesUntil = now
@@ -140,27 +155,55 @@
 }
 
 // SettleAfter returns the earliest time of a position that WithSettled may be called with.
-// The second result is false if no earlier configuration can be settled yet.
+// The second result is false if nothing can be settled yet.
 func (r Reconfiguration) SettleAfter() (time.Time, bool) {
 	var first time.Time
 	for _, f := range r.former {
-		if !f.leaving && (first.IsZero() || f.decidesUntil.Before(first)) {
-			first = f.decidesUntil
+		at, ok := f.settleAfter()
+		if ok && (first.IsZero() || at.Before(first)) {
+			first = at
 		}
 	}
 	return first, !first.IsZero()
 }
 
+// settleAfter returns the earliest time of a position with which the configuration, or a part of
+// it, is settled: a member that ended is gone from then on.
+func (f formerConfiguration) settleAfter() (time.Time, bool) {
+	if !f.leaving {
+		return f.decidesUntil, true
+	}
+	if len(f.endedAt) == 0 {
+		return time.Time{}, false
+	}
+	at := slices.MinFunc(f.endedAt, time.Time.Compare)
+	if known := f.replacedAt.Add(PropagationTime); known.After(at) {
+		at = known
+	}
+	return at, true
+}
+
 // WithSettled returns the reconfiguration without the earlier configurations by which no
 // proxy has decided anything since the given time, provided that a majority of the current
-// members has what was acknowledged until then. end is the end that the primary's log had at
-// that time; a confirmation since then must have shown that it was the primary.
+// members has what was acknowledged until then. Of the others, members that had ended by then
+// are gone. end is the end that the primary's log had at that time; a confirmation since then
+// must have shown that it was the primary.
 func (r Reconfiguration) WithSettled(v View, end LogPosition, at time.Time) Reconfiguration {
 	if !r.current.HasMajority(v.Where(func(p Report) bool { return p.HasRecord(end) })) {
 		return r
 	}
-	r.former = slices.DeleteFunc(slices.Clone(r.former), func(f formerConfiguration) bool {
-		return !f.leaving && !at.Before(f.decidesUntil)
-	})
+	former := r.former
+	r.former = nil
+	for _, f := range former {
+		after, ok := f.settleAfter()
+		switch {
+		case !ok || at.Before(after):
+			r.former = append(r.former, f)
+		case f.leaving:
+			if f = f.withGone(at); f.mayHaveDecided() {
+				r.former = append(r.former, f)
+			}
+		}
+	}
 	return r
 }
--- a/internal/core/cwgroup/reconfiguration_test.go
+++ b/internal/core/cwgroup/reconfiguration_test.go
@@ -213,3 +213,39 @@
 		qt.Assert(t, q.Fences(SetOf("r", "s")), qt.IsTrue)
 	})
 }
+
+// Guards against a group that can't replace a primary that is cut off, since members that ended
+// long ago count as if one of them could still decide, while another one takes long to leave.
+func TestEndedMembersAreSettledWhileAnotherOneLeaves(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ended := start.Add(9 * time.Second)
+	r := Reconfiguration{}.WithMembers([]MemberID{"a", "b", "c"}, nil, 3, start).
+		WithMembers([]MemberID{"a", "b", "c", "d"}, nil, 3, start).
+		WithMembers([]MemberID{"c", "d", "e"}, []MemberID{"a", "b"}, 3, start).
+		WithMembers([]MemberID{"c", "d", "e"}, nil, 3, ended).
+		WithMembers([]MemberID{"d", "e", "f"}, []MemberID{"c"}, 3, ended)
+	has := view(map[MemberID]LogIndex{"c": 9, "d": 9, "e": 9, "f": 0})
+	end := LogPosition{1, 9}
+	lost := SetOf("c", "e", "f")
+	qt.Assert(t, r.Quorums(ended).Fences(lost), qt.IsFalse)
+	after, ok := r.SettleAfter()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, after, qt.Equals, ended)
+	for _, tc := range []struct {
+		name string
+		r    Reconfiguration
+		want bool
+	}{
+		{"a position from before they ended", r.WithSettled(has, end, ended.Add(-time.Second)), false},
+		{"too few have the records", r.WithSettled(view(map[MemberID]LogIndex{"d": 9, "e": 8}), end, ended), false},
+		{"a majority has the records", r.WithSettled(has, end, ended), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Assert(t, tc.r.Quorums(ended).Fences(lost), qt.Equals, tc.want, qt.Commentf("%v", tc.r.Quorums(ended)))
+		})
+	}
+	t.Run("a majority of those before may still decide", func(t *testing.T) {
+		settled := r.WithSettled(has, end, ended)
+		qt.Assert(t, settled.Quorums(ended).Fences(SetOf("f", "e")), qt.IsFalse)
+	})
+}
