cwcommand: texts of operators and callers stay in their line of the output

By reading, in the search for bytes that become a line for another party. The history of the catalogue printed an operator's name and note as they were: a note with a line feed forged a further entry. losses decodes the reason of a refusal from the log and printed it to the terminal, with a database name that its caller had chosen.

Change: what is not printable is replaced. Evidence: TestTextsOfOthersStayInTheirLine does not build before, and fails with printable returning its text.

--- a/internal/tool/cwcommand/catalogue.go
+++ b/internal/tool/cwcommand/catalogue.go
@@ -269,19 +269,20 @@
 			continue
 		}
 		a := acts[0]
-		fmt.Fprintf(w, "%s  %s: %s of %s, before: %s, after: %s\n", a.At.Format(time.RFC3339), a.Who, a.Kind, a.Subject, a.Before, a.After)
+		fmt.Fprintf(w, "%s  %s: %s of %s, before: %s, after: %s\n", a.At.Format(time.RFC3339), printable(a.Who), a.Kind,
+			printable(a.Subject), printable(a.Before), printable(a.After))
 		acts = acts[1:]
 	}
 	return nil
 }
 
 func printChange(w io.Writer, c cwcataloguestore.Change) {
-	fmt.Fprintf(w, "%s  %s: revision %d (change %s) %s\n", c.At.Format(time.RFC3339), c.Who, c.Revision, c.ID, c.Note)
+	fmt.Fprintf(w, "%s  %s: revision %d (change %s) %s\n", c.At.Format(time.RFC3339), printable(c.Who), c.Revision, c.ID, printable(c.Note))
 	for _, s := range c.Summary {
-		fmt.Fprintf(w, "    %s\n", s)
+		fmt.Fprintf(w, "    %s\n", printable(s))
 	}
 	for name, after := range c.After {
-		fmt.Fprintf(w, "    %s before: %s\n", name, c.Before[name])
-		fmt.Fprintf(w, "    %s after:  %s\n", name, after)
+		fmt.Fprintf(w, "    %s before: %s\n", name, printable(string(c.Before[name])))
+		fmt.Fprintf(w, "    %s after:  %s\n", name, printable(string(after)))
 	}
 }
--- a/internal/tool/cwcommand/losses.go
+++ b/internal/tool/cwcommand/losses.go
@@ -149,7 +149,7 @@
 	}
 	for _, r := range rows {
 		held := r.held.Milliseconds() / int64(r.count)
-		if _, err := fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%s\t%s\n", r.start.Format("15:04:05.0"), r.count, held, r.group, r.code, r.reason); err != nil {
+		if _, err := fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%s\t%s\n", r.start.Format("15:04:05.0"), r.count, held, printable(r.group), printable(r.code), printable(r.reason)); err != nil {
 			return err
 		}
 	}
