cwleadership: primaryNotChanged has the acknowledged position

A log field and a comment: what an attempt must not lose, beside who was fenced and by which quorums. The comment on the choice of a member said that positions which were read count as well; only those that this proxy acknowledged do.

--- a/internal/core/cwfailover/fence.go
+++ b/internal/core/cwfailover/fence.go
@@ -153,9 +153,8 @@
 // startPromotion selects the most advanced of the candidates.
 //
 // Members that had the records can have ended unseen, so that those fenced are all that is
-// left and still lack records that this proxy has acknowledged or read as such. Promoting one
-// would drop these records for good, so the group stays without a primary, and the log says
-// which position is missing.
+// left and still lack records that this proxy has acknowledged. Promoting one would drop these
+// records for good, so the group stays without a primary.
 func (k *Attempt) startPromotion() []Command {
 	k.phase = PhasePromoting
 	candidate := k.candidates()
--- a/internal/proxy/cwleadership/loop.go
+++ b/internal/proxy/cwleadership/loop.go
@@ -203,7 +203,7 @@
 	if !r.Changed() {
 		g.cfg.Log.Warn("primaryNotChanged", "group", r.Plan.Group, "term", r.Plan.Term, "claim", r.Plan.Claim,
 			"reason", r.Reason, "tookMs", r.Duration.Milliseconds(),
-			"fenced", r.Fenced, "notFenced", r.NotFenced, "quorums", r.Plan.Quorums)
+			"fenced", r.Fenced, "notFenced", r.NotFenced, "acknowledged", r.Plan.Acknowledged, "quorums", r.Plan.Quorums)
 		return
 	}
 	g.cfg.Log.Info("primaryChanged", "group", r.Plan.Group, "term", r.Plan.Term, "claim", r.Plan.Claim, "before", r.OldPrimary.Member,
