--- a/internal/core/cwsimulation/proof_test.go
+++ b/internal/core/cwsimulation/proof_test.go
@@ -24,8 +24,10 @@
 // request that was answered as "not run" took effect. After all faults have ended, the
 // group must recover without an operator.
 func TestNothingIsLostUnderAnyFaults(t *testing.T) {
+	t.Parallel()
 	for name, o := range map[string]options{"without table": withTermChecks, "with table": withTable} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
 				sim := newSimulation(rapid.Uint64().Draw(t, "seed"), o)
 				if violations := sim.runSchedule(drawFaults(t, 6)); len(violations) > 0 {
@@ -40,6 +42,7 @@
 // proxy pauses during a command, the claim in the table, which is read right before each
 // command, prevents them.
 func TestUncheckedMembersWithoutPauses(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), withoutTermChecks)
 		faults := slices.DeleteFunc(drawFaults(t, 3), func(f fault) bool {
@@ -62,8 +65,10 @@
 // account of one set of members, and a change of primary or a read relies on another set
 // that lacks it, since members are replaced, cut off or receive nothing.
 func TestNothingIsLostWhileMembersChange(t *testing.T) {
+	t.Parallel()
 	for name, o := range map[string]options{"asynchronous": whileMembersChange, "synchronous": whileSynchronousMembersChange} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
 				sim := newSimulation(rapid.Uint64().Draw(t, "seed"), o)
 				if violations := sim.runSchedule(drawMembershipFaults(t, 4)); len(violations) > 0 {
--- a/internal/core/cwsimulation/regression_test.go
+++ b/internal/core/cwsimulation/regression_test.go
@@ -78,6 +78,7 @@
 // cut off and replaced on account of the others. The rejected rules show that the schedule
 // brings this about.
 func TestRecordsOfLeavingMembersAreKept(t *testing.T) {
+	t.Parallel()
 	schedule := []fault{
 		{kind: replaceTarget, at: 500 * time.Millisecond, target: 1},
 		{kind: replaceTarget, at: 500 * time.Millisecond, target: 2},
