review: the late promotion replaces a valid primary

The second crash is shorter now, so that the primary is back when another machine acts, and replicas receive at times of their own.

--- a/review/world/group.go
+++ b/review/world/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -120,34 +121,31 @@
 	return ""
 }
 
-// loop copies the logs of primaries to replicas.
-func (g *group) loop() {
+// loopReceive makes a replica receive the log of the primary, each at times of its own.
+func (d *database) loopReceive() {
+	time.Sleep(rand.N(replicationDelay))
 	for {
-		time.Sleep(replicationDelay / 2)
-		g.mu.Lock()
-		g.replicate(time.Now())
-		g.mu.Unlock()
+		time.Sleep(replicationDelay)
+		d.group.mu.Lock()
+		d.receive(time.Now())
+		d.group.mu.Unlock()
 	}
 }
 
-// replicate brings all replicas up to date that receive. The caller holds mu.
-func (g *group) replicate(now time.Time) {
-	p := g.leader()
-	if p == nil {
-		return
-	}
-	for _, d := range g.databases {
-		switch {
-		case d == p || d.down:
-		case d.primary && d.term < p.term && d.replacedSince.IsZero():
-			d.replacedSince = now
-		case d.primary && now.Sub(d.replacedSince) < stepDownTime:
-		case d.primary:
-			d.stepDown()
-		case d.paused > p.term:
-		default:
-			d.follow(p)
-		}
+// receive brings the database up to date with the primary of the newest term. The caller holds
+// the group's lock.
+func (d *database) receive(now time.Time) {
+	p := d.group.leader()
+	switch {
+	case p == nil || d == p || d.down:
+	case d.primary && d.term < p.term && d.replacedSince.IsZero():
+		d.replacedSince = now
+	case d.primary && now.Sub(d.replacedSince) < stepDownTime:
+	case d.primary:
+		d.stepDown()
+	case d.paused > p.term:
+	default:
+		d.follow(p)
 	}
 }
 
--- a/review/world/promotion.go
+++ b/review/world/promotion.go
@@ -2,16 +2,20 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
-// Times of the case.
+// Load and times of the case.
 const (
-	settleTime = 6 * time.Second
-	// crashTime is how long a primary is down, and cutTime how long the path from one machine
-	// to the platform's interface for promotions is cut.
-	crashTime = 6 * time.Second
-	cutTime   = 7 * time.Second
+	// sessionsEach is the number of sessions that begin at each machine.
+	sessionsEach = 6
+	settleTime   = 6 * time.Second
+	// firstCrash and secondCrash are how long a primary is down, and cutTime how long the path from
+	// one machine to the platform's interface for promotions is cut.
+	firstCrash  = 6 * time.Second
+	secondCrash = 2500 * time.Millisecond
+	cutTime     = 7 * time.Second
 	// cutBefore is how long before the second crash the path is cut, and killAfter how long
 	// after it the machine is killed, for downTime.
 	cutBefore = 500 * time.Millisecond
@@ -27,23 +31,25 @@
 	stop := make(chan struct{})
 	var writers []*writer
 	for i, m := range w.machines {
-		x := &writer{
-			name: string(rune('a' + i)), machines: append(append([]*machine(nil), w.machines[i:]...), w.machines[:i]...), database: routeName,
-			rec: w.rec, interval: 40 * time.Millisecond,
+		for k := range sessionsEach {
+			x := &writer{
+				name: fmt.Sprintf("%c%d", 'a'+i, k), machines: append(append([]*machine(nil), w.machines[i:]...), w.machines[:i]...),
+				database: routeName, rec: w.rec, interval: 40 * time.Millisecond,
+			}
+			w.rec.line("client %s begins at %s", x.name, m.name)
+			writers = append(writers, x)
+			go x.run(stop)
 		}
-		w.rec.line("clients %s begin at %s", x.name, m.name)
-		writers = append(writers, x)
-		go x.run(stop)
 	}
 	time.Sleep(settleTime)
 	first := w.awaitPrimary(time.Second)
-	w.group.crash(first, crashTime)
+	w.group.crash(first, firstCrash)
 	time.Sleep(time.Second)
 	second := w.awaitPrimary(10 * time.Second)
 	if second == "" || second == first {
 		return false, errors.New("the first primary was not replaced")
 	}
-	time.Sleep(crashTime + 2*time.Second)
+	time.Sleep(firstCrash + 2*time.Second)
 	second = w.awaitPrimary(time.Second)
 	calls := w.api.all()
 	holder := w.machine(calls[len(calls)-1].holder)
@@ -52,7 +58,7 @@
 		holder.api.cut(cutTime)
 	}
 	time.Sleep(cutBefore)
-	w.group.crash(second, crashTime)
+	w.group.crash(second, secondCrash)
 	time.Sleep(killAfter)
 	if trouble {
 		w.rec.line("%s is killed, and starts again after %v", holder.name, downTime)
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -50,7 +50,9 @@
 	for i, z := range zones {
 		w.group.add(fmt.Sprintf("i-%02x7f3a91c2", i+1), z, ip(100+i, 1))
 	}
-	go w.group.loop()
+	for _, d := range w.group.databases {
+		go d.loopReceive()
+	}
 	for i := range machines {
 		z := i % len(zones)
 		m := &machine{name: fmt.Sprintf("front-%s-%d", zones[z], i/len(zones)+1), zone: zones[z], ip: ip(z+1, i+1), dir: dir}
