--- a/review/world/client.go
+++ b/review/world/client.go
@@ -50,12 +50,21 @@
 // query sends one statement and reads its answer.
 func (c *client) query(id, text string) answer {
 	_ = c.conn.SetDeadline(time.Now().Add(8 * time.Second))
-	c.rec.line("sent %s: %s", id, text)
+	c.rec.line("sent %s: %s", id, shortened(text))
 	a := c.exchange(id, text)
 	c.rec.line("answered %s: %s %s %s", id, a.code, a.detail, strings.Join(a.rows, " "))
 	return a
 }
 
+// shortened returns a text as it is recorded.
+func shortened(text string) string {
+	const most = 80
+	if len(text) <= most {
+		return text
+	}
+	return fmt.Sprintf("%s... (%d bytes)", text[:most], len(text))
+}
+
 func (c *client) exchange(id, text string) answer {
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return answer{code: "CUT", detail: err.Error()}
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"promotion": latePromotion,
+	"values":    largeValues,
 }
 
 func main() {
