--- a/review/world/group.go
+++ b/review/world/group.go
@@ -261,7 +261,7 @@
 	}
 	return map[string]any{
 		"service": d.group.service, "address": d.address, "zone": d.zone, "version": "v1", "slots": slots, "state": "ready",
-		"cold_left_ms": 0, "db_role": role, "sequence": d.sequence,
+		"cold_left_ms": 0, names["role"]: role, "sequence": d.sequence,
 	}
 }
 
--- a/review/world/machine.go
+++ b/review/world/machine.go
@@ -37,7 +37,7 @@
 	}
 	_, peerPort, _ := net.SplitHostPort(m.peer)
 	b, err := json.MarshalIndent(map[string]any{
-		"node_name": m.name, "role": "proxy", "machine_class": "front", "serves": []string{"front"},
+		names["machine"]: m.name, "role": "proxy", "machine_class": "front", "serves": []string{"front"},
 		"ip": m.ip, "zone": m.zone, "region": "pk-north", "zones": all,
 		"listen":         map[string]string{"front": m.front, "ready": m.ready},
 		"internal_ports": []json.Number{"7440", json.Number(peerPort)},
@@ -74,7 +74,7 @@
 		return err
 	}
 	m.cmd = exec.Command(program, "serve", "--metrics-port", "7440")
-	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.dir, "CICADAWALK_SETTINGS=" + path}
+	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.dir, names["settings"] + "=" + path}
 	m.cmd.Stdout, m.cmd.Stderr = out, out
 	if err := m.cmd.Start(); err != nil {
 		return err
@@ -92,7 +92,7 @@
 func (m *machine) awaitReady(within time.Duration) error {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		resp, err := client.Get("http://" + m.ready + "/v1/readiness")
+		resp, err := client.Get("http://" + m.ready + names["readiness"])
 		if err != nil {
 			continue
 		}
--- a/review/world/platformapi.go
+++ b/review/world/platformapi.go
@@ -30,7 +30,7 @@
 
 func (a *platformAPI) run(ln net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /promotion", a.promote)
+	mux.HandleFunc("POST "+names["promotion"], a.promote)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	_ = srv.Serve(ln)
 }
@@ -40,7 +40,7 @@
 		Service string `json:"service"`
 		ID      string `json:"id"`
 	}
-	number, err := strconv.ParseUint(r.Header.Get("Cicadawalk-Fencing-Token"), 10, 64)
+	number, err := strconv.ParseUint(r.Header.Get(names["fenceNumber"]), 10, 64)
 	if json.NewDecoder(r.Body).Decode(&body) != nil || err != nil || body.Service != a.group.service {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -49,7 +49,7 @@
 	if !a.group.promote(body.ID) {
 		status = http.StatusConflict
 	}
-	p := promotion{at: time.Now(), holder: r.Header.Get("Cicadawalk-Lease-Holder"), id: body.ID, number: number, status: status}
+	p := promotion{at: time.Now(), holder: r.Header.Get(names["holder"]), id: body.ID, number: number, status: status}
 	a.mu.Lock()
 	a.calls = append(a.calls, p)
 	a.mu.Unlock()
--- a/review/world/session.go
+++ b/review/world/session.go
@@ -59,7 +59,7 @@
 		return
 	}
 	if f[1] != g.service || len(f) > 3 && f[3] != d.id {
-		_, _ = fmt.Fprintf(s.conn, "ERROR WRONGNODE %s\r\n", d.id)
+		_, _ = fmt.Fprintf(s.conn, "ERROR %s %s\r\n", names["wrongDatabase"], d.id)
 		return
 	}
 	g.mu.Lock()
@@ -177,7 +177,7 @@
 		name, args, _ := strings.Cut(rest, " ")
 		shape, ok := s.prepared[name]
 		if !ok {
-			return nil, "", &errRefused{"NOSTMT", name}
+			return nil, "", &errRefused{names["notPrepared"], name}
 		}
 		word, _, _ = strings.Cut(shape, " ")
 		rest = args
@@ -205,14 +205,14 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	if d.end().less(floor) {
-		return &errRefused{"LAGGING", d.end().String()}
+		return &errRefused{names["behind"], d.end().String()}
 	}
 	lost := !d.primary || s.open && s.term != d.term
 	switch {
 	case s.open && !s.readOnly && lost && (word != "COMMIT" || len(s.writes) > 0):
-		return &errRefused{"READONLY", d.id}
+		return &errRefused{names["notPrimary"], d.id}
 	case !s.open && lost && (word == "WRITE" || word == "BEGIN"):
-		return &errRefused{"READONLY", d.id}
+		return &errRefused{names["notPrimary"], d.id}
 	case word == "BEGIN":
 		s.open, s.term, s.writes = true, d.term, make(map[string]string)
 	case word == "BEGIN READ":
@@ -272,7 +272,7 @@
 			return nil, proofOf(id, data), nil
 		}
 		if !d.primary {
-			return nil, "", &errRefused{"READONLY", d.id}
+			return nil, "", &errRefused{names["notPrimary"], d.id}
 		}
 		d.append(map[string]string{item: data}, []string{id})
 		return nil, proofOf(id, data), nil
@@ -280,7 +280,7 @@
 		if len(s.writes) > 0 {
 			if !d.primary || d.term != s.term {
 				s.end()
-				return nil, "", &errRefused{"READONLY", d.id}
+				return nil, "", &errRefused{names["notPrimary"], d.id}
 			}
 			d.append(maps.Clone(s.writes), s.statements)
 		}
--- a/review/world/store.go
+++ b/review/world/store.go
@@ -83,9 +83,9 @@
 // run serves the store on a listener.
 func (s *store) run(ln net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/rows-get", s.get)
-	mux.HandleFunc("GET /v1/rows-feed", s.feed)
-	mux.HandleFunc("POST /v1/rows-tx", s.tx)
+	mux.HandleFunc("GET "+names["rowsGet"], s.get)
+	mux.HandleFunc("GET "+names["rowsFeed"], s.feed)
+	mux.HandleFunc("POST "+names["rowsTx"], s.tx)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	_ = srv.Serve(ln)
 }
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -109,14 +109,14 @@
 	return map[string]any{
 		"version": 7,
 		"routes": []map[string]any{{
-			"name": "r-1", "host": routeName, "prefix": "/", "kind": "primary", "timeout_ms": 1000, "slo_ms": 200, "priority": 1,
+			"name": "r-1", "host": routeName, "prefix": "/", "kind": "primary", "timeout_ms": 1000, names["aim"]: 200, "priority": 1,
 			"service": serviceName, "max_attempts": 2,
 		}},
 		"services": []map[string]any{{
-			"name": serviceName, "health_path": "/health", "max_conns": maxConns, "protocol": "h1", "tls": false, "sync_replicas": 0,
+			"name": serviceName, "health_path": "/health", "max_conns": maxConns, "protocol": "h1", "tls": false, names["syncReplicas"]: 0,
 		}},
 		"limits": map[string]any{
-			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": 3000,
+			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, names["transactionIdle"]: 3000,
 		},
 	}
 }
