cwengine, cwforward, platform: callers and other instances hold a bounded share of the memory

Cause: maxSettings and maxPrepared count values; nothing adds up sessions, messages that are being read, statements in all their copies, answers and messages between instances; short texts cut out of long messages keep these in memory; an idle connection to a database kept the texts of sessions that had ended; and limits.memory_mb was read and not used.

Change: a quarter of limits.memory_mb is what others may hold (cwmemoryguard), and the runtime collects garbage more often from 65% on. What is charged: a connection, the buffer of a message, settings and prepared statements, a statement with its copies, the rows of an answer, objects between instances. A message without room is read and dropped, and refused as not run; the session goes on. A message has 10 s from its first byte. What gives way: an unfinished message is dropped, a session with long values is ended when idle, with a reason. The settings of a session have 1 MiB together, so a statement costs a database at most one message more; prepared statements 4 MiB. Long texts go between instances in base64 from 4 KiB on. session.go is split by what it holds.

Tests: TestCallersDoNotTakeTheMemory (soak, nine forms), drawn TestBudgetHoldsInAnyOrder, and one for each place.

--- a/cmd/cicadasoak/soak_test.go
+++ b/cmd/cicadasoak/soak_test.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// Guards against callers that end an instance, or shut out others, by the memory that they make it
+// hold.
+func TestCallersDoNotTakeTheMemory(t *testing.T) {
+	assertNothingBroken(t, []string{
+		"--program", buildProgram(t), "--first-seed", "1", "--instances", "4", "--callers", "24", "--memory", "--keyless",
+		"--duration", "17s",
+	})
+}
+
 // buildProgram builds the proxy and returns its path.
 func buildProgram(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "cicadawalk")
--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -40,6 +40,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwpath"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -93,6 +94,9 @@
 	// FirstStart is true if no instance has run before, so that no stored or
 	// remembered group sizes can exist.
 	FirstStart bool
+	// Memory bounds the memory that callers and other instances make this instance hold; nil for
+	// no bound.
+	Memory *cwmemoryguard.Guard
 	// Meter enforces the quotas of workspaces; nil if there are none.
 	Meter cwport.QuotaMeter
 }
@@ -339,7 +343,8 @@
 			e.cfg.Clock.Sleep(acceptRetryDelay)
 			continue
 		}
-		s := &session{engine: e, caller: codec(conn)}
+		e.boundReceiveBuffer(conn)
+		s := e.newSession(codec(conn))
 		e.mu.Lock()
 		e.sessions[s] = struct{}{}
 		e.mu.Unlock()
@@ -347,6 +352,18 @@
 	}
 }
 
+// boundReceiveBuffer bounds what the kernel keeps of a caller's messages while the session does not
+// read them.
+func (e *Engine) boundReceiveBuffer(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok || e.cfg.Memory == nil {
+		return
+	}
+	if err := tcp.SetReadBuffer(cwmemoryguard.ReceiveBuffer); err != nil {
+		e.cfg.Log.Debug("receiveBufferUnchanged", "cause", err)
+	}
+}
+
 // removeSession removes a session that has ended.
 func (e *Engine) removeSession(s *session) {
 	e.mu.Lock()
--- a/internal/proxy/cwengine/exchange.go
+++ b/internal/proxy/cwengine/exchange.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"slices"
 	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
@@ -55,7 +54,9 @@
 		return exchangeResult{err: errInterrupted, notSent: true, sentAt: sent}
 	}
 	overdue := s.engine.cfg.Clock.AfterFunc(suspectAfter, func() { t.recordOverdue(l, sent) })
-	r := s.send(l.conn, w, t.limits)
+	l.conn.SetMemory(s.answerMemory())
+	r := s.refuseLargeAnswer(s.send(l.conn, w, t.limits), w)
+	l.conn.SetMemory(nil)
 	t.recordResult(l, w, r, !overdue.Stop())
 	s.recordExchange(w.command.Verb, r)
 	if w.command.Verb != cwstatement.Begin && w.command.Verb != cwstatement.BeginRead {
@@ -95,7 +96,7 @@
 		if _, r.err = c.Receive(); r.err != nil {
 			return r
 		}
-		c.Prepared[w.prepare.name] = true
+		c.RecordPrepared(w.prepare.name, len(w.prepare.text))
 	}
 	if r.answer, r.err = c.Receive(); r.err != nil {
 		return r
@@ -129,32 +130,14 @@
 // sent, it sets what differs, or resets the connection if it has settings that the
 // session lacks or too many prepared statements.
 func (s *session) applySettings(c *cwtargetpool.Conn) error {
-	reset := c.PreparedFull()
-	for name := range c.Settings {
-		if _, ok := s.settings[name]; !ok {
-			reset = true
-		}
-	}
-	n := 0
-	if reset {
-		clear(c.Settings)
-		clear(c.Prepared)
-		c.Send(cwstatement.Command{Verb: cwstatement.Reset})
-		n++
-	}
-	for _, name := range sortedKeys(s.settings) {
-		value := s.settings[name]
-		if old, ok := c.Settings[name]; ok && old == value {
-			continue
-		}
-		c.Send(cwstatement.Command{Verb: cwstatement.Set, Name: name, Args: value})
-		c.Settings[name] = value
-		n++
-	}
-	if n == 0 {
+	changes := c.ChangeSettings(s.settings)
+	if len(changes) == 0 {
 		return nil
 	}
-	return flushAndCheck(c, n)
+	for _, cmd := range changes {
+		c.Send(cmd)
+	}
+	return flushAndCheck(c, len(changes))
 }
 
 // flushAndCheck sends the queued commands and reads n answers. The error is a
@@ -174,12 +157,3 @@
 	}
 	return nil
 }
-
-func sortedKeys(m map[string]string) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/proxy/cwengine/forwarded.go
+++ b/internal/proxy/cwengine/forwarded.go
@@ -10,7 +10,9 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwstatement"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwtargetpool"
 )
 
 // Timeouts of transactions that other instances have forwarded.
@@ -99,7 +101,7 @@
 	if !ok {
 		return runElsewhere("the instance does not serve the group")
 	}
-	s := &session{engine: e, database: h.Entry.Service, open: open, forwarded: &forwardedContext{entry: h.Entry, group: group}}
+	s := &session{engine: e, database: h.Entry.Service, open: open, forwarded: &forwardedContext{entry: h.Entry, group: group}, memory: noMemory}
 	s.applyForwardRequest(h)
 	if h.Transaction == "" {
 		return s.newForwardResponse(h, group, s.handle(h.Statement, began))
@@ -149,6 +151,7 @@
 // is over then. The caller holds t.mu.
 func (e *Engine) runForwarded(t *forwardedTransaction, h cwport.ForwardRequest, began time.Time) cwport.ForwardResponse {
 	a := t.session.handle(h.Statement, began)
+	t.session.releaseForwardRequest()
 	t.lastUsed.Store(e.cfg.Clock.Now().UnixNano())
 	if a.State != cwstatement.InTransaction || t.connClosed.Load() {
 		t.rollback("")
@@ -178,8 +181,11 @@
 // caller's instance.
 func (s *session) applyForwardRequest(h cwport.ForwardRequest) {
 	group := h.Entry.Groups[0].Name
-	s.workspace, s.settings = h.Workspace, h.Values
-	s.prepared = nil
+	s.sessionState = sessionState{settings: cwtargetpool.NewSettings(h.Values)}
+	s.workspace = h.Workspace
+	if h.Memory != nil {
+		s.memory = h.Memory
+	}
 	if h.Prepared != nil {
 		p := h.Prepared
 		s.prepared = map[string]preparedStatement{
@@ -192,6 +198,31 @@
 	}
 }
 
+// noMemory is an account that grants everything.
+var noMemory cwport.Memory = (*cwmemoryguard.Holder)(nil)
+
+// releaseForwardRequest drops what the session got with a statement of a transaction. The next
+// statement brings it again.
+func (s *session) releaseForwardRequest() {
+	s.sessionState, s.memory = sessionState{}, noMemory
+}
+
+// RefuseForwarded returns the answer to a statement for which there is no memory here, and rolls
+// back its transaction. h has the transaction, begin and verb only.
+func (e *Engine) RefuseForwarded(h cwport.ForwardRequest, cause error) cwport.ForwardResponse {
+	a := memoryRefusal(cause)
+	if h.Transaction != "" {
+		e.mu.RLock()
+		refused := e.forwardedTransactions[h.Transaction]
+		e.mu.RUnlock()
+		e.rollbackForwarded(a.Detail, func(t *forwardedTransaction) bool { return t == refused })
+		if h.Statement.Verb != cwstatement.Commit {
+			a = a.WithState(cwstatement.InFailedTransaction)
+		}
+	}
+	return cwport.ForwardResponse{Answer: a, NotRun: isFirst(h)}
+}
+
 // newForwardResponse builds the answer to the caller's own instance.
 //
 // If this instance is cut off from the group's members, other instances may still
--- a/internal/proxy/cwengine/harness_test.go
+++ b/internal/proxy/cwengine/harness_test.go
@@ -132,7 +132,7 @@
 // sessionFor opens the session of a caller with a key.
 func (env *testEnv) sessionFor(e *Engine, key string) *testCaller {
 	tc := env.newCaller(key)
-	s := &session{engine: e, caller: tc}
+	s := e.newSession(tc)
 	tc.engine = e
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
@@ -236,6 +236,9 @@
 	return nil
 }
 
+func (tc *testCaller) SetMemory(cwport.Memory) {}
+func (tc *testCaller) DropMessage()            {}
+
 func (tc *testCaller) SetReadTimeout(d time.Duration) error {
 	tc.mu.Lock()
 	defer tc.mu.Unlock()
--- a/internal/proxy/cwengine/metrics.go
+++ b/internal/proxy/cwengine/metrics.go
@@ -116,6 +116,9 @@
 	return m
 }
 
+// Set returns the set to which other parts of the instance add their metrics.
+func (m *Metrics) Set() *metrics.Set { return m.set }
+
 // AddAgeGauge adds a gauge of the maximum possible age of the desired state in force,
 // in seconds. It must be called at most once.
 func (m *Metrics) AddAgeGauge(age func() float64) {
--- a/internal/proxy/cwengine/remote.go
+++ b/internal/proxy/cwengine/remote.go
@@ -58,7 +58,7 @@
 // newForwardRequest builds the message that forwards a statement to a holder.
 func (s *session) newForwardRequest(entry cwcatalogue.Entry, st cwstatement.Statement, began time.Time) cwport.ForwardRequest {
 	h := cwport.ForwardRequest{
-		Entry: entry, Workspace: s.workspace, Statement: st, Values: s.settings, LastWrite: s.lastWrites[entry.Groups[0].Name],
+		Entry: entry, Workspace: s.workspace, Statement: st, Values: s.settings.Values(), LastWrite: s.lastWrites[entry.Groups[0].Name],
 		Elapsed: s.engine.cfg.Clock.Since(began),
 	}
 	if p, ok := s.prepared[st.Name]; ok && st.Verb == cwstatement.Execute {
@@ -95,7 +95,7 @@
 	if r.CommitPosition.Index > 0 {
 		s.recordWrite(h.Entry.Groups[0].Name, r.CommitPosition)
 	}
-	return r, nil
+	return s.chargeForwardedAnswer(to, h, r), nil
 }
 
 // isNotSent reports whether a forwarded statement certainly did not reach its holder.
--- a/internal/proxy/cwengine/shutdown_test.go
+++ b/internal/proxy/cwengine/shutdown_test.go
@@ -238,7 +238,7 @@
 func TestMalformedMessageIsAnswered(t *testing.T) {
 	env := newTestEnv(t, cwcatalogue.ReadLatest)
 	tc := env.newCaller("")
-	s := &session{engine: env.engine("x"), caller: malformedCaller{tc}}
+	s := env.engine("x").newSession(malformedCaller{tc})
 	s.serve()
 	env.c.Assert(tc.refusal, qt.IsNotNil)
 	env.c.Assert(tc.refusal.Code, qt.Equals, cwstatement.Malformed)
@@ -268,7 +268,7 @@
 	e := env.engine("x")
 	env.waitForPrimary(e)
 	c := slowCaller{env.newCaller(""), make(chan struct{})}
-	s := &session{engine: e, caller: c}
+	s := e.newSession(c)
 	e.sessions[s] = struct{}{}
 	ended := make(chan struct{})
 	go func() {
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -26,6 +26,7 @@
 	"cicadawalk.example/cicadawalk/internal/proxy/cwengine"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwleadership"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwmembers"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpeers"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwquotameter"
@@ -40,6 +41,10 @@
 const (
 	// probeTimeout bounds reading the headers of a request.
 	probeTimeout = 5 * time.Second
+	// probeIdleTimeout closes a connection without a request. Probes come every second.
+	probeIdleTimeout = time.Minute
+	// maxProbeHeader is the length of the headers of a request, in bytes.
+	maxProbeHeader = 4 << 10
 	// httpDrainTimeout bounds the wait for requests in progress when the instance stops.
 	httpDrainTimeout = 100 * time.Millisecond
 )
@@ -86,6 +91,8 @@
 	// Capacity is the instance's capacity in thousandths of a core; zero if it is
 	// unknown.
 	Capacity int
+	// MemoryLimit is the memory that the process may take, in bytes; zero means no limit.
+	MemoryLimit int64
 	// KeyRevocationBound is the time within which a revoked key must be out of use; zero
 	// means no bound.
 	KeyRevocationBound time.Duration
@@ -107,14 +114,16 @@
 	metrics    *cwengine.Metrics
 	directory  *cwdirectory.Directory
 	meter      *cwquotameter.Meter
+	memory     *cwmemoryguard.Guard
 }
 
 // New returns an instance that serves once Run is called.
 func New(cfg Config) *Instance {
 	in := &Instance{cfg: cfg, remotePath: &cwleadership.RemotePath{Clock: cfg.Clock}, metrics: cwengine.NewMetrics()}
+	in.memory = cwmemoryguard.New(cfg.MemoryLimit*partyPercent/100, cfg.Clock, cfg.Log, in.metrics.Set())
 	in.peers = &cwpeers.Peers{
 		Self: cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen}, Capacity: cfg.Capacity,
-		Table: cfg.Table, Dial: dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
+		Table: cfg.Table, Dial: in.dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
 		PathDown:      in.pathDown,
 		PathSuspected: in.remotePath.Suspected,
 	}
@@ -136,7 +145,7 @@
 		Name: cfg.Name, RunID: cfg.RunID, Holders: in.peers, WorkspaceHolders: in.peers, Observers: in.peers,
 		DataCentre: cfg.DataCentre, RemotePath: in.remotePath, PathNetwork: in.peers, PathSeed: seedOf(cfg.Name, cfg.RunID),
 		KeyRevocationBound: cfg.KeyRevocationBound, CatalogueConfirmedAt: in.directory.Confirmed, RecordedSize: in.members.RecordedSize,
-		FirstStart: cfg.FirstStart,
+		FirstStart: cfg.FirstStart, Memory: in.memory,
 	}
 	if cfg.QuotaTolerance.Window > 0 {
 		in.meter = &cwquotameter.Meter{
@@ -205,8 +214,8 @@
 
 func (in *Instance) refreshHolders() { in.engine.RefreshHolders() }
 
-func dialPeer(ctx context.Context, name, address string) (cwpeers.Conn, error) {
-	return cwforward.Dial(ctx, name, address)
+func (in *Instance) dialPeer(ctx context.Context, name, address string) (cwpeers.Conn, error) {
+	return cwforward.Dial(ctx, name, address, in.memory)
 }
 
 // countingDialer counts the connections to targets in the metrics.
@@ -320,7 +329,7 @@
 func newHTTPServer(path string, h http.HandlerFunc) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, h)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: probeTimeout}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: probeTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: maxProbeHeader}
 }
 
 func serveHTTP(s *http.Server, ln net.Listener) error {
@@ -356,7 +365,7 @@
 func (in *Instance) newPeerServer() *cwforward.Server {
 	return &cwforward.Server{
 		Handler: in.engine, News: in.directory, Quotas: in.quotaServer(), Path: in.engine, Members: in.engine,
-		Demands: in.peers, OnMalformed: in.metrics.CountMalformed,
+		Demands: in.peers, OnMalformed: in.metrics.CountMalformed, Memory: in.memory,
 	}
 }
 
--- a/internal/proxy/cwport/forward.go
+++ b/internal/proxy/cwport/forward.go
@@ -36,6 +36,9 @@
 	LastWrite cwgroup.LogPosition
 	// Elapsed is the time since the caller's instance received the statement.
 	Elapsed time.Duration
+	// Memory is the account of the statement at the instance that runs it, which closes it after
+	// the answer; nil if nothing is charged. It is not a part of the message.
+	Memory Memory
 }
 
 // Prepared is a prepared statement of a session.
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -21,7 +21,7 @@
 // CallerConn is the connection of one caller's session.
 type CallerConn interface {
 	// Startup reads the caller's startup message. The error is a *MalformedMessageError if it
-	// breaks the protocol.
+	// breaks the protocol, and a *NoRoomError if it was dropped.
 	Startup() (Startup, error)
 	// Accept answers the startup message with success.
 	Accept() error
@@ -32,9 +32,16 @@
 	// EndRefused completes the answer to a statement that was read after Refuse.
 	EndRefused(cwstatement.TransactionState) error
 	// Next reads the next statement. The error is io.EOF once the caller has
-	// ended the session, and a *MalformedMessageError for a message that breaks the
-	// protocol.
+	// ended the session, a *MalformedMessageError for a message that breaks the
+	// protocol, and a *NoRoomError for one that was dropped. The text of a statement is charged
+	// to the memory as cwmemory.Statement.
 	Next() (cwstatement.Statement, error)
+	// SetMemory sets the account that is charged for the caller's messages. It must be called
+	// before Startup.
+	SetMemory(Memory)
+	// DropMessage drops the message that is being read, whose statement Next reports in a
+	// *NoRoomError. It may be called from any goroutine.
+	DropMessage()
 	// Reply writes the answer to a statement.
 	Reply(cwstatement.Response) error
 	// SetReadTimeout bounds the wait for the next statement; zero removes the
@@ -77,8 +84,11 @@
 	// Flush sends the buffered commands. The error is an *UnsendableError if one of them can't
 	// be sent; then none of them is.
 	Flush() error
-	// Receive reads the answer to the oldest command that has none yet.
+	// Receive reads the answer to the oldest command that has none yet. The error is an
+	// *AnswerTooLargeError if there was no memory for it.
 	Receive() (cwstatement.Response, error)
+	// SetMemory sets the account that is charged for answers, as cwmemory.Answer; nil for none.
+	SetMemory(Memory)
 	// Health asks the target for its replication status and load.
 	Health() (cwstatement.Health, error)
 	// Fence makes a replica stop replicating until it learns of a primary in the
--- a/internal/proxy/cwtargetpool/dial.go
+++ b/internal/proxy/cwtargetpool/dial.go
@@ -85,7 +85,7 @@
 		return
 	}
 	p.redialPause = 0
-	c := &Conn{TargetConn: t, Workspace: workspace, Settings: map[string]string{}, Prepared: map[string]bool{}, openedAt: now, lastUsed: now}
+	c := &Conn{TargetConn: t, Workspace: workspace, settings: map[textDigest]textDigest{}, Prepared: map[string]bool{}, openedAt: now, lastUsed: now}
 	p.lendOrKeepIdle(c, now)
 	p.mu.Unlock()
 }
--- a/internal/proxy/cwtargetpool/pool.go
+++ b/internal/proxy/cwtargetpool/pool.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -209,7 +210,7 @@
 // session has the settings in values. It waits at most until the deadline, and
 // fails at once if the wait is expected to be longer. The error is an
 // *OverloadedError, *UnreachableError or *ClosedError.
-func (p *Pool) Acquire(ctx context.Context, deadline time.Time, workspace string, values map[string]string) (*Conn, error) {
+func (p *Pool) Acquire(ctx context.Context, deadline time.Time, workspace string, values Settings) (*Conn, error) {
 	return p.acquire(ctx, &waiter{deadline: deadline, workspace: workspace, result: make(chan lendResult, 1)}, values)
 }
 
@@ -222,10 +223,10 @@
 // command or health check takes a target half a millisecond, and all statements
 // depend on its result.
 func (p *Pool) AcquireUrgent(ctx context.Context, deadline time.Time) (*Conn, error) {
-	return p.acquire(ctx, &waiter{deadline: deadline, urgent: true, result: make(chan lendResult, 1)}, nil)
+	return p.acquire(ctx, &waiter{deadline: deadline, urgent: true, result: make(chan lendResult, 1)}, Settings{})
 }
 
-func (p *Pool) acquire(ctx context.Context, w *waiter, values map[string]string) (*Conn, error) {
+func (p *Pool) acquire(ctx context.Context, w *waiter, values Settings) (*Conn, error) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	if p.closed {
@@ -294,7 +295,7 @@
 // takeIdle removes and returns an idle connection that w can use, or returns nil
 // if there is none. It closes those that the target has closed. The caller holds
 // mu.
-func (p *Pool) takeIdle(w *waiter, values map[string]string) *Conn {
+func (p *Pool) takeIdle(w *waiter, values Settings) *Conn {
 	for {
 		i := p.bestIdle(w, values)
 		if i < 0 {
@@ -322,13 +323,13 @@
 // bestIdle returns the index of the idle connection to lend to w: one that has the
 // settings in values already, else the last used one; -1 if w can use none. The
 // caller holds mu.
-func (p *Pool) bestIdle(w *waiter, values map[string]string) int {
+func (p *Pool) bestIdle(w *waiter, values Settings) int {
 	last := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if !w.canUse(p.idle[i]) {
 			continue
 		}
-		if equalSettings(p.idle[i].Settings, values) {
+		if maps.Equal(p.idle[i].settings, values.digests) {
 			return i
 		}
 		last = max(last, i)
@@ -336,18 +337,6 @@
 	return last
 }
 
-func equalSettings(a, b map[string]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if w, ok := b[k]; !ok || v != w {
-			return false
-		}
-	}
-	return true
-}
-
 // recordLend records that c is lent from now on. The caller holds mu.
 func (p *Pool) recordLend(c *Conn, now time.Time) {
 	p.lentCount++
--- a/internal/proxy/cwtargetpool/pool_test.go
+++ b/internal/proxy/cwtargetpool/pool_test.go
@@ -40,7 +40,7 @@
 }
 
 func acquire(p *Pool, clock clockwork.Clock) (*Conn, error) {
-	return p.Acquire(context.Background(), clock.Now().Add(time.Second), "", nil)
+	return p.Acquire(context.Background(), clock.Now().Add(time.Second), "", Settings{})
 }
 
 // Guards against an attempt to open a connection for each request while the
@@ -88,7 +88,7 @@
 	p.SetMaxConnections(1)
 	c, err := acquire(p, clock)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = p.Acquire(context.Background(), clock.Now().Add(time.Millisecond), "", nil)
+	_, err = p.Acquire(context.Background(), clock.Now().Add(time.Millisecond), "", Settings{})
 	var full *OverloadedError
 	qt.Assert(t, errors.As(err, &full), qt.IsTrue)
 	qt.Assert(t, full.RetryAfter > 0, qt.IsTrue)
@@ -112,7 +112,7 @@
 	statements, commands := make(chan *Conn, 3), make(chan *Conn, 1)
 	for range 3 {
 		go func() {
-			c, _ := p.Acquire(context.Background(), clock.Now().Add(time.Minute), "", nil)
+			c, _ := p.Acquire(context.Background(), clock.Now().Add(time.Minute), "", Settings{})
 			statements <- c
 		}()
 	}
--- a/internal/proxy/cwtargetpool/workspace_test.go
+++ b/internal/proxy/cwtargetpool/workspace_test.go
@@ -16,7 +16,7 @@
 func tryAcquire(p *Pool, clock clockwork.Clock, workspace string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), realTimeout)
 	defer cancel()
-	return p.Acquire(ctx, clock.Now().Add(time.Minute), workspace, nil)
+	return p.Acquire(ctx, clock.Now().Add(time.Minute), workspace, Settings{})
 }
 
 func mustAcquire(t *testing.T, p *Pool, clock clockwork.Clock, workspace string) *Conn {
--- a/internal/standin/cwreplicaset/conn.go
+++ b/internal/standin/cwreplicaset/conn.go
@@ -46,6 +46,9 @@
 // Send implements cwport.TargetConn.
 func (c *conn) Send(cmd cwstatement.Command) { c.queue = append(c.queue, cmd) }
 
+// SetMemory implements cwport.TargetConn. Answers are not charged.
+func (c *conn) SetMemory(cwport.Memory) {}
+
 // Flush implements cwport.TargetConn.
 func (c *conn) Flush() error { return nil }
 
--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -104,6 +104,7 @@
 		Log:               logger,
 		RunID:             fmt.Sprintf("%x-%d", time.Now().UnixNano(), os.Getpid()),
 
+		MemoryLimit:        s.MemoryLimit,
 		KeyRevocationBound: s.KeyBound,
 		DataCentres:        len(s.DataCentres),
 		QuotaTolerance:     s.Quota,
--- a/internal/tool/cwcommand/soak.go
+++ b/internal/tool/cwcommand/soak.go
@@ -27,6 +27,7 @@
 	instances, groups, callers int
 	keyless, stops, verbose    bool
 	replacements, synchronous  bool
+	memory                     bool
 }
 
 // SoakCommand returns the root command of the program cicadasoak.
@@ -60,6 +61,7 @@
 	fs.BoolVar(&f.replacements, "replacements", false, "also replace databases as planned, cut data centres off, let replicas receive nothing and primaries crash; with keys, single proxies are not cut off from databases")
 	fs.BoolVar(&f.synchronous, "synchronous", false, "let primaries answer a commit only once a replica has received it")
 	fs.BoolVar(&f.stops, "stops", false, "inject planned stops only, before callers that go on coming and databases that take their time")
+	fs.BoolVar(&f.memory, "memory", false, "run callers that make proxies hold as much memory as they can, beside the others, and no faults")
 	fs.BoolVar(&f.verbose, "verbose", false, "log each fault")
 	return cmd
 }
@@ -106,13 +108,16 @@
 	}
 	r, err := cwsoak.Run(cmd.Context(), cwsoak.Config{
 		Seed: seed, Duration: f.duration, Instances: f.instances, Groups: f.groups, Callers: f.callers,
-		Keyless: f.keyless, Stops: f.stops, Replacements: f.replacements, Synchronous: f.synchronous, Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
+		Keyless: f.keyless, Stops: f.stops, Replacements: f.replacements, Memory: f.memory, Synchronous: f.synchronous, Program: f.program, Dir: dir, Platform: soakPlatform(), Log: logger,
 	})
 	if err != nil {
 		return 0, err
 	}
 	fmt.Fprintf(cmd.OutOrStdout(), "seed=%d faults=%d acknowledged=%d refused=%d unresolved=%d reads=%d stopped=%d crossed=%d broken=%d dir=%s\n",
 		r.Seed, r.Faults, r.Acknowledged, r.WithoutEffect, r.Unresolved, r.Reads, r.Stopped, r.Crossed, len(r.Violations), dir)
+	for _, m := range r.Memory {
+		fmt.Fprintf(cmd.OutOrStdout(), "memory seed=%d form=%s peakMB=%d servedPercent=%d\n", r.Seed, m.Form, m.PeakBytes>>20, m.ServedPercent)
+	}
 	for _, v := range r.Violations {
 		fmt.Fprintf(cmd.OutOrStdout(), "broken seed=%d promise=%s what=%q\n", r.Seed, v.Guarantee, v.Detail)
 	}
@@ -142,6 +147,7 @@
 		Settings: func(a cwsoak.Addresses) []byte {
 			return platform.StandinSettings(a.Instance, a.DataCentre, a.Callers, a.Ready, a.Peers, a.Store, soakBounds())
 		},
+		MemoryLimit: platform.StandinMemoryLimit, Startup: platform.StandinStartup, Query: platform.StandinQuery,
 		GracePeriod: platform.StandinGracePeriod, ReadyPath: platform.ReadyPath,
 		Command: func(settings string) []string { return []string{"serve", "--settings", settings} },
 	}
--- a/internal/tool/cwsoak/caller.go
+++ b/internal/tool/cwsoak/caller.go
@@ -167,6 +167,10 @@
 		s.checkInterruption(id, began, err)
 		return a, id, false
 	}
+	if a.Code == cwstatement.OK {
+		c.env.served.count.Add(1)
+	}
+	s.checkCrowdedOut(a, id)
 	if a.Code == cwstatement.OK && verb != cwstatement.Begin && verb != cwstatement.Rollback {
 		c.env.checkKey(s.key, began)
 		if a.State == cwstatement.Idle && verb != cwstatement.Commit {
--- a/internal/tool/cwsoak/environment.go
+++ b/internal/tool/cwsoak/environment.go
@@ -110,6 +110,8 @@
 	storeLinks []*cwlink.Link
 	access     *access
 	cleanups   []func()
+	// served counts what ordinary callers were served.
+	served served
 
 	mu sync.Mutex
 	// revision is the revision of the newest desired state.
--- a/internal/tool/cwsoak/ledger.go
+++ b/internal/tool/cwsoak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,6 +47,11 @@
 	// StopFailed is an instance that does not end within the grace period after SIGTERM,
 	// or ends with an error.
 	StopFailed Guarantee = "stopFailed"
+	// MemoryExceeded is an instance that holds more memory than it may.
+	MemoryExceeded Guarantee = "memoryExceeded"
+	// CrowdedOut is a statement of an ordinary caller that was refused for the memory that others
+	// hold.
+	CrowdedOut Guarantee = "crowdedOut"
 	// NotRecovered is a group that is not served after all faults were removed.
 	NotRecovered Guarantee = "notRecovered"
 )
@@ -174,6 +180,9 @@
 	seen := make(map[string]map[int]int)
 	for _, writes := range g.Records() {
 		for name, value := range writes {
+			if strings.HasPrefix(name, pressItemPrefix) {
+				continue
+			}
 			n, ok := writtenNumber(name, value)
 			if !ok {
 				l.addViolation(MismatchedAnswer, "item %q has value %q", name, value)
--- a/internal/tool/cwsoak/process.go
+++ b/internal/tool/cwsoak/process.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// pid returns the id of the current process.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/internal/tool/cwsoak/soak.go
+++ b/internal/tool/cwsoak/soak.go
@@ -78,6 +78,12 @@
 	// load balancer's probe.
 	GracePeriod time.Duration
 	ReadyPath   string
+	// MemoryLimit is the memory that an instance may take, in bytes.
+	MemoryLimit int64
+	// Startup and Query return the messages of a caller that open a session for a database with a
+	// key, and that send a statement.
+	Startup func(database, key string) []byte
+	Query   func(id, text string) []byte
 }
 
 // Config is the configuration of one run.
@@ -101,8 +107,10 @@
 	// receive nothing, and lets primaries crash. Synchronous makes a primary answer a commit
 	// only once a replica has received it.
 	Replacements, Synchronous bool
-	Platform                  Platform
-	Log                       *log.Logger
+	// Memory runs callers that make instances hold as much memory as they can, beside the others.
+	Memory   bool
+	Platform Platform
+	Log      *log.Logger
 }
 
 // Report is the result of a run.
@@ -121,7 +129,9 @@
 	// Stopped is the number of planned stops of an instance, and Crossed the number of
 	// statements that crossed the end of their session: the instance had not read them.
 	Stopped, Crossed int
-	Violations       []Violation
+	// Memory has a result for each form of callers that make instances hold memory.
+	Memory     []MemoryResult
+	Violations []Violation
 }
 
 // recoveryTimeout is the time within which the system has to serve everything again
@@ -153,15 +163,18 @@
 	faultCtx, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
 	play := env.playFaults
-	if cfg.Stops {
+	switch {
+	case cfg.Stops:
 		play = env.playStops
+	case cfg.Memory:
+		play = env.playMemory
 	}
 	p, err := play(faultCtx)
 	if err != nil {
 		return Report{}, err
 	}
 	env.checkRecovery(ctx)
-	if !cfg.Stops {
+	if !cfg.Stops && !cfg.Memory {
 		env.checkAfterRestore(ctx)
 	}
 	env.ledger.checkGroups(env.groups)
@@ -169,13 +182,16 @@
 	env.ledger.checkUnanswered(env.groups)
 	env.checkWorkspaces()
 	r := env.ledger.report()
-	r.Seed, r.Faults, r.Stopped = cfg.Seed, p.faults, p.stopped
+	r.Seed, r.Faults, r.Stopped, r.Memory = cfg.Seed, p.faults, p.stopped, p.memory
 	return r, nil
 }
 
 // played counts the faults, or series of stops, of a run, and the instances that were
 // stopped as planned in a run with planned stops only.
-type played struct{ faults, stopped int }
+type played struct {
+	faults, stopped int
+	memory          []MemoryResult
+}
 
 // playFaults runs callers and injects faults until ctx ends, and ends all faults.
 func (env *environment) playFaults(ctx context.Context) (played, error) {
--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/semaphore"
 
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 	"cicadawalk.example/cicadawalk/internal/wire/cwlisten"
 )
@@ -42,6 +43,9 @@
 	// ConnectionClosed is called when a connection has ended. The transactions that
 	// were forwarded on it end with it.
 	ConnectionClosed(from any)
+	// RefuseForwarded returns the answer to a forwarded statement for which there is no memory.
+	// The request has its transaction, begin and verb only.
+	RefuseForwarded(h cwport.ForwardRequest, cause error) cwport.ForwardResponse
 }
 
 // Server handles requests from other instances: forwarded statements, requests for
@@ -62,6 +66,8 @@
 	// OnMalformed is called with the method of a message that was dropped because it is
 	// malformed; it may be nil.
 	OnMalformed func(method string)
+	// Memory bounds the memory that other instances make this one hold; nil for no bound.
+	Memory *cwmemoryguard.Guard
 
 	encoder newsEncoder
 }
@@ -78,8 +84,10 @@
 	bounded := &cwlisten.LimitedConn{Conn: conn, MaxMessage: maxMessage, IdleTimeout: idleTimeout}
 	defer s.Handler.ConnectionClosed(bounded)
 	requests := newRequests(ctx, s, bounded)
+	memory := s.Memory.Open(nil)
+	defer memory.Close()
 	// A jsonrpc2 connection closes when its context ends, whatever is unanswered.
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(bounded), requests)
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(bounded, memory), requests)
 	defer func() { _ = rpc.Close() }()
 	select {
 	case <-rpc.DisconnectNotify():
@@ -118,6 +126,14 @@
 	// connection: the other instance takes more than maxMessage bytes without an answer in
 	// between for one message, and closes.
 	statements *semaphore.Weighted
+	// memory is charged for answers that are being read, until the connection has ended.
+	memory *cwmemoryguard.Holder
+}
+
+// run closes the account of the connection when it has ended.
+func (c *Conn) run() {
+	<-c.Done()
+	c.memory.Close()
 }
 
 // TooManyBytesError reports a statement that does not fit beside those that wait for their answer
@@ -137,8 +153,9 @@
 
 // Dial connects to the instance called name and waits for the answer to a ping. An
 // accepted connection alone does not show that the instance responds, because the
-// kernel also accepts connections for a paused process. Dial fails after 500 ms.
-func Dial(ctx context.Context, name, address string) (*Conn, error) {
+// kernel also accepts connections for a paused process. Dial fails after 500 ms. The memory for
+// answers is charged to memory, which may be nil.
+func Dial(ctx context.Context, name, address string, memory *cwmemoryguard.Guard) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -146,7 +163,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{name: name, statements: semaphore.NewWeighted(maxUnanswered), rpc: jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(nc), discardHandler{})}
+	c := &Conn{name: name, statements: semaphore.NewWeighted(maxUnanswered), memory: memory.Open(nil)}
+	c.rpc = jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(nc, c.memory), discardHandler{})
+	go c.run()
 	if err := c.Ping(ctx); err != nil {
 		_ = c.Close()
 		return nil, err
--- a/internal/wire/cwforward/demand_test.go
+++ b/internal/wire/cwforward/demand_test.go
@@ -35,7 +35,7 @@
 	go func() {
 		done <- (&Server{Handler: h, Demands: d, OnMalformed: func(string) { malformed.Add(1) }}).Run(ctx, ln)
 	}()
-	conn, err := Dial(ctx, "holder", ln.Addr().String())
+	conn, err := Dial(ctx, "holder", ln.Addr().String(), nil)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		cancel()
--- a/internal/wire/cwforward/forward.go
+++ b/internal/wire/cwforward/forward.go
@@ -193,6 +193,22 @@
 	return h, d.err
 }
 
+// decodeTransaction decodes the transaction, begin and verb of a forwarded statement only. A
+// malformed field is left out.
+func decodeTransaction(params []byte) cwport.ForwardRequest {
+	var b struct {
+		Encoding                 textEncoding
+		Transaction, Begin, Verb string
+	}
+	// A message that cannot be decoded names no transaction.
+	_ = json.Unmarshal(params, &b)
+	d := textDecoder{encoding: b.Encoding}
+	return cwport.ForwardRequest{
+		Transaction: b.Transaction, Begin: cwstatement.ParseVerb(b.Begin),
+		Statement: cwstatement.Statement{Verb: cwstatement.ParseVerb(d.decode(b.Verb))},
+	}
+}
+
 // holderRuns reports whether statements with this verb can be forwarded to a holder.
 func holderRuns(v cwstatement.Verb) bool {
 	switch v {
--- a/internal/wire/cwforward/forward_test.go
+++ b/internal/wire/cwforward/forward_test.go
@@ -203,6 +203,10 @@
 	reply(h.answer(ho))
 }
 
+func (*fakeHandler) RefuseForwarded(cwport.ForwardRequest, error) cwport.ForwardResponse {
+	return cwport.ForwardResponse{Answer: cwstatement.Failure(cwstatement.Busy, "no memory")}
+}
+
 func (h *fakeHandler) ConnectionClosed(from any) { h.closed <- from }
 
 func serve(c *qt.C, h *fakeHandler) string { return serveNews(c, h, nil) }
@@ -229,7 +233,7 @@
 		}
 		return cwport.ForwardResponse{Answer: cwstatement.Response{Rows: []string{h.Statement.ID}}}
 	}}
-	conn, err := Dial(context.Background(), "holder", serve(c, h))
+	conn, err := Dial(context.Background(), "holder", serve(c, h), nil)
 	c.Assert(err, qt.IsNil)
 
 	slow := make(chan error, 1)
@@ -261,7 +265,7 @@
 		<-release
 		return cwport.ForwardResponse{}
 	}}
-	conn, err := Dial(context.Background(), "holder", serve(c, h))
+	conn, err := Dial(context.Background(), "holder", serve(c, h), nil)
 	c.Assert(err, qt.IsNil)
 	long := exampleStatement()
 	long.Statement.Args = strings.Repeat("\xff", 1<<20)
@@ -303,7 +307,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- (&Server{Handler: h}).Run(ctx, ln) }()
-	conn, err := Dial(context.Background(), "holder", ln.Addr().String())
+	conn, err := Dial(context.Background(), "holder", ln.Addr().String(), nil)
 	c.Assert(err, qt.IsNil)
 	answered := make(chan error, 1)
 	go func() {
@@ -329,7 +333,7 @@
 	h := &fakeHandler{closed: make(chan any, 16), answer: func(cwport.ForwardRequest) cwport.ForwardResponse { return cwport.ForwardResponse{} }}
 	question := cwport.ChangesRequest{After: [cwport.TopicCount]cwfeed.Version{4, 5, 6}, Wait: time.Second}
 	ask := func(c *qt.C, f cwport.ChangesServer) (*Conn, cwport.ChangesResponse, error) {
-		conn, err := Dial(context.Background(), "feeder", serveNews(c, h, f))
+		conn, err := Dial(context.Background(), "feeder", serveNews(c, h, f), nil)
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(func() { _ = conn.Close() })
 		n, err := conn.ServeChanges(context.Background(), question)
@@ -368,7 +372,7 @@
 			<-ctx.Done()
 			close(ended)
 			return cwport.ChangesResponse{}, ctx.Err()
-		})))
+		})), nil)
 		c.Assert(err, qt.IsNil)
 		lost := make(chan error, 1)
 		go func() {
@@ -389,7 +393,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = ln.Close() })
-	_, err = Dial(context.Background(), "holder", ln.Addr().String())
+	_, err = Dial(context.Background(), "holder", ln.Addr().String(), nil)
 	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
 }
 
--- a/internal/wire/cwforward/members_test.go
+++ b/internal/wire/cwforward/members_test.go
@@ -45,7 +45,7 @@
 		cancel()
 		c.Check(<-done, qt.IsNil)
 	})
-	conn, err := Dial(ctx, "observer", ln.Addr().String())
+	conn, err := Dial(ctx, "observer", ln.Addr().String(), nil)
 	c.Assert(err, qt.IsNil)
 	defer func() { c.Check(conn.Close(), qt.IsNil) }()
 	return conn.Members(ctx, q)
--- a/internal/wire/cwforward/path_test.go
+++ b/internal/wire/cwforward/path_test.go
@@ -31,7 +31,7 @@
 	done := make(chan error, 1)
 	s := &Server{Handler: &fakeHandler{closed: make(chan any, 1)}, Path: path, OnMalformed: onMalformed}
 	go func() { done <- s.Run(ctx, ln) }()
-	conn, err := Dial(ctx, "i1", ln.Addr().String())
+	conn, err := Dial(ctx, "i1", ln.Addr().String(), nil)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		_ = conn.Close()
--- a/internal/wire/cwforward/quota_test.go
+++ b/internal/wire/cwforward/quota_test.go
@@ -35,7 +35,7 @@
 	done := make(chan error, 1)
 	h := &fakeHandler{closed: make(chan any, 1)}
 	go func() { done <- (&Server{Handler: h, Quotas: s}).Run(ctx, ln) }()
-	conn, err := Dial(ctx, "issuer", ln.Addr().String())
+	conn, err := Dial(ctx, "issuer", ln.Addr().String(), nil)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		c.Check(conn.Close(), qt.IsNil)
--- a/internal/wire/cwforward/requests.go
+++ b/internal/wire/cwforward/requests.go
@@ -7,6 +7,8 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwmemory"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
 )
 
@@ -39,14 +41,25 @@
 // Handle implements jsonrpc2.Handler. It counts a request before the next one is read.
 func (r *requests) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	r.begin()
-	go r.run(ctx, conn, req)
+	memory := r.server.Memory.Open(nil)
+	var noRoom error
+	if req.Params != nil {
+		noRoom = memory.Charge(cwmemory.Statement, cwmemoryguard.StatementBytes+requestCopies*int64(len(*req.Params)))
+	}
+	go r.run(ctx, conn, req, memory, noRoom)
 }
 
-func (r *requests) run(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+// requestCopies is how often the body of a request is kept until it is answered: as it was read,
+// decoded, and as the message to a target.
+const requestCopies = 3
+
+// run answers a request and closes its account. noRoom is the error if there was no memory for it.
+func (r *requests) run(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, memory *cwmemoryguard.Holder, noRoom error) {
 	if req.Method == methodForward && req.Params != nil {
-		r.runStatement(ctx, conn, req)
+		r.runStatement(ctx, conn, req, memory, noRoom)
 		return
 	}
+	defer memory.Close()
 	defer r.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -55,19 +68,27 @@
 }
 
 // runStatement runs a forwarded statement. Its answer can be written before it is over.
-func (r *requests) runStatement(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+func (r *requests) runStatement(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, memory *cwmemoryguard.Holder, noRoom error) {
+	answer := func(a cwport.ForwardResponse) {
+		defer r.end()
+		defer memory.Close()
+		_ = conn.Reply(ctx, req.ID, encodeResult(a))
+	}
+	if noRoom != nil {
+		answer(r.server.Handler.RefuseForwarded(decodeTransaction(*req.Params), noRoom))
+		return
+	}
 	h, err := decodeStatement(*req.Params)
 	if err != nil {
 		defer r.end()
+		defer memory.Close()
 		refusal := &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		// A connection that has ended has nobody to answer.
 		_ = conn.ReplyWithError(ctx, req.ID, refusal)
 		return
 	}
-	r.server.Handler.ServeForwarded(r.from, h, func(a cwport.ForwardResponse) {
-		defer r.end()
-		_ = conn.Reply(ctx, req.ID, encodeResult(a))
-	})
+	h.Memory = memory
+	r.server.Handler.ServeForwarded(r.from, h, answer)
 }
 
 // answer handles a request that is no forwarded statement.
--- a/internal/wire/cwforward/text.go
+++ b/internal/wire/cwforward/text.go
@@ -22,7 +22,7 @@
 )
 
 // maxPlainText is the greatest length in bytes of all texts of a plain body together.
-const maxPlainText = maxMessage / 8
+const maxPlainText = 4 << 10
 
 // encodingFor returns the encoding that carries all of the texts.
 func encodingFor(texts ...string) textEncoding {
