cwforward: a write to an instance that has stopped reading ends after a bounded time

Cause: the write is outside of the call's context, and had no deadline; the probe that is to find such a link waits behind it.

Change: a stream writes with a deadline, 250 ms at the client, as long as a probe waits, and 1 s at the server; the connection is closed when it passes, since a part of the object may have been written.

--- a/internal/wire/cwforward/conn.go
+++ b/internal/wire/cwforward/conn.go
@@ -87,7 +87,7 @@
 	memory := s.Memory.Open(nil)
 	defer memory.Close()
 	// A jsonrpc2 connection closes when its context ends, whatever is unanswered.
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(bounded, memory), requests)
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(bounded, memory, serverWriteTimeout), requests)
 	defer func() { _ = rpc.Close() }()
 	select {
 	case <-rpc.DisconnectNotify():
@@ -164,7 +164,7 @@
 		return nil, err
 	}
 	c := &Conn{name: name, statements: semaphore.NewWeighted(maxUnanswered), memory: memory.Open(nil)}
-	c.rpc = jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(nc, c.memory), discardHandler{})
+	c.rpc = jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(nc, c.memory, clientWriteTimeout), discardHandler{})
 	go c.run()
 	if err := c.Ping(ctx); err != nil {
 		_ = c.Close()
--- a/internal/wire/cwforward/forward_test.go
+++ b/internal/wire/cwforward/forward_test.go
@@ -440,3 +440,38 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, got, qt.DeepEquals, n)
 }
+
+// Guards against a link that hangs, with all calls and the probe that is to find it, where the other
+// side has stopped reading.
+func TestCallsEndWhereTheOtherSideStopsReading(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		// The answer to the ping of Dial, whose request has the id 0.
+		_, _ = conn.Read(make([]byte, 1<<10))
+		_, _ = conn.Write([]byte(`{"jsonrpc":"2.0","id":0,"result":{}}`))
+		accepted <- conn
+	}()
+	conn, err := Dial(context.Background(), "holder", ln.Addr().String(), nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	defer func() { _ = (<-accepted).Close() }()
+	h := exampleStatement()
+	h.Statement.Text = "WRITE i " + strings.Repeat("x", 500_000)
+	began := time.Now()
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		_, err := conn.Forward(ctx, h)
+		cancel()
+		c.Assert(err, qt.IsNotNil)
+	}
+	c.Assert(conn.Ping(context.Background()), qt.IsNotNil)
+	c.Assert(time.Since(began) < 10*time.Second, qt.IsTrue)
+}
--- a/internal/wire/cwforward/stream.go
+++ b/internal/wire/cwforward/stream.go
@@ -23,6 +23,11 @@
 	memoryWait = 150 * time.Millisecond
 	// memoryPoll is the time between two attempts to get the memory.
 	memoryPoll = 5 * time.Millisecond
+	// clientWriteTimeout and serverWriteTimeout bound the write of an object. A client gives up an
+	// instance that does not answer in that time; a client that is paused for a moment still gets
+	// its answers.
+	clientWriteTimeout = 250 * time.Millisecond
+	serverWriteTimeout = time.Second
 )
 
 // NoMemoryError reports that a connection was closed since there was no memory for a message on it.
@@ -34,15 +39,17 @@
 func (e *NoMemoryError) Unwrap() error { return e.Cause }
 
 // stream reads and writes the objects of a connection. It implements jsonrpc2.ObjectStream. It
-// charges the objects that it reads.
+// charges the objects that it reads, and bounds the time of a write: a write to an instance that
+// has stopped reading would block, and with it all that is written after it.
 type stream struct {
-	conn    net.Conn
-	in      objectReader
-	decoder *json.Decoder
+	conn         net.Conn
+	writeTimeout time.Duration
+	in           objectReader
+	decoder      *json.Decoder
 }
 
-func newStream(conn net.Conn, memory *cwmemoryguard.Holder) *stream {
-	s := &stream{conn: conn, in: objectReader{conn: conn, memory: memory}}
+func newStream(conn net.Conn, memory *cwmemoryguard.Holder, writeTimeout time.Duration) *stream {
+	s := &stream{conn: conn, writeTimeout: writeTimeout, in: objectReader{conn: conn, memory: memory}}
 	s.decoder = json.NewDecoder(&s.in)
 	return s
 }
@@ -65,7 +72,10 @@
 	if err != nil {
 		return err
 	}
-	if _, err = s.conn.Write(append(b, '\n')); err != nil {
+	if err = s.conn.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err == nil {
+		_, err = s.conn.Write(append(b, '\n'))
+	}
+	if err != nil {
 		_ = s.conn.Close()
 		return fmt.Errorf("write message: %w", err)
 	}
