cwserver: clients of the PostgreSQL side hold a bounded share of the memory

Charged are also prepared statements, portals, batches, output that is held back, and responses of databases of 16 KiB and more; rows are sent early where there is no memory to hold them. A message has 10 s and the time that its length takes. The session with the most unfinished messages and prepared statements is ended, with a reason, when another needs the memory. Portals end with their transaction.

--- a/internal/core/cwrefusal/refusal.go
+++ b/internal/core/cwrefusal/refusal.go
@@ -42,6 +42,8 @@
 	LimitExceeded Code = "54000"
 	// QueryCanceled means that the caller cancelled the statement.
 	QueryCanceled Code = "57014"
+	// OutOfMemory means that there is no memory for the request at the moment.
+	OutOfMemory Code = "53200"
 	// DuplicateRequest means that the request key has already been used, by another
 	// statement or by a transaction whose response cannot be sent again.
 	DuplicateRequest Code = "23505"
--- a/internal/proxy/cwinstance/instance.go
+++ b/internal/proxy/cwinstance/instance.go
@@ -120,7 +120,7 @@
 // New returns an instance that serves once Run is called.
 func New(cfg Config) *Instance {
 	in := &Instance{cfg: cfg, remotePath: &cwleadership.RemotePath{Clock: cfg.Clock}, metrics: cwengine.NewMetrics()}
-	in.memory = cwmemoryguard.New(cfg.MemoryLimit*partyPercent/100, cfg.Clock, cfg.Log, in.metrics.Set())
+	in.memory = cwmemoryguard.New(cwmemoryguard.PartyLimit(cfg.MemoryLimit), cfg.Clock, cfg.Log, in.metrics.Set())
 	in.peers = &cwpeers.Peers{
 		Self: cwholder.Instance{ID: cfg.Name, DataCentre: cfg.DataCentre, Address: cfg.PeerListen}, Capacity: cfg.Capacity,
 		Table: cfg.Table, Dial: in.dialPeer, Clock: cfg.Clock, Log: cfg.Log, FirstStart: cfg.FirstStart, PathMonitor: in.remotePath,
--- a/internal/proxy/cwinstance/memory.go
+++ b/internal/proxy/cwinstance/memory.go
@@ -5,6 +5,8 @@
 	"runtime/debug"
 	"runtime/metrics"
 	"time"
+
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 )
 
 // Limits of heap memory that is not in use.
@@ -25,15 +27,6 @@
 	largeHeapGCPercent = 40
 )
 
-// Shares of the memory that the process may take, in percent.
-const (
-	// partyPercent is the share that callers and other instances may make it hold. The rest is for
-	// what the instance itself keeps, and for garbage.
-	partyPercent = 25
-	// softPercent is the share beyond which the runtime collects garbage as often as necessary.
-	softPercent = 65
-)
-
 // The runtime's metrics of heap that is neither in use nor returned to the system, and
 // of the heap that was live at the last collection; both in bytes.
 const (
@@ -51,9 +44,7 @@
 // on the machine. With 300 instances and 1,000 groups, an instance used 17 MB of the
 // 50 MB that it held.
 func (in *Instance) loopReleaseMemory(ctx context.Context) error {
-	if in.cfg.MemoryLimit > 0 {
-		debug.SetMemoryLimit(in.cfg.MemoryLimit * softPercent / 100)
-	}
+	cwmemoryguard.SetSoftLimit(in.cfg.MemoryLimit)
 	sample := []metrics.Sample{{Name: freeHeapMetric}, {Name: liveHeapMetric}}
 	for {
 		select {
--- a/internal/proxy/cwpgproxy/node.go
+++ b/internal/proxy/cwpgproxy/node.go
@@ -27,6 +27,7 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwfailover"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwmonitor"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpgpool"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwserver"
@@ -60,8 +61,10 @@
 	ListLag time.Duration
 	// DrainTimeout bounds the time in which sessions may end during a shutdown.
 	DrainTimeout time.Duration
-	Clock        clockwork.Clock
-	Log          *log.Logger
+	// MemoryLimit is the memory that the process may take, in bytes; zero means no limit.
+	MemoryLimit int64
+	Clock       clockwork.Clock
+	Log         *log.Logger
 	// RunID differs for each run of an instance. It makes the ids of claims and audit
 	// records unique.
 	RunID string
@@ -141,6 +144,7 @@
 		Metrics:     cwserver.NewMetrics(n.metricSet),
 		Version:     serverVersion,
 		InstanceTag: cwserver.InstanceTag(cfg.Instance),
+		Memory:      cwmemoryguard.New(cwmemoryguard.PartyLimit(cfg.MemoryLimit), cfg.Clock, cfg.Log, n.metricSet),
 	}
 	n.registerGauges()
 	for _, l := range []struct {
@@ -180,6 +184,7 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	n.runCtx = run
+	cwmemoryguard.SetSoftLimit(n.cfg.MemoryLimit)
 	n.groupsEG = &errgroup.Group{}
 	eg := &errgroup.Group{}
 	eg.Go(func() error { return n.loopInstances(run) })
--- a/internal/proxy/cwserver/extended.go
+++ b/internal/proxy/cwserver/extended.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"cicadawalk.example/cicadawalk/internal/core/cwmemory"
 	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
 	"cicadawalk.example/cicadawalk/internal/core/cwrequestkey"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpgpool"
@@ -69,6 +70,9 @@
 		return nil
 	}
 	o, err := s.newBatchMessage(msg)
+	if err == nil {
+		err = s.chargeBatch(o)
+	}
 	if err != nil {
 		b.err = err
 		return nil
@@ -92,10 +96,9 @@
 		if !ok {
 			return batchMessage{}, noStatementRefusal(m.PreparedStatement)
 		}
-		if s.portals == nil {
-			s.portals = make(map[string]*preparedStatement)
+		if err := s.addPortal(m.DestinationPortal, p); err != nil {
+			return batchMessage{}, err
 		}
-		s.portals[m.DestinationPortal] = p
 		return batchMessage{msgType: 'B', statement: p, bind: copyBind(m)}, nil
 	case *pgproto3.Describe:
 		if m.ObjectType == 'P' {
@@ -114,7 +117,7 @@
 		return batchMessage{msgType: 'E', portal: m.Portal, statement: p, maxRows: m.MaxRows}, nil
 	case *pgproto3.Close:
 		if m.ObjectType == 'S' {
-			delete(s.prepared, m.Name)
+			s.forgetPrepared(m.Name)
 		} else {
 			delete(s.portals, m.Name)
 		}
@@ -159,13 +162,14 @@
 	s.batch.pendingParses = nil
 	start, flushCount := len(s.output), s.flushCount
 	s.executeBatch(sync)
+	s.memory.ReleaseAll(cwmemory.Statement)
 	if s.flushCount != flushCount {
 		// A large response is sent in parts, and the first part contains every
 		// ParseComplete.
 		return
 	}
 	for _, name := range pendingParses[min(len(pendingParses), countParseCompletes(s.output[start:])):] {
-		delete(s.prepared, name)
+		s.forgetPrepared(name)
 	}
 }
 
--- a/internal/proxy/cwserver/output.go
+++ b/internal/proxy/cwserver/output.go
@@ -29,7 +29,7 @@
 	}
 	s.flushCount++
 	_, err := s.conn.Write(s.output)
-	s.output = s.output[:0]
+	s.output, s.chargedOutput = s.output[:0], 0
 	if cap(s.output) > maxKeptOutput {
 		s.output = nil
 	}
--- a/internal/proxy/cwserver/prepared.go
+++ b/internal/proxy/cwserver/prepared.go
@@ -22,6 +22,8 @@
 	empty  bool
 	// targetName is the statement's name on target connections.
 	targetName string
+	// bytes is what is charged for it.
+	bytes int64
 }
 
 // maxPreparedPerSession limits the prepared statements that the proxy keeps for
@@ -58,6 +60,10 @@
 		return nil, unsupportedRefusal(p.parsed.Name)
 	}
 	p.targetName = targetStatementName(p.query, p.paramOIDs)
+	if err := s.chargePrepared(m.Name, p); err != nil {
+		return nil, err
+	}
+	s.forgetPrepared(m.Name)
 	if s.prepared == nil {
 		s.prepared = make(map[string]*preparedStatement)
 	}
--- a/internal/proxy/cwserver/relay.go
+++ b/internal/proxy/cwserver/relay.go
@@ -83,6 +83,8 @@
 	w := watchdog{s: s, route: r, lastActivity: s.server.Clock.Now(), silenceLimit: maxSilence + transferTime(r.lease.Conn.TakeSent())}
 	w.setReadDeadline()
 	defer w.clearReadDeadline()
+	r.lease.Conn.Input.Admit = s.admitResponse
+	defer func() { r.lease.Conn.Input.Admit = nil }()
 	for {
 		if st != nil {
 			s.output = st.appendLocal(s.output)
@@ -134,7 +136,7 @@
 			continue
 		}
 		s.send(msg)
-		if _, row := msg.(*pgproto3.DataRow); row && len(s.output) > limit {
+		if _, row := msg.(*pgproto3.DataRow); row && (!s.holdsOutput() || len(s.output) > limit) {
 			// Only rows are sent early. A message that reports the success of a
 			// write waits until a majority has the record.
 			flushed = true
--- a/internal/proxy/cwserver/server.go
+++ b/internal/proxy/cwserver/server.go
@@ -31,6 +31,9 @@
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/core/cwlimit"
+	"cicadawalk.example/cicadawalk/internal/core/cwmemory"
+	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwmonitor"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpgpool"
 	"cicadawalk.example/cicadawalk/internal/wire/cwlisten"
@@ -103,6 +106,8 @@
 	// InstanceTag identifies this proxy in the process ids of its sessions; see the
 	// function InstanceTag.
 	InstanceTag uint16
+	// Memory bounds the memory that clients make the proxy hold; nil for no bound.
+	Memory *cwmemoryguard.Guard
 	// Version is reported to clients as server_version.
 	Version string
 
@@ -166,6 +171,12 @@
 func (srv *Server) serve(conn net.Conn) {
 	defer conn.Close()
 	s := newSession(srv, conn)
+	defer s.memory.Close()
+	if err := s.memory.Charge(cwmemory.Connection, connectionBytes); err != nil {
+		s.sendError("FATAL", cwrefusal.NotRun(cwrefusal.TooManyConnections, cwmemoryguard.RetryAfter, "%v", err))
+		_ = s.flush()
+		return
+	}
 	if !s.handshake() {
 		return
 	}
--- a/internal/proxy/cwserver/session.go
+++ b/internal/proxy/cwserver/session.go
@@ -12,11 +12,14 @@
 
 	"cicadawalk.example/cicadawalk/internal/core/cwcatalogue"
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
+	"cicadawalk.example/cicadawalk/internal/core/cwmemory"
 	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
 	"cicadawalk.example/cicadawalk/internal/core/cwrendezvous"
 	"cicadawalk.example/cicadawalk/internal/core/cwsession"
+	"cicadawalk.example/cicadawalk/internal/proxy/cwmemoryguard"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwmonitor"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwpgpool"
+	"cicadawalk.example/cicadawalk/internal/wire/cwframe"
 )
 
 // session serves one client connection. Its goroutine owns all fields except
@@ -28,6 +31,12 @@
 	cancelKey cancelKey
 	// output holds encoded messages that the next flush sends to the client.
 	output []byte
+	// chargedOutput is the length of output that is charged to memory.
+	chargedOutput int
+	// input is what backend reads, message by message, and memory is charged for what the client
+	// makes the proxy hold.
+	input  *cwframe.Reader
+	memory *cwmemoryguard.Holder
 	// flushCount is the number of flushes that sent something.
 	flushCount int
 
@@ -54,7 +63,9 @@
 	tx       *transaction
 	prepared map[string]*preparedStatement
 	portals  map[string]*preparedStatement
-	batch    batch
+	// portalBytes is what is charged for portals.
+	portalBytes int64
+	batch       batch
 
 	// mu guards the fields that Drain and CancelSession use.
 	mu          sync.Mutex
@@ -62,12 +73,20 @@
 	// waiting is true while the session waits for a message of its client, and idle if
 	// neither a transaction nor a batch is open then.
 	waiting, idle bool
+	// givesWay is true once the session is to end since it holds more memory than others, and
+	// interrupted once the wait for its client was ended.
+	givesWay, interrupted bool
+	// messageBounded is true while the deadline of a message is set on the connection.
+	messageBounded bool
 }
 
 func newSession(srv *Server, conn net.Conn) *session {
-	b := pgproto3.NewBackend(conn, conn)
+	in := cwframe.NewReader(conn, inputBuffer, cwframe.StartupHeader)
+	b := pgproto3.NewBackend(in, conn)
 	b.SetMaxBodyLen(maxStartupMessage)
-	return &session{server: srv, conn: conn, backend: b, cancelKey: newCancelKey(srv.InstanceTag)}
+	s := &session{server: srv, conn: conn, input: in, backend: b, cancelKey: newCancelKey(srv.InstanceTag)}
+	s.memory = srv.Memory.Open(s.giveWay)
+	return s
 }
 
 // selectGroup sets the group that has the client's data: the entry's only group,
@@ -150,20 +169,41 @@
 	defer s.discardOpenConnections()
 	for {
 		if !s.beginWait() {
-			s.sendError("FATAL", shutdownRefusal())
+			s.sendError("FATAL", s.endReason())
 			_ = s.flush()
 			return
 		}
-		msg, err := s.backend.Receive()
+		msg, err := s.receive()
 		s.endWait()
-		if err != nil {
-			s.answerReceiveError(err)
-			return
-		}
-		if err := s.handleMessage(msg); err != nil {
+		if err := s.handleReceived(msg, err); err != nil {
 			return
 		}
+		s.memory.ReleaseAll(cwmemory.Message, cwmemory.Answer)
+	}
+}
+
+// handleReceived processes a message of the client, or the error of receiving it. An error ends the
+// session.
+func (s *session) handleReceived(msg pgproto3.FrontendMessage, err error) error {
+	var noRoom *noRoomError
+	switch {
+	case errors.As(err, &noRoom):
+		return s.refuseMessage(noRoom)
+	case err != nil:
+		s.answerReceiveError(err)
+		return err
 	}
+	return s.handleMessage(msg)
+}
+
+// endReason is the last message to a client whose session ends.
+func (s *session) endReason() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.givesWay {
+		return gaveWayRefusal()
+	}
+	return shutdownRefusal()
 }
 
 // shutdownRefusal is the last message to a client of a proxy that shuts down. An open
@@ -178,8 +218,10 @@
 func (s *session) answerReceiveError(err error) {
 	var ne net.Error
 	switch {
-	case errors.As(err, &ne) && ne.Timeout() && s.server.draining.Load():
-		s.sendError("FATAL", shutdownRefusal())
+	case errors.As(err, &ne) && ne.Timeout() && s.endsEarly():
+		s.sendError("FATAL", s.endReason())
+	case errors.As(err, &ne) && ne.Timeout():
+		s.sendError("FATAL", cwrefusal.NotRun(cwrefusal.ProtocolViolation, 0, "message not complete in time"))
 	case isMessageTooLong(err):
 		s.sendError("FATAL", cwrefusal.NotRun(cwrefusal.LimitExceeded, 0, "message longer than %d bytes", MaxMessageSize))
 	case isDisconnect(err):
@@ -209,13 +251,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting, s.idle = true, s.tx == nil && !s.batch.active()
-	return s.server.statements.Err() == nil && !(s.idle && s.server.draining.Load())
+	return s.server.statements.Err() == nil && !(s.idle && s.server.draining.Load()) && !s.givesWay
+}
+
+// endsEarly reports whether the session ends for a reason of the proxy.
+func (s *session) endsEarly() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.givesWay || s.server.draining.Load()
 }
 
 func (s *session) endWait() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.waiting, s.idle = false, false
-	s.mu.Unlock()
+	if s.messageBounded && !s.interrupted {
+		s.messageBounded = false
+		// If it fails, the next read fails as well.
+		_ = s.conn.SetReadDeadline(time.Time{})
+	}
 }
 
 // interruptWaiting ends the wait for the next message, in a transaction or batch only if
@@ -224,7 +278,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.idle || s.waiting && all {
-		_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+		s.interrupt()
 	}
 }
 
@@ -236,6 +290,9 @@
 		return s.finishResponse()
 	case *pgproto3.Sync:
 		s.runBatch(true)
+		if s.tx == nil {
+			s.forgetPortals()
+		}
 		return s.finishResponse()
 	case *pgproto3.Flush:
 		s.runBatch(false)
--- a/internal/proxy/cwserver/simple.go
+++ b/internal/proxy/cwserver/simple.go
@@ -213,7 +213,7 @@
 		return
 	}
 	s.settings, s.proxySettings = settings{}, proxySettings{shard: s.proxySettings.shard}
-	s.prepared, s.portals = nil, nil
+	s.forgetAllPrepared()
 	s.sendCommandComplete("DISCARD ALL")
 }
 
--- a/internal/proxy/cwserver/startup.go
+++ b/internal/proxy/cwserver/startup.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwrefusal"
+	"cicadawalk.example/cicadawalk/internal/wire/cwframe"
 	"cicadawalk.example/cicadawalk/internal/wire/cwsql"
 	"cicadawalk.example/cicadawalk/internal/wire/cwtarget"
 )
@@ -38,6 +39,8 @@
 	}
 	_ = s.conn.SetDeadline(time.Time{})
 	s.backend.SetMaxBodyLen(MaxMessageSize)
+	s.input.SetHeaderLength(cwframe.MessageHeader)
+	s.input.Admit = s.admitMessage
 	return true
 }
 
--- a/internal/proxy/cwserver/transaction.go
+++ b/internal/proxy/cwserver/transaction.go
@@ -135,7 +135,7 @@
 func (s *session) endTransaction(committed bool) {
 	tx := s.tx
 	s.tx = nil
-	s.portals = nil
+	s.forgetPortals()
 	if committed {
 		s.settings = tx.pendingSettings
 	}
--- a/internal/tool/cwcommand/proxy.go
+++ b/internal/tool/cwcommand/proxy.go
@@ -22,6 +22,7 @@
 	platform, logLevel             string
 	peers                          []string
 	listLag, drainTimeout          time.Duration
+	memoryLimitMB                  int64
 }
 
 func proxyCommand() *cobra.Command {
@@ -58,6 +59,7 @@
 	fs.StringSliceVar(&p.peers, "peers", nil, "addresses of other proxies to query while the platform is unavailable, IP:port each")
 	fs.DurationVar(&p.listLag, "list-lag", 3*time.Second, "greatest delay of the platform's list of instances")
 	fs.DurationVar(&p.drainTimeout, "drain-timeout", 30*time.Second, "greatest time that a shutdown waits for work in progress")
+	fs.Int64Var(&p.memoryLimitMB, "memory-limit-mb", 2048, "memory that the process may take, in MiB, a quarter of which callers may make it hold; 0 for no limit")
 	fs.StringVar(&p.logLevel, "log-level", "info", "debug, info, warn or error")
 }
 
@@ -75,6 +77,7 @@
 	}
 	s.require("list-lag", p.listLag >= 0 && p.listLag <= 10*time.Minute, "0s to 10m")
 	s.require("drain-timeout", p.drainTimeout > 0 && p.drainTimeout <= time.Hour, "more than 0s, up to 1h")
+	s.require("memory-limit-mb", p.memoryLimitMB >= 0 && p.memoryLimitMB <= 1<<20, "0 to 1048576")
 	_, err := log.ParseLevel(p.logLevel)
 	s.require("log-level", err == nil, "debug, info, warn or error")
 }
@@ -97,6 +100,7 @@
 		Peers:        p.peers,
 		ListLag:      p.listLag,
 		DrainTimeout: p.drainTimeout,
+		MemoryLimit:  p.memoryLimitMB << 20,
 		Clock:        clockwork.NewRealClock(),
 		Log:          newLogger(cmd, level),
 		RunID:        fmt.Sprintf("%x-%d", time.Now().UnixNano(), os.Getpid()),
--- a/internal/wire/cwtarget/conn.go
+++ b/internal/wire/cwtarget/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"cicadawalk.example/cicadawalk/internal/wire/cwframe"
 )
 
 // Startup holds the parameters of the startup message to a target.
@@ -40,6 +42,8 @@
 type Conn struct {
 	net.Conn
 	Frontend *pgproto3.Frontend
+	// Input is what Frontend reads, message by message.
+	Input *cwframe.Reader
 	// PID and Secret identify the connection in a cancel request.
 	PID    uint32
 	Secret []byte
@@ -70,6 +74,9 @@
 	return n
 }
 
+// inputBuffer is the size of the buffer of what a target sends, in bytes.
+const inputBuffer = 8 << 10
+
 // maxMessage is the largest message accepted from a target, in bytes.
 const maxMessage = 256 << 20
 
@@ -87,7 +94,8 @@
 		Address:    address,
 		sent:       countingWriter{w: nc},
 	}
-	c.Frontend = pgproto3.NewFrontend(nc, &c.sent)
+	c.Input = cwframe.NewReader(nc, inputBuffer, cwframe.MessageHeader)
+	c.Frontend = pgproto3.NewFrontend(c.Input, &c.sent)
 	c.Frontend.SetMaxBodyLen(maxMessage)
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
 	err = c.start(s)
