platform: a call for a promotion that was given up is reset

Cause: a call that is given up was closed like any other connection, so the kernel goes on sending it.

Change: each call has a connection of its own with a linger time of zero, so that it ends with a reset, also when the process is killed, and TCP_USER_TIMEOUT of 500 ms, which drops the bytes also while the process is paused. A claim lasts 2 s, and nothing is sent later than 200 ms after it was read back.

--- a/internal/tool/cwcommand/serve.go
+++ b/internal/tool/cwcommand/serve.go
@@ -99,7 +99,7 @@
 		StaleAfter:        staleAfter(s),
 		Table:             store,
 		Era:               store.Era,
-		Promoter:          &platform.PromotionClient{Address: s.Duties, HTTP: client},
+		Promoter:          platform.NewPromotionClient(s.Duties),
 		Clock:             clock,
 		Log:               logger,
 		RunID:             fmt.Sprintf("%x-%d", time.Now().UnixNano(), os.Getpid()),
