cwleadership: a test waits for the health checks that it has begun

What was seen: TestMinorityInstanceReportsGroupServedElsewhere/members_are_reachable_again failed now and then (19 of 900 under the race detector; once without it in this work).

Cause, shown by a run: the tick in loseMajority begins health checks, whose connections fail. One that ends after member b has reported makes b unreachable again, rightly, and nobody asks it while the clock stands still. The product is right: a check that fails later counts.

Change: loseMajority waits for the checks.

--- a/internal/proxy/cwleadership/reachability_test.go
+++ b/internal/proxy/cwleadership/reachability_test.go
@@ -12,13 +12,15 @@
 )
 
 // loseMajority makes two of three members unreachable while statements for the group
-// are refused, and lets the group read its row.
+// are refused, lets the group read its row, and waits for the health checks that began meanwhile:
+// they fail, and a member that reports later would become unreachable again.
 func (b *testGroup) loseMajority() {
 	b.reportHealth("a", cwgroup.RolePrimary, 1, 100)
 	for _, id := range []cwgroup.MemberID{"b", "c"} {
 		b.DialFailed(cwport.Endpoint{ID: id}, errUnavailable)
 	}
 	b.awaitRowRead()
+	b.awaitChecks()
 }
 
 // awaitRowRead runs one tick and waits until it has read the row.
