cwfailover, cwleadership: replicas that a failed change of primary has fenced are asked again, and helped by any proxy

Cause: only a proxy of rank 0 moved a group to a new term for a stranded member, though it may have ended or know nothing of it; and where one replica was known to be fenced and the primary was known, nobody asked the members any more, so that the reports were too old to act on.

--- a/internal/core/cwfailover/repair.go
+++ b/internal/core/cwfailover/repair.go
@@ -37,12 +37,23 @@
 // primary's term, because it adopted a later term for an attempt that failed or the
 // same term for another claim. Such a member can follow again only in a later term.
 func HasStrandedMember(v cwgroup.View, now time.Time) bool {
+	return hasStranded(v, func(r cwgroup.Report) bool { return r.Reachable && now.Sub(r.At) <= ReportMaxAge })
+}
+
+// MayHaveStrandedMember reports whether a member was stranded by its last report, whatever
+// the report's age. Without a new report it is not known whether it still is.
+func MayHaveStrandedMember(v cwgroup.View) bool {
+	return hasStranded(v, func(cwgroup.Report) bool { return true })
+}
+
+// hasStranded reports whether a member is stranded by a report that counts.
+func hasStranded(v cwgroup.View, counts func(cwgroup.Report) bool) bool {
 	p, ok := v.Primary()
 	if !ok {
 		return false
 	}
 	for _, r := range v.Reports() {
-		if r.Member == p.Member || !r.Reachable || now.Sub(r.At) > ReportMaxAge {
+		if r.Member == p.Member || !counts(r) {
 			continue
 		}
 		if r.AdoptedTerm > p.AdoptedTerm || r.AdoptedTerm == p.AdoptedTerm && r.Claim != p.Claim {
--- a/internal/core/cwfailover/supervisor.go
+++ b/internal/core/cwfailover/supervisor.go
@@ -353,17 +353,17 @@
 }
 
 // strandedTooLong reports whether a member has been stranded for StrandedTimeout,
-// while a majority of the members was reachable. Only the proxy of rank 0 reports
-// it.
+// while a majority of the members was reachable. Proxies with smaller ranks have time
+// to act first; the one of rank 0 may have ended, or may not know of the member.
 func (s *Supervisor) strandedTooLong(now time.Time, in TickInputs) bool {
-	if in.Rank != 0 || !HasStrandedMember(s.view, now) || !majorityReachable(s.view, now.Add(-drainReportMaxAge), now) {
+	if !HasStrandedMember(s.view, now) || !majorityReachable(s.view, now.Add(-drainReportMaxAge), now) {
 		s.strandedSince = time.Time{}
 		return false
 	}
 	if s.strandedSince.IsZero() {
 		s.strandedSince = now
 	}
-	return now.Sub(s.strandedSince) >= StrandedTimeout
+	return now.Sub(s.strandedSince) >= StrandedTimeout+time.Duration(in.Rank)*RankDelay
 }
 
 // Handle processes the response to a command and returns the next commands.
--- a/internal/proxy/cwleadership/loop.go
+++ b/internal/proxy/cwleadership/loop.go
@@ -94,10 +94,15 @@
 }
 
 // unsettled reports whether the primary is unknown, suspected, stopping or being
-// changed. The caller holds mu.
+// changed, or a member may be stranded in a term that it cannot follow the primary in.
+//
+// Writes to a primary whose replicas are stranded get no answer where it waits for them,
+// and nothing else shows the state of its replicas: they have to be asked until it is
+// known, or until the group has moved to a new term. The caller holds mu.
 func (g *Group) unsettled(now time.Time) bool {
-	p, ok := g.sup.View().Primary()
-	return !ok || g.sup.Suspects() || g.sup.ChangingPrimary() || g.claimInProgress(now) || g.promotionPending(now) || g.sup.Stopping(p.Member)
+	v := g.sup.View()
+	p, ok := v.Primary()
+	return !ok || cwfailover.MayHaveStrandedMember(v) || g.sup.Suspects() || g.sup.ChangingPrimary() || g.claimInProgress(now) || g.promotionPending(now) || g.sup.Stopping(p.Member)
 }
 
 func (g *Group) tick(ctx context.Context, eg *errgroup.Group) {
