cwleadership, cwengine: a target that was leaving before this instance started gets no statements

Cause: the time for which a leaving member gets statements was counted from when a group first listed it as leaving. An instance that starts, or that starts the group later, began to count anew; the platform counts from the announcement.

Change: the engine records when it learnt that a target drains, also across new lists; for the first list that is not known, and such a target gets no statements. It is replaced as primary as before.

--- a/internal/proxy/cwengine/engine.go
+++ b/internal/proxy/cwengine/engine.go
@@ -244,9 +244,15 @@
 func (e *Engine) SetTargets(all []cwport.ListedTarget) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	// It is not known since when the targets of the first list have been draining.
+	var learnt time.Time
+	if e.listingsLoaded.Load() {
+		learnt = e.cfg.Clock.Now()
+	}
+	before := e.listings
 	e.listings = targetList{}
 	for _, l := range all {
-		e.listings.set(l)
+		e.listings.set(before.withDrainingSince(l, learnt))
 	}
 	e.listingsLoaded.Store(true)
 	e.updateGroups()
@@ -261,16 +267,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	changed := make(map[string]bool)
+	now := e.cfg.Clock.Now()
 	for _, l := range listed {
 		changed[e.listings.byID[l.ID].Service] = true
 		changed[l.Service] = true
-		e.listings.set(l)
+		e.listings.set(e.listings.withDrainingSince(l, now))
 	}
 	for _, id := range removed {
 		changed[e.listings.byID[id].Service] = true
 		e.removeTarget(id)
 	}
-	now := e.cfg.Clock.Now()
 	for service := range changed {
 		e.updateMembership(service, now)
 		if p := e.plans[service]; p != nil {
--- a/internal/proxy/cwengine/listings.go
+++ b/internal/proxy/cwengine/listings.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"cicadawalk.example/cicadawalk/internal/core/cwgroup"
 	"cicadawalk.example/cicadawalk/internal/proxy/cwport"
@@ -32,6 +33,21 @@
 	l.byID[t.ID] = t
 }
 
+// withDrainingSince returns a listing with the time at which this instance learnt that its target is
+// draining: now, unless the target was draining in l already.
+func (l *targetList) withDrainingSince(t cwport.ListedTarget, now time.Time) cwport.ListedTarget {
+	before, ok := l.byID[t.ID]
+	switch {
+	case !t.Draining:
+		t.DrainingSince = time.Time{}
+	case ok && before.Draining:
+		t.DrainingSince = before.DrainingSince
+	default:
+		t.DrainingSince = now
+	}
+	return t
+}
+
 // remove removes a target. It returns the listing, and false if there was none.
 func (l *targetList) remove(id cwgroup.MemberID) (cwport.ListedTarget, bool) {
 	t, ok := l.byID[id]
--- a/internal/proxy/cwleadership/member.go
+++ b/internal/proxy/cwleadership/member.go
@@ -14,8 +14,6 @@
 type Member struct {
 	cwport.ListedTarget
 	Pool *cwtargetpool.Pool
-	// leavingSince is when this proxy learnt that the member is leaving; zero if it stays.
-	leavingSince time.Time
 }
 
 // SetMembers replaces the targets of the group. The group has size members, or
@@ -108,9 +106,6 @@
 		g.members[l.ID] = m
 		g.logProgress[l.ID] = &logProgress{}
 	}
-	if l.Draining && !m.Draining {
-		m.leavingSince = g.cfg.Clock.Now()
-	}
 	m.ListedTarget = l
 	m.Pool.SetMaxConnections(ceiling)
 	m.Pool.SetSlots(l.Slots)
@@ -123,9 +118,11 @@
 // statements.
 //
 // It is replaced as the primary long before that, unless no other member has its records, or
-// it was promoted for that reason. The others then receive them from it.
+// it was promoted for that reason. The others then receive them from it. A member that was
+// leaving already when this proxy started gets none at all: nobody knows for how long it has
+// been, and the platform counts from its announcement.
 func (g *Group) servesNoLonger(m *Member, now time.Time) bool {
-	return m.Draining && g.cfg.LeavingServes > 0 && now.Sub(m.leavingSince) >= g.cfg.LeavingServes
+	return m.Draining && g.cfg.LeavingServes > 0 && now.Sub(m.DrainingSince) >= g.cfg.LeavingServes
 }
 
 // Member returns the member with the given id.
--- a/internal/proxy/cwleadership/member_test.go
+++ b/internal/proxy/cwleadership/member_test.go
@@ -36,10 +36,11 @@
 // listChange lists members of which some are leaving, and waits until all proxies know.
 func (b *testGroup) listChange(staying, leaving []cwgroup.MemberID) {
 	var list []cwport.ListedTarget
+	now := b.clock.Now()
 	for _, id := range append(append([]cwgroup.MemberID{}, staying...), leaving...) {
 		list = append(list, cwport.ListedTarget{
 			ID: id, Service: "ledger", Address: string(id) + ":1", DataCentre: "dc", Slots: 3,
-			Draining: slices.Contains(leaving, id),
+			Draining: slices.Contains(leaving, id), DrainingSince: now,
 		})
 	}
 	b.SetMembers(list, 3, 8)
@@ -135,3 +136,19 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, place.ID, qt.Not(qt.Equals), cwgroup.MemberID("a"))
 }
+
+// Guards against statements to a primary that was leaving before this instance started, which counted
+// the time anew.
+func TestPrimaryThatWasLeavingBeforeServesNothing(t *testing.T) {
+	b := newTestGroup(t)
+	b.cfg.LeavingServes = 5 * time.Second
+	list := []cwport.ListedTarget{{ID: "a", Service: "ledger", Address: "a:1", DataCentre: "dc", Slots: 3, Draining: true}}
+	for _, id := range []cwgroup.MemberID{"b", "c", "d"} {
+		list = append(list, cwport.ListedTarget{ID: id, Service: "ledger", Address: string(id) + ":1", DataCentre: "dc", Slots: 3})
+	}
+	b.SetMembers(list, 3, 8)
+	b.reportHealth("a", cwgroup.RolePrimary, 1, 100)
+	b.reportHealth("b", cwgroup.RoleReplica, 1, 100)
+	b.reportHealth("c", cwgroup.RoleReplica, 1, 100)
+	b.assertPrimary("")
+}
--- a/internal/proxy/cwport/port.go
+++ b/internal/proxy/cwport/port.go
@@ -174,6 +174,9 @@
 	Slots int
 	// Draining is true once the target has announced that it is shutting down.
 	Draining bool
+	// DrainingSince is when this instance learnt that the target is draining; zero if the target
+	// was draining before the instance knew of any target, or is not draining.
+	DrainingSince time.Time
 	// EntryMissing is true while the entry is missing from the list. The target is still used
 	// until it is certain that the entry will not return.
 	EntryMissing bool
