cwfailover: a promotion is sent early enough to arrive within its claim

Cause: a call may be on the way for 500 ms after it was sent, and one that was sent in the last 500 ms of its claim could arrive after another proxy had claimed the group.

Change: a promotion is sent up to 1.5 s after the attempt began; the claim lasts 2 s.

Test: TestPromotionArrivesWithinItsClaim, which failed before.

--- a/internal/core/cwfailover/attempt.go
+++ b/internal/core/cwfailover/attempt.go
@@ -13,6 +13,9 @@
 	// of the proxy that made it, and how long other proxies must not replace the
 	// claim, by their own clocks.
 	ClaimTTL = 2 * time.Second
+	// PromotionTransit is how long a promotion may be on the way once it was sent. It must have
+	// arrived, or be lost, before another proxy may claim the group.
+	PromotionTransit = 500 * time.Millisecond
 	// TableTimeout is how long an attempt waits for the table to confirm its claim
 	// before it continues without it, if the group's configuration allows that.
 	TableTimeout = 300 * time.Millisecond
@@ -215,6 +218,10 @@
 }
 
 func (k *Attempt) newCommand(kind CommandKind, m cwgroup.MemberID) Command {
+	notAfter := k.startedAt.Add(ClaimTTL)
+	if kind == Promote {
+		notAfter = notAfter.Add(-PromotionTransit)
+	}
 	return Command{
 		Kind:         kind,
 		Member:       m,
@@ -223,7 +230,7 @@
 		Primary:      k.newPrimary,
 		ReplacedTerm: max(k.highestPriorTerm, k.plan.ReplacedTerm),
 		GroupSize:    k.plan.StableSize,
-		NotAfter:     k.startedAt.Add(ClaimTTL),
+		NotAfter:     notAfter,
 	}
 }
 
--- a/internal/core/cwfailover/attempt_test.go
+++ b/internal/core/cwfailover/attempt_test.go
@@ -258,6 +258,16 @@
 	}
 }
 
+// Guards against a promotion that is still on the way when another proxy claims the group.
+func TestPromotionArrivesWithinItsClaim(t *testing.T) {
+	k := fencingAttempt(t, testPlan())
+	k.Handle(adoptResponse("b", logPosition(3, 7)), start)
+	k.Handle(adoptResponse("c", logPosition(3, 9)), start)
+	commands := k.Tick(start.Add(FenceGracePeriod))
+	assertCommands(t, commands, "promote c")
+	qt.Assert(t, commands[0].NotAfter.Add(PromotionTransit).After(start.Add(ClaimTTL)), qt.IsFalse)
+}
+
 func TestMayClaim(t *testing.T) {
 	s := NewSupervisor("p", "s", "g", members)
 	other := Row{Term: 4, Claim: "x", Owner: "q"}
